--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: demo test check install proto
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps -e .
+	touch $@
+
+demo: install
+	$(PYTHON) tools/demo.py
+
+test: install
+	$(PYTHON) -m pytest
+
+check: install
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
+
+proto: install
+	$(PYTHON) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src \
+		--grpc_python_out=src src/acaciarelay/protocol/relay.proto
--- /dev/null
+++ b/src/acaciarelay/__init__.py
@@ -0,0 +1,1 @@
+"""Request scheduler between callers and unlike endpoints."""
--- /dev/null
+++ b/src/acaciarelay/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions; pure, with time and randomness passed in."""
--- /dev/null
+++ b/src/acaciarelay/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs and the parts they are wired from."""
--- /dev/null
+++ b/src/acaciarelay/programs/options.py
@@ -0,0 +1,168 @@
+"""Typed readers for settings, which name the option and the bad value in errors."""
+
+import ipaddress
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+
+__all__ = [
+    "Option",
+    "OptionError",
+    "read_address",
+    "read_addresses",
+    "read_bool",
+    "read_choice",
+    "read_float",
+    "read_int",
+    "read_options",
+    "read_text",
+]
+
+ENVIRONMENT_PREFIX = "ACACIARELAY_"
+
+
+class OptionError(ValueError):
+    """Report one option whose value breaks its rule."""
+
+    def __init__(self, option: str, value: object, rule: str) -> None:
+        super().__init__(f"{option}: {value!r} is not valid: {rule}")
+        self.option = option
+        self.value = value
+        self.rule = rule
+
+
+Reader = Callable[[str, str], Any]
+
+
+@attrs.frozen
+class Option:
+    """Declare one setting; ``default`` of ``None`` makes it required."""
+
+    name: str
+    reader: Reader
+    default: str | None
+    help: str
+    unit: str = ""
+
+    @property
+    def flag(self) -> str:
+        return "--" + self.name
+
+    @property
+    def variable(self) -> str:
+        return ENVIRONMENT_PREFIX + self.name.replace("-", "_").upper()
+
+    @property
+    def attribute(self) -> str:
+        return self.name.replace("-", "_")
+
+
+def read_text(option: str, value: str) -> str:
+    """Read a non-empty text."""
+    if not value.strip():
+        raise OptionError(option, value, "give a text that is not empty")
+    return value
+
+
+def read_int(minimum: int, maximum: int) -> Reader:
+    """Return a reader for a whole number in a range, both ends included."""
+
+    def read(option: str, value: str) -> int:
+        rule = f"give a whole number from {minimum} to {maximum}"
+        try:
+            number = int(value)
+        except ValueError:
+            raise OptionError(option, value, rule) from None
+        if not minimum <= number <= maximum:
+            raise OptionError(option, value, rule)
+        return number
+
+    return read
+
+
+def read_float(minimum: float, maximum: float) -> Reader:
+    """Return a reader for a number in a range, both ends included."""
+
+    def read(option: str, value: str) -> float:
+        rule = f"give a number from {minimum:g} to {maximum:g}"
+        try:
+            number = float(value)
+        except ValueError:
+            raise OptionError(option, value, rule) from None
+        if not minimum <= number <= maximum:
+            raise OptionError(option, value, rule)
+        return number
+
+    return read
+
+
+def read_bool(option: str, value: str) -> bool:
+    """Read ``true`` or ``false``."""
+    words = {"true": True, "false": False}
+    if value.lower() not in words:
+        raise OptionError(option, value, "give true or false")
+    return words[value.lower()]
+
+
+def read_choice(*choices: str) -> Reader:
+    """Return a reader for one of the given words."""
+
+    def read(option: str, value: str) -> str:
+        if value not in choices:
+            raise OptionError(option, value, "give one of " + ", ".join(choices))
+        return value
+
+    return read
+
+
+def read_address(option: str, value: str) -> str:
+    """Read an IP number and a port, as in ``127.0.0.1:8080`` or ``[::1]:8080``."""
+    rule = "give IP:PORT with an IP number and a port from 1 to 65535"
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise OptionError(option, value, rule) from None
+    if not 1 <= number <= 65535:
+        raise OptionError(option, value, rule)
+    return value
+
+
+def read_addresses(option: str, value: str) -> list[str]:
+    """Read addresses separated by commas; an empty text gives an empty list."""
+    if not value.strip():
+        return []
+    return [read_address(option, part.strip()) for part in value.split(",")]
+
+
+def read_options(
+    options: list[Option], flags: Mapping[str, str | None], environment: Mapping
+) -> tuple[dict[str, Any], list[OptionError]]:
+    """Read all options, a flag before its variable before the default.
+
+    Returns the values by attribute name and every problem found. An unknown
+    variable with the prefix is a problem too, since it is most likely misspelt.
+    """
+    values: dict[str, Any] = {}
+    problems: list[OptionError] = []
+    for option in options:
+        raw = flags.get(option.name)
+        if raw is None:
+            raw = environment.get(option.variable, option.default)
+        if raw is None:
+            rule = f"set {option.flag} or {option.variable}"
+            problems.append(OptionError(option.name, raw, rule))
+            continue
+        try:
+            values[option.attribute] = option.reader(option.name, raw)
+        except OptionError as problem:
+            problems.append(problem)
+    known = {option.variable for option in options}
+    for variable in sorted(environment):
+        if not variable.startswith(ENVIRONMENT_PREFIX) or variable in known:
+            continue
+        rule = "no such setting; see --help"
+        problems.append(OptionError(variable, environment[variable], rule))
+    return values, problems
--- /dev/null
+++ b/src/acaciarelay/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, codes and formats on the wire."""
--- /dev/null
+++ b/src/acaciarelay/protocol/codes.py
@@ -0,0 +1,124 @@
+"""Numbered result codes and the refusals that carry them."""
+
+import enum
+
+import attrs
+
+__all__ = ["CODES", "Outcome", "Refusal", "ResultCode", "code_by_number", "refuse"]
+
+
+class Outcome(enum.StrEnum):
+    """Say whether a request ran."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "outcome_unknown"
+
+
+@attrs.frozen
+class ResultCode:
+    """Describe one result code.
+
+    ``retryable`` is true when the same request may succeed later without a change;
+    such refusals carry ``Retry-After``.
+    """
+
+    number: int
+    name: str
+    status: int
+    outcome: Outcome
+    advice: str
+    retryable: bool = False
+
+
+@attrs.frozen
+class Refusal:
+    """Hold the reason for which a request has no whole answer.
+
+    ``retry_after_s`` is in seconds and is set for retryable codes only.
+    """
+
+    code: ResultCode
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def message(self) -> str:
+        if not self.detail:
+            return self.code.advice
+        return f"{self.detail}. {self.code.advice}"
+
+
+_N, _R, _U = Outcome.NOT_RUN, Outcome.RAN, Outcome.UNKNOWN
+
+_TABLE = [
+    # 1xx: bad input.
+    (100, "malformed_http", 400, _N, "Send a well-formed HTTP/1.1 request.", False),
+    (101, "head_too_large", 431, _N, "Send fewer or shorter header fields.", False),
+    (102, "body_too_large", 413, _N, "Send a smaller body.", False),
+    (103, "body_too_slow", 408, _N, "Send the body without long pauses.", False),
+    (104, "invalid_json", 400, _N, "Send a body that is valid JSON.", False),
+    (105, "invalid_field", 400, _N, "Correct the named field.", False),
+    (106, "unknown_path", 404, _N, "Use a path from the documentation.", False),
+    (107, "method_not_allowed", 405, _N, "Use a method that the path allows.", False),
+    (108, "length_required", 411, _N, "Send Content-Length.", False),
+    (109, "head_too_slow", 408, _N, "Send the request head without pauses.", False),
+    # 2xx: identity and policy.
+    (200, "unknown_key", 401, _N, "Send the bearer key of an organisation.", False),
+    (201, "unknown_model", 404, _N, "Name a model that a pool serves.", False),
+    (202, "unknown_service", 404, _N, "Name a service that a pool serves.", False),
+    (203, "tier_not_allowed", 403, _N, "Use a request class of your policy.", False),
+    (204, "rate_limited", 429, _N, "Wait for Retry-After, then retry.", True),
+    # 3xx: capacity.
+    (300, "shed", 503, _N, "Wait for Retry-After, then retry.", True),
+    (301, "deadline_exceeded", 504, _N, "Retry later or allow more time.", True),
+    (302, "entry_overloaded", 503, _N, "Wait for Retry-After, then retry.", True),
+    (303, "no_endpoint", 503, _N, "Wait for Retry-After, then retry.", True),
+    (304, "entry_stopping", 503, _N, "Retry; another entry will answer.", True),
+    (305, "not_ready", 503, _N, "Retry; this entry has no configuration yet.", True),
+    (306, "retry_budget_spent", 503, _N, "Wait for Retry-After, then retry.", True),
+    # 4xx: idempotency.
+    (400, "key_required", 400, _N, "Send an Idempotency-Key with this call.", False),
+    (401, "key_conflict", 409, _N, "Use a new key for a different body.", False),
+    (402, "key_in_progress", 409, _N, "Wait, then repeat with the same key.", True),
+    (403, "key_unsettled", 409, _U, "Ask the operator to settle this key.", False),
+    # 5xx: endpoints and outcome.
+    (500, "outcome_unknown", 502, _U, "Check the effect before repeating.", False),
+    (501, "endpoint_stalled", 504, _R, "The answer is incomplete; retry.", True),
+    (502, "preempted", 503, _R, "Stopped for more urgent work; retry.", True),
+    (503, "endpoint_failed", 502, _R, "The answer is incomplete; retry.", True),
+    (504, "answer_cut", 502, _R, "The deadline passed during the answer.", True),
+    (505, "caller_gone", 499, _R, "The caller closed the connection.", False),
+    # 6xx: platform.
+    (600, "platform_unavailable", 503, _N, "Retry later; nothing was run.", True),
+    (601, "platform_unknown", 503, _U, "Read the record before repeating.", False),
+    # 7xx: administration.
+    (700, "operator_key_required", 401, _N, "Send the operator key.", False),
+    (701, "record_invalid", 400, _N, "Correct the named fields.", False),
+    (702, "record_conflict", 409, _N, "Read the current revision, then apply.", False),
+    (703, "record_missing", 404, _N, "Name a record that exists.", False),
+    (704, "schema_too_new", 409, _N, "Upgrade all processes first.", False),
+    (705, "dangling_reference", 400, _N, "Create the named record first.", False),
+    # 8xx: settings and command line.
+    (800, "settings_invalid", 500, _N, "Correct all the settings listed.", False),
+    (801, "connection_failed", 500, _N, "Check the address and the network.", True),
+]
+
+CODES = {row[1]: ResultCode(*row) for row in _TABLE}
+_BY_NUMBER = {code.number: code for code in CODES.values()}
+
+
+def code_by_number(number: int) -> ResultCode:
+    """Return the code with this number.
+
+    Raises ``KeyError`` for a number that is not in the table.
+    """
+    return _BY_NUMBER[number]
+
+
+def refuse(name: str, detail: str = "", retry_after_s: float | None = None) -> Refusal:
+    """Build the refusal for the code of this name.
+
+    ``retry_after_s`` is in seconds. Raises ``KeyError`` for an unknown name.
+    """
+    return Refusal(CODES[name], detail, retry_after_s)
--- /dev/null
+++ b/src/acaciarelay/state/__init__.py
@@ -0,0 +1,1 @@
+"""State machines and records; pure, with no input or output."""
--- /dev/null
+++ b/src/acaciarelay/state/records.py
@@ -0,0 +1,291 @@
+"""Configuration records, their schemas, and the snapshot that holds them.
+
+A stored record is an envelope with type, name, schema, revision and body. Both
+schemas of a record can be stored side by side: a process uses the newest schema that
+it understands.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import cattrs
+import orjson
+from result import Err, Ok, Result
+
+__all__ = [
+    "RECORD_TYPES",
+    "EndpointRecord",
+    "EndpointState",
+    "Envelope",
+    "OrganisationRecord",
+    "PolicyRecord",
+    "PoolRecord",
+    "Record",
+    "RecordError",
+    "RecordType",
+    "RouteRule",
+    "Snapshot",
+    "TierRecord",
+    "decode_snapshot",
+    "dangling_references",
+    "encode_snapshot",
+    "parse_record",
+]
+
+EndpointState = str  # "active" or "draining"
+
+
+def _positive(instance: object, attribute: attrs.Attribute, value: float) -> None:
+    if value <= 0:
+        raise ValueError(f"{attribute.name} must be above 0, not {value}")
+
+
+def _not_negative(instance: object, attribute: attrs.Attribute, value: float) -> None:
+    if value < 0:
+        raise ValueError(f"{attribute.name} must be 0 or more, not {value}")
+
+
+def _one_of(*words: str) -> Callable:
+    def check(instance: object, attribute: attrs.Attribute, value: str) -> None:
+        if value not in words:
+            choices = ", ".join(words)
+            raise ValueError(f"{attribute.name} must be one of {choices}, not {value}")
+
+    return check
+
+
+@attrs.frozen(kw_only=True)
+class TierRecord:
+    """Describe a service tier; rank 0 is the most urgent."""
+
+    rank: int = attrs.field(validator=_not_negative)
+    timeout_ms: int = attrs.field(default=60_000, validator=_positive)
+    wait_budget_ms: int = attrs.field(default=20_000, validator=_positive)
+
+
+@attrs.frozen(kw_only=True)
+class OrganisationRecord:
+    """Describe an organisation; a limit of 0 tokens/s means no limit.
+
+    ``key_hashes`` are hexadecimal SHA-256 sums of bearer keys.
+    """
+
+    key_hashes: list[str]
+    policy: str
+    weight: int = attrs.field(default=1, validator=_positive)
+    tokens_per_second: int = attrs.field(default=0, validator=_not_negative)
+    burst_tokens: int = attrs.field(default=0, validator=_not_negative)
+    size_class: str = attrs.field(default="small", validator=_one_of("small", "large"))
+
+
+@attrs.frozen(kw_only=True)
+class RouteRule:
+    """Say whether calls of a service below a path may be repeated."""
+
+    method: str
+    path_prefix: str
+    repeatable: bool
+
+
+@attrs.frozen(kw_only=True)
+class PoolRecord:
+    """Describe a pool of endpoints that serve the same models or one service.
+
+    Calls of a service that no route names count as repeatable for GET and HEAD only.
+    """
+
+    kind: str = attrs.field(validator=_one_of("chat", "service"))
+    models: list[str] = attrs.field(factory=list)
+    service: str = ""
+    routes: list[RouteRule] = attrs.field(factory=list)
+    placement: str = attrs.field(
+        default="late_binding",
+        validator=_one_of("late_binding", "least_reported", "round_robin"),
+    )
+    reservations: int = attrs.field(default=2, validator=_positive)
+    subset: int = attrs.field(default=20, validator=_positive)
+    retry_ratio: float = attrs.field(default=0.1, validator=_not_negative)
+    wan_wait_ms: int = attrs.field(default=500, validator=_not_negative)
+
+
+@attrs.frozen(kw_only=True)
+class PolicyRecord:
+    """Map request classes to tiers; the class ``default`` is required."""
+
+    tiers: dict[str, str]
+    max_body_bytes: int = attrs.field(default=33_554_432, validator=_positive)
+    max_answer_tokens: int = attrs.field(default=4_096, validator=_positive)
+
+    def __attrs_post_init__(self) -> None:
+        if "default" not in self.tiers:
+            raise ValueError("tiers must map the class default")
+
+
+@attrs.frozen(kw_only=True)
+class EndpointRecord:
+    """Hold the operator's wish for one endpoint."""
+
+    pool: str
+    state: EndpointState = attrs.field(
+        default="active", validator=_one_of("active", "draining")
+    )
+    models: list[str] = attrs.field(factory=list)
+
+
+Record = TierRecord | OrganisationRecord | PoolRecord | PolicyRecord | EndpointRecord
+
+
+def _organisation_from_1(body: dict[str, Any]) -> dict[str, Any]:
+    """Schema 1 had a single key hash and requests/s in place of tokens/s."""
+    tokens_per_request = 500
+    upgraded = dict(body)
+    upgraded["key_hashes"] = [upgraded.pop("key_hash", "")]
+    rate = upgraded.pop("requests_per_second", 0)
+    upgraded["tokens_per_second"] = rate * tokens_per_request
+    return upgraded
+
+
+def _same(body: dict[str, Any]) -> dict[str, Any]:
+    return body
+
+
+@attrs.frozen
+class RecordType:
+    """Describe a record type: its class and a converter for each schema understood."""
+
+    name: str
+    record_class: type
+    schemas: dict[int, Callable[[dict[str, Any]], dict[str, Any]]]
+
+    @property
+    def newest(self) -> int:
+        return max(self.schemas)
+
+
+RECORD_TYPES = {
+    "tier": RecordType("tier", TierRecord, {1: _same}),
+    "organisation": RecordType(
+        "organisation", OrganisationRecord, {1: _organisation_from_1, 2: _same}
+    ),
+    "pool": RecordType("pool", PoolRecord, {1: _same}),
+    "policy": RecordType("policy", PolicyRecord, {1: _same}),
+    "endpoint": RecordType("endpoint", EndpointRecord, {1: _same}),
+}
+
+
+@attrs.frozen
+class Envelope:
+    """Hold a stored record; ``body`` has the form of ``schema``."""
+
+    type: str
+    name: str
+    schema: int
+    revision: int
+    body: dict[str, Any]
+
+
+@attrs.frozen
+class RecordError:
+    """Say why a record is not usable; ``too_new`` marks a schema still unknown."""
+
+    type: str
+    name: str
+    reason: str
+    too_new: bool = False
+
+
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+
+
+def parse_record(envelope: Envelope) -> Result[Record, RecordError]:
+    """Read the body of an envelope into the record class of its type."""
+    kind = RECORD_TYPES.get(envelope.type)
+    if kind is None:
+        reason = f"unknown record type {envelope.type}"
+        return Err(RecordError(envelope.type, envelope.name, reason))
+    upgrade = kind.schemas.get(envelope.schema)
+    if upgrade is None:
+        reason = f"schema {envelope.schema} is not known; newest is {kind.newest}"
+        too_new = envelope.schema > kind.newest
+        return Err(RecordError(kind.name, envelope.name, reason, too_new))
+    try:
+        record: Record = _CONVERTER.structure(upgrade(envelope.body), kind.record_class)
+    except Exception as error:
+        reason = "; ".join(cattrs.transform_error(error))
+        return Err(RecordError(kind.name, envelope.name, reason))
+    return Ok(record)
+
+
+@attrs.frozen
+class Snapshot:
+    """Hold all stored envelopes under one generation, with the records understood."""
+
+    generation: int = 0
+    envelopes: list[Envelope] = attrs.field(factory=list)
+    tiers: dict[str, TierRecord] = attrs.field(factory=dict)
+    organisations: dict[str, OrganisationRecord] = attrs.field(factory=dict)
+    pools: dict[str, PoolRecord] = attrs.field(factory=dict)
+    policies: dict[str, PolicyRecord] = attrs.field(factory=dict)
+    endpoints: dict[str, EndpointRecord] = attrs.field(factory=dict)
+    errors: list[RecordError] = attrs.field(factory=list)
+
+    def by_type(self, type_name: str) -> dict[str, Any]:
+        """Return the records of a type by name; raises ``KeyError``."""
+        groups: dict[str, dict[str, Any]] = {
+            "tier": self.tiers,
+            "organisation": self.organisations,
+            "pool": self.pools,
+            "policy": self.policies,
+            "endpoint": self.endpoints,
+        }
+        return groups[type_name]
+
+
+def build_snapshot(generation: int, envelopes: list[Envelope]) -> Snapshot:
+    """Parse envelopes, using for each record the newest schema that is understood."""
+    snapshot = Snapshot(generation=generation, envelopes=list(envelopes))
+    for envelope in sorted(envelopes, key=lambda item: item.schema):
+        match parse_record(envelope):
+            case Ok(record):
+                snapshot.by_type(envelope.type)[envelope.name] = record
+            case Err(error):
+                snapshot.errors.append(error)
+    return snapshot
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Encode generation and envelopes as JSON."""
+    envelopes = [attrs.asdict(envelope) for envelope in snapshot.envelopes]
+    return orjson.dumps({"generation": snapshot.generation, "records": envelopes})
+
+
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Decode a snapshot; raises ``ValueError`` when the data has another form."""
+    try:
+        body = orjson.loads(data)
+        envelopes = cattrs.structure(body["records"], list[Envelope])
+        return build_snapshot(int(body["generation"]), envelopes)
+    except (KeyError, TypeError, cattrs.BaseValidationError) as error:
+        raise ValueError("not a configuration snapshot") from error
+
+
+def dangling_references(snapshot: Snapshot) -> list[RecordError]:
+    """List the records that name a tier, policy or pool which does not exist."""
+    errors = []
+    for name, organisation in snapshot.organisations.items():
+        if organisation.policy in snapshot.policies:
+            continue
+        reason = f"policy {organisation.policy} does not exist"
+        errors.append(RecordError("organisation", name, reason))
+    for name, policy in snapshot.policies.items():
+        for tier in policy.tiers.values():
+            if tier in snapshot.tiers:
+                continue
+            errors.append(RecordError("policy", name, f"tier {tier} does not exist"))
+    for name, endpoint in snapshot.endpoints.items():
+        if endpoint.pool in snapshot.pools:
+            continue
+        reason = f"pool {endpoint.pool} does not exist"
+        errors.append(RecordError("endpoint", name, reason))
+    return errors
--- /dev/null
+++ b/src/acaciarelay/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to callers, peers, endpoints and the platform."""
--- /dev/null
+++ b/src/acaciarelay/transport/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to endpoints, one kind in each module."""
--- /dev/null
+++ b/src/acaciarelay_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, cases and reports for measurements."""
--- /dev/null
+++ b/src/acaciarelay_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demonstration only."""
