--- /dev/null
+++ b/src/acaciarelay/programs/agent_main.py
@@ -0,0 +1,229 @@
+"""The agent program: the only path to one endpoint."""
+
+import asyncio
+import random
+import secrets
+import sys
+
+from result import Err, Ok
+
+from acaciarelay.coordination.concurrency import TokenLimit
+from acaciarelay.coordination.fair_queue import FairQueue
+from acaciarelay.programs.agent_core import AgentCore, AgentIdentityConfig
+from acaciarelay.programs.agent_service import RunService
+from acaciarelay.programs.logs import configure_logs, log_event
+from acaciarelay.programs.membership import register
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.programs.runner import Settings, Stopper, run_program
+from acaciarelay.programs.settings import AGENT_OPTIONS
+from acaciarelay.protocol.codes import refuse
+from acaciarelay.protocol.platform_api import VmState
+from acaciarelay.state.directory import AgentMember
+from acaciarelay.state.records import EndpointRecord, Snapshot, decode_snapshot
+from acaciarelay.transport.claim_store import ClaimStore
+from acaciarelay.transport.endpoints import ENDPOINT_KINDS
+from acaciarelay.transport.http_client import ClientLimits, split_address
+from acaciarelay.transport.http_server import HttpExchange, HttpServer
+from acaciarelay.transport.platform_client import PlatformClient
+from acaciarelay.transport.relay_server import RelayServer, start_grpc_server
+
+__all__ = ["main"]
+
+PROBE_INTERVAL_S = 1.0
+# One lost probe must not empty the queue of a healthy endpoint.
+PROBE_FAILURES = 2
+STOP_POLL_S = 0.05
+# Entries may not acknowledge the last message after their caller left.
+DELIVERY_GRACE_S = 5.0
+
+
+class AgentProgram:
+    """Wire the parts of an agent together and run them."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.rng = random.Random()
+        self.metrics = Metrics()
+        self.platform = PlatformClient(settings.platform, settings.platform_timeout_s)
+        limits = ClientLimits(
+            read_timeout_s=settings.stall_s, head_timeout_s=settings.stall_s
+        )
+        self.adapter = ENDPOINT_KINDS[settings.kind](settings.endpoint, limits)
+        self.limit = TokenLimit(
+            settings.token_limit, settings.token_limit_min, settings.token_limit_max
+        )
+        self.config = AgentIdentityConfig(
+            agent_id=settings.id,
+            incarnation=secrets.randbits(63),
+            pool=settings.pool,
+            zone=settings.zone,
+            region=settings.region,
+            resume_window_s=settings.resume_window_s,
+        )
+        runs = RunService(
+            self.adapter,
+            ClaimStore(self.platform),
+            self.limit,
+            self.metrics,
+            settings.resume_window_s,
+        )
+        queue = FairQueue(settings.max_waiting, settings.quantum_tokens)
+        self.core = AgentCore(self.config, queue, self.limit, runs, self.metrics)
+        self.core.on_config = self.on_config
+        self.snapshot = Snapshot()
+        self.drain_reasons: set[str] = set()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self, stopper: Stopper) -> int:
+        """Serve until a stop is requested and all work is done."""
+        settings = self.settings
+        server = HttpServer(self.serve)
+        await server.listen(*split_address(settings.http_listen))
+        relay = RelayServer(self.core, settings.silence_s)
+        grpc_server = await start_grpc_server(settings.listen, relay.add_to)
+        self.start_tasks()
+        log_event("agent_started", listen=settings.listen, pool=settings.pool)
+        await stopper.wait()
+        self.set_drain("stop requested", True)
+        await self.wait_idle()
+        for task in self.tasks:
+            task.cancel()
+        await grpc_server.stop(None)
+        await server.close(0)
+        log_event("agent_stopped")
+        return 0
+
+    def start_tasks(self) -> None:
+        settings = self.settings
+        member = AgentMember(
+            id=settings.id,
+            address=settings.listen,
+            incarnation=self.config.incarnation,
+            pool=settings.pool,
+            zone=settings.zone,
+            region=settings.region,
+        )
+        work = [
+            self.core.run_ticks(),
+            self.probe_endpoint(),
+            self.poll_config(),
+            register(self.platform, member, self.rng),
+        ]
+        if settings.vm_name != "-":
+            work.append(self.poll_vms())
+        for item in work:
+            self.tasks.append(asyncio.create_task(item))
+
+    async def wait_idle(self) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self.settings.stop_grace_s
+        delivered_by = 0.0
+        while loop.time() < deadline:
+            if self.core.idle:
+                return
+            if self.core.runs.active():
+                delivered_by = loop.time() + DELIVERY_GRACE_S
+            elif loop.time() >= delivered_by > 0 and not self.core.runs.background:
+                return
+            delivered_by = delivered_by or loop.time() + DELIVERY_GRACE_S
+            await asyncio.sleep(STOP_POLL_S)
+
+    # Drain.
+
+    def set_drain(self, reason: str, wanted: bool) -> None:
+        """Drain while at least one reason for it holds."""
+        if wanted:
+            self.drain_reasons.add(reason)
+            self.core.start_drain(reason)
+            return
+        self.drain_reasons.discard(reason)
+        if not self.drain_reasons:
+            self.core.stop_drain()
+
+    def on_config(self, data: bytes) -> None:
+        """Put a newer configuration in force; an older one never is."""
+        try:
+            snapshot = decode_snapshot(data)
+        except ValueError:
+            log_event("config_not_understood")
+            return
+        if snapshot.generation <= self.core.generation:
+            return
+        self.snapshot = snapshot
+        self.core.generation = snapshot.generation
+        self.metrics.set("config_generation", snapshot.generation)
+        log_event("config_in_force", generation=snapshot.generation)
+        self.apply_endpoint_record(snapshot.endpoints.get(self.settings.id))
+
+    def apply_endpoint_record(self, record: EndpointRecord | None) -> None:
+        draining = record is not None and record.state == "draining"
+        self.set_drain("endpoint record", draining)
+
+    # Watching.
+
+    async def probe_endpoint(self) -> None:
+        failures = 0
+        while True:
+            match await self.adapter.probe():
+                case Ok():
+                    failures = 0
+                case Err():
+                    failures += 1
+            self.core.set_endpoint_up(failures < PROBE_FAILURES)
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def poll_config(self) -> None:
+        """Read the own endpoint record while no entry has a session with this agent."""
+        key = f"record/endpoint/{self.settings.id}/1"
+        while True:
+            await asyncio.sleep(self.rng.uniform(4.0, 6.0))
+            if self.core.links:
+                continue
+            match await self.platform.read("config", key):
+                case Ok(row) if row is not None:
+                    body = row.value.get("body", {})
+                    draining = body.get("state") == "draining"
+                    self.set_drain("endpoint record", draining)
+
+    async def poll_vms(self) -> None:
+        """Drain when the platform lists this VM as leaving."""
+        while True:
+            match await self.platform.list_vms():
+                case Ok(vms):
+                    for vm in vms:
+                        if vm.name == self.settings.vm_name:
+                            leaving = vm.state is VmState.LEAVING
+                            self.set_drain("VM list", leaving)
+            await asyncio.sleep(self.settings.vm_poll_s)
+
+    # Health and metrics.
+
+    async def serve(self, exchange: HttpExchange) -> None:
+        """Route one request."""
+        match exchange.request.path:
+            case "/healthz":
+                await exchange.respond_json(200, {"status": "alive"})
+            case "/readyz":
+                ready = self.core.endpoint_up and not self.core.draining
+                await exchange.respond_json(200 if ready else 503, {"ready": ready})
+            case "/metrics":
+                body, content_type = self.metrics.render()
+                await exchange.respond(200, [("content-type", content_type)], body)
+            case _:
+                await exchange.respond_refusal(refuse("unknown_path"))
+
+
+async def run_agent(settings: Settings, stopper: Stopper) -> int:
+    """Run the agent service."""
+    configure_logs("acaciarelay-agent", settings.id)
+    return await AgentProgram(settings).run(stopper)
+
+
+def main() -> None:
+    """Start the agent program."""
+    text = "Queue and run the requests of one endpoint."
+    sys.exit(run_program("acaciarelay-agent", text, AGENT_OPTIONS, run_agent))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/acaciarelay/programs/agent_service.py
@@ -0,0 +1,330 @@
+"""The runs of an agent: begin, feed, resume, stop and settle them."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from acaciarelay.coordination.concurrency import TokenLimit
+from acaciarelay.coordination.fair_queue import Reservation
+from acaciarelay.coordination.shedding import choose_victim
+from acaciarelay.programs.agent_runs import BodyFeed, Run, RunOutput
+from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.protocol import relay_pb2 as pb
+from acaciarelay.protocol.codes import CODES, Outcome
+from acaciarelay.state.claim import StoredResult
+from acaciarelay.state.dispatch_log import DispatchLog, Known
+from acaciarelay.transport.claim_store import ClaimStore
+from acaciarelay.transport.endpoints.base import EndpointAdapter, RunResult
+
+__all__ = ["RunService"]
+
+RATE_WINDOW_S = 5.0
+STORE_RETRY_S = 1.0
+# A result that can't be stored for so long leaves the claim as started, and repeats
+# hear that the outcome is unknown.
+STORE_RETRIES = 300
+
+STATES = {
+    Known.LIVE: pb.RUNNING,
+    Known.TOMBSTONED: pb.TOMBSTONED,
+    Known.FINISHED: pb.FINISHED,
+}
+
+
+class RunService:
+    """Hold the dispatch log and the runs; at most one run for each request id."""
+
+    def __init__(
+        self,
+        adapter: EndpointAdapter,
+        claims: ClaimStore,
+        limit: TokenLimit,
+        metrics: Metrics,
+        resume_window_s: float,
+    ) -> None:
+        self.adapter = adapter
+        self.claims = claims
+        self.limit = limit
+        self.metrics = metrics
+        self.resume_window_s = resume_window_s
+        self.log: DispatchLog[pb.AgentMessage] = DispatchLog()
+        self.runs: dict[str, Run] = {}
+        self.background: set[asyncio.Task[None]] = set()
+        self.incarnations: dict[str, int] = {}
+        self.freed_tokens: list[tuple[float, int]] = []
+        self.transmit: Callable[[str, pb.AgentMessage], None] = lambda *args: None
+        self.on_finished: Callable[[Reservation, int], None] = lambda *args: None
+
+    def knows(self, request_id: str) -> bool:
+        """Tell whether the request must not run here again."""
+        return request_id in self.log.live or request_id in self.log.markers
+
+    def active(self) -> list[Run]:
+        """List the runs whose call has not ended."""
+        return [run for run in self.runs.values() if not run.output.dispatch.ended]
+
+    @property
+    def idle(self) -> bool:
+        return not self.runs and not self.background
+
+    # Messages.
+
+    def begin(
+        self,
+        entry_id: str,
+        incarnation: int,
+        grant: pb.Grant,
+        reservation: Reservation | None,
+    ) -> None:
+        """Run a granted request, unless it is known or its pull was given up."""
+        repeatable = not grant.claim_key
+        dispatch = self.log.begin(grant.request_id, entry_id, incarnation, repeatable)
+        if dispatch is None:
+            return
+        output = RunOutput(dispatch, self.transmit)
+        if reservation is None:
+            output.end(CODES["no_endpoint"].number, Outcome.NOT_RUN, None)
+            self.runs[grant.request_id] = self.ended_run(grant, output, entry_id)
+            return
+        body = BodyFeed(
+            grant.body_length, lambda seq: self.send_status(entry_id, grant, seq)
+        )
+        run = Run(reservation, grant, output, body)
+        self.runs[grant.request_id] = run
+        run.task = asyncio.create_task(self.serve(run))
+
+    def ended_run(self, grant: pb.Grant, output: RunOutput, entry_id: str) -> Run:
+        reservation = Reservation(
+            request_id=grant.request_id,
+            entry_id=entry_id,
+            pool="",
+            tier=0,
+            organisation="",
+            weight=1,
+            tokens=0,
+            prompt_tokens=0,
+            prefix_hash=0,
+            repeatable=True,
+            last_resort=False,
+            queued_at=0.0,
+            deadline=0.0,
+            wait_budget_s=0.0,
+            waited_s=0.0,
+        )
+        return Run(reservation, grant, output, BodyFeed(0, lambda seq: None))
+
+    def send_status(self, entry_id: str, grant: pb.Grant, next_seq: int) -> None:
+        status = pb.Status(
+            request_id=grant.request_id, state=pb.RUNNING, next_body_seq=next_seq
+        )
+        self.transmit(entry_id, pb.AgentMessage(status=status))
+
+    def on_body_chunk(self, chunk: pb.BodyChunk) -> None:
+        """Pass a body chunk to its run."""
+        run = self.runs.get(chunk.request_id)
+        if run is not None:
+            run.body.add(chunk)
+
+    def on_ack(self, ack: pb.Ack) -> None:
+        """Free the answer messages that have arrived."""
+        run = self.runs.get(ack.request_id)
+        if run is None:
+            return
+        run.output.acknowledge(ack.next_seq)
+        self.retire_if_delivered(run)
+
+    def on_cancel(self, request_id: str) -> None:
+        """Stop a run whose caller no longer wants it."""
+        run = self.runs.get(request_id)
+        if run is not None:
+            run.stop("caller_gone")
+
+    def on_query(self, entry_id: str, query: pb.Query) -> pb.AgentMessage:
+        """Say what is known of a request; an unknown one can never run after this."""
+        known = self.log.query(query.request_id, time.monotonic())
+        run = self.runs.get(query.request_id)
+        status = pb.Status(request_id=query.request_id, state=STATES[known])
+        if run is not None:
+            run.orphaned_at = None
+            status.next_body_seq = run.body.next_seq
+        log_event(
+            "request_queried",
+            request_id=query.request_id,
+            entry_id=entry_id,
+            known=known.value,
+        )
+        return pb.AgentMessage(status=status)
+
+    def resend(self, query: pb.Query) -> None:
+        """Send the answer again from the number that the entry needs next."""
+        run = self.runs.get(query.request_id)
+        if run is None:
+            return
+        run.output.acknowledge(query.next_seq)
+        for message in run.output.dispatch.answer.messages_from(query.next_seq):
+            self.transmit(run.output.dispatch.entry_id, message)
+        self.retire_if_delivered(run)
+
+    def retire_if_delivered(self, run: Run) -> None:
+        if run.output.dispatch.delivered:
+            self.retire(run)
+
+    def retire(self, run: Run) -> None:
+        self.runs.pop(run.request_id, None)
+        self.log.retire(run.request_id, time.monotonic())
+
+    # Entries.
+
+    def entry_attached(self, entry_id: str, incarnation: int) -> None:
+        """Stop what an earlier incarnation of an entry left behind."""
+        if self.incarnations.get(entry_id, incarnation) != incarnation:
+            for run in list(self.runs.values()):
+                dispatch = run.output.dispatch
+                if dispatch.entry_id != entry_id:
+                    continue
+                if dispatch.entry_incarnation != incarnation:
+                    self.abandon(run)
+        self.incarnations[entry_id] = incarnation
+
+    def entry_detached(self, entry_id: str) -> None:
+        """Start the resume window of an entry's runs."""
+        now = time.monotonic()
+        for run in self.runs.values():
+            if run.output.dispatch.entry_id == entry_id:
+                run.orphaned_at = now
+
+    def abandon(self, run: Run) -> None:
+        run.stop("caller_gone")
+        if run.output.dispatch.ended:
+            self.retire(run)
+        # A run that goes on has nobody to read it; its answer is kept for the claim.
+        run.output.dispatch.answer.max_bytes = 1 << 62
+        run.output.space.set()
+
+    def tick(self, now: float) -> None:
+        """Abandon runs whose entry did not come back in time."""
+        for run in list(self.runs.values()):
+            if run.orphaned_at is None:
+                continue
+            if now - run.orphaned_at >= self.resume_window_s:
+                self.abandon(run)
+        self.log.expire(now)
+
+    # Preemption.
+
+    def has_lower_cancellable(self, tier: int) -> bool:
+        """Tell whether a run of a lower tier could be cancelled."""
+        return choose_victim(self.stoppable(), tier) is not None
+
+    def preempt(self, tier: int) -> int | None:
+        """Cancel one run of a lower tier and return its tier."""
+        victim = choose_victim(self.stoppable(), tier)
+        if victim is None:
+            return None
+        run = self.runs[victim]
+        if not run.stop("preempted"):
+            return None
+        log_event("run_preempted", request_id=victim, tier=run.reservation.tier)
+        return run.reservation.tier
+
+    def stoppable(self) -> list:
+        return [run.work() for run in self.active() if not run.stop_code]
+
+    def tokens_per_second(self, now: float) -> float:
+        """Return the rate at which finished runs freed tokens in the last 5 s."""
+        while self.freed_tokens and self.freed_tokens[0][0] < now - RATE_WINDOW_S:
+            self.freed_tokens.pop(0)
+        return sum(tokens for _, tokens in self.freed_tokens) / RATE_WINDOW_S
+
+    # One run.
+
+    async def serve(self, run: Run) -> None:
+        result: RunResult | None = None
+        code, outcome = 0, Outcome.NOT_RUN
+        try:
+            refusal_code = await self.start_claim(run)
+            if refusal_code:
+                code = refusal_code
+            else:
+                result = await run.call(self.adapter)
+                code, outcome = self.judge(run, result)
+                await self.settle_claim(run, code, outcome)
+        except asyncio.CancelledError:
+            code = run.stop_code
+        finally:
+            run.output.end(code, outcome, result)
+            self.finished(run, code, outcome, result)
+
+    async def start_claim(self, run: Run) -> int:
+        if not run.grant.claim_key:
+            return 0
+        run.output.kept = []
+        started = await self.claims.start(run.grant.claim_key, run.grant.claim_token)
+        return started.unwrap_err().code.number if started.is_err() else 0
+
+    def judge(self, run: Run, result: RunResult | None) -> tuple[int, Outcome]:
+        if result is None:
+            return run.stop_code, Outcome.RAN
+        return result.code, result.outcome
+
+    async def settle_claim(self, run: Run, code: int, outcome: Outcome) -> None:
+        """Store the result of a non-idempotent call before its end is sent."""
+        if not run.grant.claim_key:
+            return
+        key, token = run.grant.claim_key, run.grant.claim_token
+        if outcome is Outcome.NOT_RUN:
+            await self.claims.release(key, token)
+            return
+        if code != 0:
+            return
+        output = run.output
+        result = StoredResult(
+            status=output.status,
+            headers=output.headers,
+            body=b"".join(output.kept or []),
+        )
+        stored = await self.claims.finish(key, token, result)
+        if stored.is_err():
+            task = asyncio.create_task(self.store_later(key, token, result))
+            self.background.add(task)
+            task.add_done_callback(self.background.discard)
+
+    async def store_later(self, key: str, token: str, result: StoredResult) -> None:
+        for _ in range(STORE_RETRIES):
+            await asyncio.sleep(STORE_RETRY_S)
+            stored = await self.claims.finish(key, token, result)
+            if stored.is_ok():
+                return
+        log_event("result_not_stored", claim=key)
+
+    def finished(
+        self, run: Run, code: int, outcome: Outcome, result: RunResult | None
+    ) -> None:
+        now = time.monotonic()
+        reservation = run.reservation
+        actual = reservation.tokens
+        if result is not None and result.prompt_tokens:
+            actual = result.prompt_tokens + result.answer_tokens
+        self.freed_tokens.append((now, reservation.tokens))
+        self.metrics.count(
+            "dispatches_total", tier=reservation.tier, outcome=str(outcome)
+        )
+        if code != 0 and outcome is not Outcome.NOT_RUN:
+            self.metrics.count(
+                "wasted_prefill_tokens_total", reservation.prompt_tokens, reason=code
+            )
+        if result is not None:
+            self.limit.observe(result.first_token_s, result.inter_token_s, now)
+        if code == CODES["endpoint_stalled"].number:
+            self.limit.shrink(now)
+        log_event(
+            "run_ended",
+            request_id=run.request_id,
+            code=code,
+            outcome=str(outcome),
+            tier=reservation.tier,
+        )
+        if run.orphaned_at is not None and run.stop_code:
+            self.retire(run)
+        self.on_finished(reservation, actual)
--- /dev/null
+++ b/src/acaciarelay/programs/entry_call.py
@@ -0,0 +1,250 @@
+"""One request at the entry that owns it: its state, its events and its body."""
+
+import asyncio
+import time
+
+import attrs
+
+from acaciarelay.coordination.shedding import ShedCheck
+from acaciarelay.protocol import relay_pb2 as pb
+from acaciarelay.protocol.caller_api import CallHead, PoolChoice
+from acaciarelay.protocol.codes import Refusal
+from acaciarelay.protocol.http_message import Header
+from acaciarelay.state.request_state import AgentIdentity, Phase, RequestState
+from acaciarelay.transport.outgoing import SessionClosed
+from acaciarelay.transport.relay_client import AgentSession
+
+__all__ = [
+    "AnswerPart",
+    "Call",
+    "CallEvent",
+    "CallerLeft",
+    "HolderLost",
+    "Returned",
+]
+
+BODY_CHUNK_BYTES = 65_536
+BODY_WINDOW_CHUNKS = 16
+# The agent's buffer holds 256 KiB, so acknowledgements must come well before that.
+ACK_EVERY_BYTES = 32_768
+ACK_EVERY_MESSAGES = 16
+
+
+@attrs.frozen
+class AnswerPart:
+    """Carry the next message of the answer, in order."""
+
+    message: pb.Head | pb.Chunk | pb.End
+
+
+@attrs.frozen
+class HolderLost:
+    """Say that the agent which has the request can't be asked any more."""
+
+    detail: str
+
+
+@attrs.frozen
+class Returned:
+    """Say that the holder never ran the request and never will."""
+
+    reason: str
+
+
+@attrs.frozen
+class CallerLeft:
+    """Say that the caller closed its connection."""
+
+
+CallEvent = AnswerPart | HolderLost | Returned | CallerLeft
+AnswerMessage = pb.Head | pb.Chunk | pb.End
+
+
+@attrs.define(eq=False)
+class Call:
+    """Hold a request from admission to its end.
+
+    ``tokens`` and ``prompt_tokens`` are estimates; times are monotonic seconds.
+    """
+
+    request_id: str
+    head: CallHead
+    pool: PoolChoice
+    method: str
+    target: str
+    headers: list[Header]
+    body: list[bytes]
+    body_length: int
+    repeatable: bool
+    tokens: int
+    prompt_tokens: int
+    prefix_hash: int
+    started_at: float
+    claim_key: str = ""
+    claim_token: str = ""
+    state: RequestState[AnswerMessage] = attrs.field(init=False)
+    events: asyncio.Queue[CallEvent] = attrs.field(factory=asyncio.Queue)
+    wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    avoid_until: dict[str, float] = attrs.field(factory=dict)
+    retry_reason: str = ""
+    caller_left: bool = False
+    forced_refusal: Refusal | None = None
+    shed_check: ShedCheck | None = None
+    hopeless: bool = False
+    session: AgentSession | None = None
+    body_task: asyncio.Task[None] | None = None
+    body_credit: int = 0
+    credit_given: asyncio.Event = attrs.field(factory=asyncio.Event)
+    resume_timer: asyncio.TimerHandle | None = None
+    unacked_bytes: int = 0
+    unacked_messages: int = 0
+    answered_tokens: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.state = RequestState(self.request_id)
+
+    @property
+    def deadline(self) -> float:
+        return self.started_at + self.head.timeout_s
+
+    @property
+    def rank(self) -> int:
+        return self.head.tier.rank
+
+    @property
+    def waiting(self) -> bool:
+        return self.state.phase is Phase.WAITING
+
+    # Placing.
+
+    def reserve(self, session: AgentSession, last_resort: bool) -> None:
+        """Send a reservation; a repeated one replaces the first."""
+        now = time.monotonic()
+        self.state.reserve(session.agent_id)
+        message = pb.Reserve(
+            request_id=self.request_id,
+            pool=self.pool.name,
+            tier=self.rank,
+            organisation=self.head.caller.organisation,
+            weight=self.head.caller.record.weight,
+            tokens=self.tokens,
+            prompt_tokens=self.prompt_tokens,
+            time_left_ms=max(0, int((self.deadline - now) * 1000)),
+            wait_budget_ms=int(self.head.wait_budget_s * 1000),
+            waited_ms=int((now - self.started_at) * 1000),
+            prefix_hash=self.prefix_hash,
+            last_resort=last_resort,
+            repeatable=self.repeatable,
+        )
+        session.send(pb.EntryMessage(reserve=message))
+
+    def on_pull(self, session: AgentSession) -> bool:
+        """Hand the request off to the agent, or return false."""
+        identity = AgentIdentity(session.agent_id, session.incarnation)
+        if self.caller_left or self.forced_refusal is not None:
+            return False
+        if time.monotonic() >= self.deadline or not self.state.pull(identity):
+            return False
+        self.session = session
+        self.body_credit = 0
+        session.send(pb.EntryMessage(grant=self.grant()))
+        self.start_body(session, 0)
+        self.wake.set()
+        return True
+
+    def grant(self) -> pb.Grant:
+        left_s = self.deadline - time.monotonic()
+        return pb.Grant(
+            request_id=self.request_id,
+            method=self.method,
+            path=self.target,
+            headers=[pb.Header(name=name, value=value) for name, value in self.headers],
+            body_length=self.body_length,
+            claim_key=self.claim_key,
+            claim_token=self.claim_token,
+            time_left_ms=max(0, int(left_s * 1000)),
+        )
+
+    # Body.
+
+    def start_body(self, session: AgentSession, next_seq: int) -> None:
+        """Send the body from a chunk number on, replacing an earlier sender."""
+        self.stop_body()
+        if not self.body:
+            return
+        self.body_task = asyncio.create_task(self.send_body(session, next_seq))
+
+    def stop_body(self) -> None:
+        if self.body_task is not None:
+            self.body_task.cancel()
+            self.body_task = None
+
+    async def send_body(self, session: AgentSession, next_seq: int) -> None:
+        self.body_credit = next_seq
+        for seq in range(next_seq, len(self.body)):
+            while seq >= self.body_credit + BODY_WINDOW_CHUNKS:
+                self.credit_given.clear()
+                await self.credit_given.wait()
+            chunk = pb.BodyChunk(
+                request_id=self.request_id,
+                seq=seq,
+                data=self.body[seq],
+                last=seq == len(self.body) - 1,
+            )
+            try:
+                await session.send_bulk(pb.EntryMessage(body_chunk=chunk))
+            except SessionClosed:
+                return
+
+    def on_credit(self, next_body_seq: int) -> None:
+        """Let the body sender go on."""
+        self.body_credit = max(self.body_credit, next_body_seq)
+        self.credit_given.set()
+
+    # Answer.
+
+    def on_answer(
+        self, session: AgentSession, seq: int, message: AnswerMessage
+    ) -> None:
+        """Take an answer message in any order."""
+        identity = AgentIdentity(session.agent_id, session.incarnation)
+        for ready in self.state.receive(identity, seq, message):
+            self.events.put_nowait(AnswerPart(ready))
+
+    def acknowledge(self, size_bytes: int, last: bool = False) -> None:
+        """Tell the agent, now and then, what has reached the caller."""
+        self.unacked_bytes += size_bytes
+        self.unacked_messages += 1
+        due = self.unacked_messages >= ACK_EVERY_MESSAGES
+        if not (last or due or self.unacked_bytes >= ACK_EVERY_BYTES):
+            return
+        self.unacked_bytes = 0
+        self.unacked_messages = 0
+        if self.session is None:
+            return
+        delivered = self.state.answer.next_seq - self.events.qsize()
+        ack = pb.Ack(request_id=self.request_id, next_seq=max(0, delivered))
+        self.session.send(pb.EntryMessage(ack=ack))
+
+    def cancel_at_holder(self) -> None:
+        """Ask the holder to stop."""
+        if self.session is not None:
+            cancel = pb.Cancel(request_id=self.request_id)
+            self.session.send(pb.EntryMessage(cancel=cancel))
+
+    def give_back(self, identity: AgentIdentity, reason: str) -> bool:
+        """Take the request back after the holder said that it never ran it."""
+        if not self.state.returned(identity):
+            return False
+        self.stop_body()
+        self.session = None
+        self.retry_reason = reason
+        self.events.put_nowait(Returned(reason))
+        return True
+
+    def close(self) -> None:
+        """Release timers and tasks."""
+        self.state.end()
+        self.stop_body()
+        if self.resume_timer is not None:
+            self.resume_timer.cancel()
--- /dev/null
+++ b/src/acaciarelay/programs/entry_core.py
@@ -0,0 +1,354 @@
+"""The entry's sessions and calls, and the messages between them."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+
+from acaciarelay.coordination.load import TierCount
+from acaciarelay.coordination.placement import AgentView, choose_subset
+from acaciarelay.coordination.retry_budget import RetryBudget
+from acaciarelay.programs.agent_core import NO_FLOOR
+from acaciarelay.programs.entry_call import Call, HolderLost
+from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.protocol import relay_pb2 as pb
+from acaciarelay.state.config_state import agent_view
+from acaciarelay.state.directory import AgentMember, Directory
+from acaciarelay.state.records import Snapshot, encode_snapshot
+from acaciarelay.state.request_state import AgentIdentity, Phase
+from acaciarelay.transport.relay_client import AgentSession, SessionTiming
+
+__all__ = ["EntryCore", "EntryPlace"]
+
+RESUME_WINDOW_S = 15.0
+# An agent that dropped a reservation is not asked again for so long.
+AVOID_S = 0.5
+RETRY_RESERVE = 10.0
+DEFAULT_SUBSET = 20
+DEFAULT_RETRY_RATIO = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class EntryPlace:
+    """Name the entry and its place."""
+
+    entry_id: str
+    incarnation: int
+    zone: str
+    region: str
+
+
+class EntryCore:
+    """Own the sessions with agents and route their messages to calls."""
+
+    def __init__(
+        self,
+        place: EntryPlace,
+        metrics: Metrics,
+        rng: random.Random,
+        timing: SessionTiming,
+    ) -> None:
+        self.place = place
+        self.metrics = metrics
+        self.rng = rng
+        self.timing = timing
+        self.snapshot = Snapshot()
+        self.calls: dict[str, Call] = {}
+        self.sessions: dict[str, AgentSession] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.views: dict[str, AgentView] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.generations: dict[str, int] = {}
+        self.on_usage: Callable[[Call, pb.End], None] = lambda call, end: None
+
+    # Sessions.
+
+    def hello(self) -> pb.Hello:
+        return pb.Hello(
+            entry_id=self.place.entry_id,
+            incarnation=self.place.incarnation,
+            zone=self.place.zone,
+            region=self.place.region,
+            generation=self.snapshot.generation,
+        )
+
+    def update_members(self, directory: Directory) -> None:
+        """Open sessions with this entry's subset of agents and close the others."""
+        wanted: dict[str, AgentMember] = {}
+        by_pool: dict[str, list[str]] = {}
+        for member in directory.agents.values():
+            by_pool.setdefault(member.pool, []).append(member.id)
+        for pool, agent_ids in by_pool.items():
+            record = self.snapshot.pools.get(pool)
+            size = record.subset if record is not None else DEFAULT_SUBSET
+            for agent_id in choose_subset(self.place.entry_id, agent_ids, size):
+                wanted[agent_id] = directory.agents[agent_id]
+        for agent_id, session in list(self.sessions.items()):
+            member = wanted.get(agent_id)
+            if member is None or member.address != session.address:
+                self.close_session(agent_id)
+        for agent_id, member in wanted.items():
+            if agent_id not in self.sessions:
+                self.open_session(member)
+
+    def open_session(self, member: AgentMember) -> None:
+        session = AgentSession(
+            member.id, member.address, self.hello, self, self.rng, self.timing
+        )
+        self.sessions[member.id] = session
+        self.views[member.id] = AgentView(
+            agent_id=member.id,
+            pool=member.pool,
+            zone=member.zone,
+            region=member.region,
+            connected=False,
+            draining=False,
+            endpoint_up=True,
+            token_limit=0,
+            tokens_per_second=0.0,
+            tiers={},
+            tier_floor=None,
+            updated_at=0.0,
+        )
+        self.tasks[member.id] = asyncio.create_task(session.run())
+
+    def close_session(self, agent_id: str) -> None:
+        self.sessions.pop(agent_id, None)
+        self.views.pop(agent_id, None)
+        task = self.tasks.pop(agent_id, None)
+        if task is not None:
+            task.cancel()
+
+    def pool_views(self, pool: str) -> list[AgentView]:
+        """List the agents of a pool that this entry has sessions with."""
+        return [view for view in self.views.values() if view.pool == pool]
+
+    def link_class(self, agent_id: str) -> str:
+        """Say over which kind of link an agent is reached."""
+        view = self.views.get(agent_id)
+        if view is None or view.region != self.place.region:
+            return "wan"
+        return "zone" if view.zone == self.place.zone else "region"
+
+    def on_welcome(self, session: AgentSession, welcome: pb.Welcome) -> None:
+        """Ask the new session about calls that its agent holds."""
+        view = self.views.get(session.agent_id)
+        if view is None:
+            return
+        view.connected = True
+        view.draining = welcome.draining
+        view.zone, view.region, view.pool = welcome.zone, welcome.region, welcome.pool
+        view.token_limit = welcome.token_limit
+        view.updated_at = time.monotonic()
+        self.send_config(session)
+        log_event("session_opened", agent=session.agent_id)
+        identity = AgentIdentity(session.agent_id, session.incarnation)
+        for call in list(self.calls.values()):
+            call.wake.set()
+            holder = call.state.holder
+            if call.state.phase is not Phase.HANDED_OFF or holder is None:
+                continue
+            if holder.agent_id != session.agent_id:
+                continue
+            if holder != identity:
+                call.events.put_nowait(HolderLost("The agent was restarted"))
+                continue
+            call.session = session
+            query = pb.Query(
+                request_id=call.request_id, next_seq=call.state.answer.next_seq
+            )
+            session.send(pb.EntryMessage(query=query))
+
+    def on_lost(self, session: AgentSession) -> None:
+        """Drop its reservations; calls it holds wait for a new session."""
+        agent_id = session.agent_id
+        view = self.views.get(agent_id)
+        if view is not None:
+            view.connected = False
+            view.tiers = {}
+        self.count_bytes(session)
+        self.metrics.count("session_losses_total", agent=agent_id)
+        log_event("session_lost", agent=agent_id)
+        for call in list(self.calls.values()):
+            if call.state.drop(agent_id):
+                self.note_drop(call, agent_id, "session_lost")
+            holder = call.state.holder
+            if holder is None or holder.agent_id != agent_id:
+                continue
+            call.stop_body()
+            self.start_resume_timer(call)
+
+    def start_resume_timer(self, call: Call) -> None:
+        if call.resume_timer is not None:
+            return
+        detail = f"The agent gave no answer for {RESUME_WINDOW_S:g} s"
+        call.resume_timer = asyncio.get_running_loop().call_later(
+            RESUME_WINDOW_S, call.events.put_nowait, HolderLost(detail)
+        )
+
+    # Messages.
+
+    def on_message(self, session: AgentSession, message: pb.AgentMessage) -> None:
+        """Route one message to its call."""
+        match message.WhichOneof("kind"):
+            case "pull":
+                self.on_pull(session, message.pull.request_id)
+            case "drop":
+                self.on_drop(session, message.drop)
+            case "head":
+                self.on_answer(session, message.head)
+            case "chunk":
+                self.on_answer(session, message.chunk)
+            case "end":
+                self.on_answer(session, message.end)
+            case "status":
+                self.on_status(session, message.status)
+            case "load":
+                self.on_load(session, message.load)
+
+    def on_pull(self, session: AgentSession, request_id: str) -> None:
+        call = self.calls.get(request_id)
+        if call is None or not call.on_pull(session):
+            deny = pb.Deny(request_id=request_id)
+            session.send(pb.EntryMessage(deny=deny))
+            return
+        log_event("request_handed_off", request_id=request_id, agent=session.agent_id)
+        self.withdraw(call)
+
+    def withdraw(self, call: Call) -> None:
+        """Withdraw every reservation that is still open."""
+        for agent_id in list(call.state.reserved):
+            call.state.drop(agent_id)
+            session = self.sessions.get(agent_id)
+            if session is not None:
+                withdraw = pb.Withdraw(request_id=call.request_id)
+                session.send(pb.EntryMessage(withdraw=withdraw))
+
+    def on_drop(self, session: AgentSession, drop: pb.Drop) -> None:
+        call = self.calls.get(drop.request_id)
+        if call is None:
+            return
+        if call.shed_check is not None:
+            call.shed_check.answered(session.agent_id)
+            call.wake.set()
+        if call.state.drop(session.agent_id):
+            reason = pb.DropReason.Name(drop.reason).lower()
+            self.note_drop(call, session.agent_id, reason)
+
+    def note_drop(self, call: Call, agent_id: str, reason: str) -> None:
+        if call.shed_check is not None and reason == "session_lost":
+            call.shed_check.lost(agent_id)
+        call.avoid_until[agent_id] = time.monotonic() + AVOID_S
+        call.retry_reason = reason
+        call.wake.set()
+
+    def on_answer(
+        self, session: AgentSession, message: pb.Head | pb.Chunk | pb.End
+    ) -> None:
+        call = self.calls.get(message.request_id)
+        if call is not None:
+            call.on_answer(session, message.seq, message)
+            return
+        if isinstance(message, pb.End):
+            # Nobody waits for this answer; without this the agent would keep it.
+            ack = pb.Ack(request_id=message.request_id, next_seq=message.seq + 1)
+            session.send(pb.EntryMessage(ack=ack))
+
+    def on_status(self, session: AgentSession, status: pb.Status) -> None:
+        call = self.calls.get(status.request_id)
+        if call is None:
+            return
+        if call.resume_timer is not None:
+            self.on_queried(call, session, status)
+            return
+        call.on_credit(status.next_body_seq)
+
+    def on_queried(self, call: Call, session: AgentSession, status: pb.Status) -> None:
+        if call.resume_timer is not None:
+            call.resume_timer.cancel()
+            call.resume_timer = None
+        self.metrics.count(
+            "resumes_total", state=pb.DispatchState.Name(status.state).lower()
+        )
+        identity = AgentIdentity(session.agent_id, session.incarnation)
+        match status.state:
+            case pb.RUNNING:
+                call.start_body(session, status.next_body_seq)
+            case pb.TOMBSTONED if call.give_back(identity, "tombstoned"):
+                pass
+            case _:
+                call.events.put_nowait(HolderLost("The agent no longer has it"))
+
+    def on_load(self, session: AgentSession, load: pb.Load) -> None:
+        view = self.views.get(session.agent_id)
+        if view is None:
+            return
+        self.generations[session.agent_id] = load.generation
+        freed = load.endpoint_up and not view.endpoint_up
+        view.draining = load.draining
+        view.endpoint_up = load.endpoint_up
+        view.token_limit = load.token_limit
+        view.tokens_per_second = load.tokens_per_second
+        view.tier_floor = None if load.tier_floor == NO_FLOOR else load.tier_floor
+        view.tiers = {
+            tier.tier: TierCount(
+                tier.waiting, tier.waiting_tokens, tier.running, tier.running_tokens
+            )
+            for tier in load.tiers
+        }
+        view.updated_at = time.monotonic()
+        self.count_bytes(session)
+        if load.generation < self.snapshot.generation:
+            self.send_config(session)
+        if freed:
+            for call in self.calls.values():
+                call.wake.set()
+
+    def count_bytes(self, session: AgentSession) -> None:
+        link = self.link_class(session.agent_id)
+        self.metrics.count(
+            "link_bytes_total", session.sent_bytes, link=link, direction="sent"
+        )
+        self.metrics.count(
+            "link_bytes_total", session.received_bytes, link=link, direction="received"
+        )
+        session.sent_bytes = 0
+        session.received_bytes = 0
+
+    # Configuration and budgets.
+
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Put a configuration in force and pass it on to the agents."""
+        self.snapshot = snapshot
+        self.metrics.set("config_generation", snapshot.generation)
+        self.metrics.set("config_records_set_aside", len(snapshot.errors))
+        for session in self.sessions.values():
+            self.send_config(session)
+
+    def send_config(self, session: AgentSession) -> None:
+        view = self.views.get(session.agent_id)
+        if view is None or not session.connected:
+            return
+        part = agent_view(self.snapshot, session.agent_id, view.pool)
+        update = pb.ConfigUpdate(
+            generation=part.generation, snapshot=encode_snapshot(part)
+        )
+        session.send(pb.EntryMessage(config_update=update))
+
+    def budget(self, pool: str) -> RetryBudget:
+        """Return the retry budget of a pool."""
+        budget = self.budgets.get(pool)
+        if budget is None:
+            record = self.snapshot.pools.get(pool)
+            ratio = record.retry_ratio if record else DEFAULT_RETRY_RATIO
+            budget = self.budgets[pool] = RetryBudget(ratio, RETRY_RESERVE)
+        return budget
+
+    async def close(self) -> None:
+        """Close every session."""
+        for agent_id in list(self.sessions):
+            self.close_session(agent_id)
+        await asyncio.sleep(0)
--- /dev/null
+++ b/src/acaciarelay/programs/entry_main.py
@@ -0,0 +1,198 @@
+"""The entry program: callers on one side, agents on the other."""
+
+import asyncio
+import contextlib
+import random
+import secrets
+import sys
+import time
+
+from acaciarelay.coordination.admission import Admission
+from acaciarelay.coordination.estimator import TokenEstimator
+from acaciarelay.coordination.rate_limit import OrganisationLimits
+from acaciarelay.programs.admin_routes import AdminRoutes
+from acaciarelay.programs.config_sync import ConfigSync
+from acaciarelay.programs.config_writer import ConfigWriter
+from acaciarelay.programs.entry_claims import ClaimKeeper
+from acaciarelay.programs.entry_core import EntryCore, EntryPlace
+from acaciarelay.programs.entry_requests import RequestHandler
+from acaciarelay.programs.entry_status import FleetStatus
+from acaciarelay.programs.logs import configure_logs, log_event
+from acaciarelay.programs.membership import MemberReader, register
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.programs.runner import Settings, Stopper, run_program
+from acaciarelay.programs.settings import ENTRY_OPTIONS
+from acaciarelay.protocol.codes import refuse
+from acaciarelay.state.config_state import ConfigState
+from acaciarelay.state.directory import Directory, EntryMember
+from acaciarelay.state.records import Snapshot
+from acaciarelay.transport.claim_store import ClaimStore
+from acaciarelay.transport.http_client import split_address
+from acaciarelay.transport.http_server import HttpExchange, HttpServer, ServerLimits
+from acaciarelay.transport.peer import PeerClient, PeerServer
+from acaciarelay.transport.platform_client import PlatformClient
+from acaciarelay.transport.relay_client import SessionTiming
+from acaciarelay.transport.relay_server import start_grpc_server
+
+__all__ = ["main"]
+
+
+class EntryProgram:
+    """Wire the parts of an entry together and run them."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.rng = random.Random()
+        self.metrics = Metrics()
+        self.place = EntryPlace(
+            entry_id=settings.id,
+            incarnation=secrets.randbits(63),
+            zone=settings.zone,
+            region=settings.region,
+        )
+        timing = SessionTiming(silence_s=settings.silence_s)
+        self.core = EntryCore(self.place, self.metrics, self.rng, timing)
+        self.platform = PlatformClient(settings.platform, settings.platform_timeout_s)
+        self.directory = Directory()
+        self.sync = ConfigSync(
+            self.platform, ConfigState(), [], self.rng, settings.config_poll_s
+        )
+        self.peer_clients: dict[str, PeerClient] = {}
+        self.update_peers()
+        self.handler = RequestHandler(
+            self.core,
+            Admission(settings.max_requests, settings.max_body_bytes),
+            OrganisationLimits(),
+            TokenEstimator(),
+            ClaimKeeper(ClaimStore(self.platform, settings.claim_stale_s)),
+        )
+        writer = ConfigWriter(self.platform, self.sync, self.rng, time.time)
+        status = FleetStatus(self.core, self.sync, self.directory, self.handler)
+        self.admin = AdminRoutes(writer, self.sync, settings.operator_key, status)
+        self.members = MemberReader(
+            self.platform,
+            self.directory,
+            self.on_members,
+            self.rng,
+            settings.members_poll_s,
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self, stopper: Stopper) -> int:
+        """Serve until a stop is requested; returns the exit code."""
+        settings = self.settings
+        limits = ServerLimits(
+            read_timeout_s=settings.read_timeout_s,
+            write_timeout_s=settings.read_timeout_s,
+            max_connections=settings.max_requests * 2,
+        )
+        server = HttpServer(self.serve, limits)
+        await server.listen(*split_address(settings.listen))
+        grpc_server = await start_grpc_server(
+            settings.peer_listen, PeerServer(self.sync).add_to
+        )
+        self.sync.subscribe(self.on_snapshot)
+        self.start_tasks()
+        log_event("entry_started", listen=settings.listen)
+        await stopper.wait()
+        await self.stop(server)
+        await grpc_server.stop(None)
+        return 0
+
+    def start_tasks(self) -> None:
+        settings = self.settings
+        member = EntryMember(
+            id=settings.id,
+            address=settings.peer_listen,
+            incarnation=self.place.incarnation,
+            zone=settings.zone,
+            region=settings.region,
+            admin=settings.listen,
+        )
+        for work in (
+            self.sync.run(),
+            self.members.run(),
+            register(self.platform, member, self.rng),
+        ):
+            self.tasks.append(asyncio.create_task(work))
+
+    async def stop(self, server: HttpServer) -> None:
+        """Stop in an order that loses no request: unready, wait, finish, close."""
+        self.handler.stopping_soon = True
+        log_event("drain_started", reason="stop requested")
+        await asyncio.sleep(self.settings.drain_delay_s)
+        self.handler.stopping = True
+        await server.close(self.settings.stop_grace_s)
+        await self.handler.claims.close(self.settings.platform_timeout_s)
+        for task in self.tasks:
+            task.cancel()
+        await self.core.close()
+        log_event("entry_stopped")
+
+    # Changes.
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        self.core.apply_snapshot(snapshot)
+        self.handler.apply_snapshot(snapshot)
+        self.core.update_members(self.directory)
+        self.handler.ready = True
+
+    def on_members(self, directory: Directory) -> None:
+        self.core.update_members(directory)
+        self.handler.update_share(len(directory.entries))
+        self.update_peers()
+
+    def update_peers(self) -> None:
+        """Know the peers of the settings and those that are registered."""
+        addresses = set(self.settings.peers)
+        for member in self.directory.entries.values():
+            addresses.add(member.address)
+        addresses.discard(self.settings.peer_listen)
+        for address in addresses - self.peer_clients.keys():
+            self.peer_clients[address] = PeerClient(address)
+        self.sync.peers = [self.peer_clients[a] for a in sorted(addresses)]
+
+    # Requests.
+
+    async def serve(self, exchange: HttpExchange) -> None:
+        """Route one request."""
+        path = exchange.request.path
+        match path:
+            case "/healthz":
+                await exchange.respond_json(200, {"status": "alive"})
+            case "/readyz":
+                await self.serve_ready(exchange)
+            case "/metrics":
+                body, content_type = self.metrics.render()
+                await exchange.respond(200, [("content-type", content_type)], body)
+            case _ if path.startswith("/v1/"):
+                await self.handler.handle(exchange)
+            case _:
+                if not await self.admin.handle(exchange):
+                    await exchange.respond_refusal(refuse("unknown_path"))
+
+    async def serve_ready(self, exchange: HttpExchange) -> None:
+        ready = self.handler.ready and not self.handler.stopping_soon
+        status = 200 if ready else 503
+        await exchange.respond_json(
+            status, {"ready": ready, "generation": self.core.snapshot.generation}
+        )
+
+
+async def run_entry(settings: Settings, stopper: Stopper) -> int:
+    """Run the entry service."""
+    configure_logs("acaciarelay-entry", settings.id)
+    program = EntryProgram(settings)
+    with contextlib.suppress(asyncio.CancelledError):
+        return await program.run(stopper)
+    return 1
+
+
+def main() -> None:
+    """Start the entry program."""
+    text = "Take callers' requests and pass them to the agents of endpoints."
+    sys.exit(run_program("acaciarelay-entry", text, ENTRY_OPTIONS, run_entry))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/acaciarelay/programs/entry_requests.py
@@ -0,0 +1,389 @@
+"""Handling one caller's request at the entry, from its head to its last byte."""
+
+import asyncio
+import secrets
+import time
+
+import attrs
+from result import Err, Ok, Result
+
+from acaciarelay.coordination.admission import Admission
+from acaciarelay.coordination.estimator import Estimate, TokenEstimator
+from acaciarelay.coordination.prefix import prefix_hash
+from acaciarelay.coordination.rate_limit import OrganisationLimits
+from acaciarelay.programs.entry_call import BODY_CHUNK_BYTES, Call, CallerLeft
+from acaciarelay.programs.entry_claims import ClaimKeeper
+from acaciarelay.programs.entry_core import EntryCore
+from acaciarelay.programs.entry_place import Placer
+from acaciarelay.programs.entry_stream import Completed, Failed, PlaceAgain, Streamer
+from acaciarelay.programs.logs import log_event
+from acaciarelay.protocol import relay_pb2 as pb
+from acaciarelay.protocol.caller_api import (
+    REQUEST_ID_HEADER,
+    CallHead,
+    ChatFields,
+    KeyIndex,
+    PoolChoice,
+    find_chat_pool,
+    find_service_pool,
+    forwarded_headers,
+    is_repeatable,
+    read_chat,
+    read_head,
+)
+from acaciarelay.protocol.codes import Outcome, Refusal, refuse
+from acaciarelay.state.records import OrganisationRecord, Snapshot
+from acaciarelay.transport.http_server import CallerGone, HttpExchange
+
+__all__ = ["RequestHandler"]
+
+BYTES_PER_TOKEN = 4
+# A service call has no tokens; its cost in the queue is that of a short answer.
+SERVICE_ANSWER_TOKENS = 64
+
+
+@attrs.define
+class Progress:
+    """Hold what is known of a request so far, for its metrics and its end."""
+
+    request_id: str
+    tier: str = ""
+    organisation_class: str = ""
+    organisation: str = ""
+    call: Call | None = None
+    estimate: Estimate | None = None
+
+
+class RequestHandler:
+    """Serve callers' requests."""
+
+    def __init__(
+        self,
+        core: EntryCore,
+        admission: Admission,
+        limits: OrganisationLimits,
+        estimator: TokenEstimator,
+        claims: ClaimKeeper,
+    ) -> None:
+        self.core = core
+        self.admission = admission
+        self.limits = limits
+        self.estimator = estimator
+        self.claims = claims
+        self.placer = Placer(core)
+        self.metrics = core.metrics
+        self.keys = KeyIndex(core.snapshot)
+        self.evicted: set[str] = set()
+        self.ready = False
+        self.stopping_soon = False
+        self.stopping = False
+        self.share = 1.0
+
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Put limits and keys of a configuration in force."""
+        old = self.keys.snapshot.organisations
+        self.keys = KeyIndex(snapshot)
+        for name, record in snapshot.organisations.items():
+            if old.get(name) is not record:
+                self.configure_limit(name, record)
+
+    def update_share(self, entries: int) -> None:
+        """Enforce an equal share of each organisation's limit at every entry."""
+        share = 1 / max(1, entries)
+        if share == self.share:
+            return
+        self.share = share
+        for name, record in self.keys.snapshot.organisations.items():
+            self.configure_limit(name, record)
+
+    def configure_limit(self, name: str, record: OrganisationRecord) -> None:
+        self.limits.configure(
+            name, record.tokens_per_second, record.burst_tokens, self.share
+        )
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Serve one request; every one gets exactly one answer."""
+        progress = Progress(secrets.token_hex(12))
+        try:
+            refusal = await self.serve(exchange, progress)
+        except CallerGone:
+            refusal = refuse("caller_gone")
+        finally:
+            self.release(progress)
+        self.count_end(progress, refusal)
+
+    async def serve(self, exchange: HttpExchange, progress: Progress) -> Refusal | None:
+        match self.admit(exchange, progress):
+            case Err(refusal):
+                return await self.refuse(exchange, progress, refusal)
+            case Ok(head):
+                pass
+        match await self.read_body(exchange, progress, head):
+            case Err(refusal):
+                return await self.refuse(exchange, progress, refusal)
+            case Ok(body):
+                pass
+        match self.build_call(exchange, progress, head, body):
+            case Err(refusal):
+                return await self.refuse(exchange, progress, refusal)
+            case Ok(call):
+                progress.call = call
+        if call.repeatable:
+            return await self.run(exchange, progress, call)
+        return await self.run_once(exchange, progress, call)
+
+    # Admission on the head.
+
+    def admit(
+        self, exchange: HttpExchange, progress: Progress
+    ) -> Result[CallHead, Refusal]:
+        if self.stopping:
+            return Err(refuse("entry_stopping", retry_after_s=1.0))
+        if not self.ready:
+            return Err(refuse("not_ready", retry_after_s=2.0))
+        match self.keys.find(exchange.request):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(caller):
+                progress.organisation = caller.organisation
+                progress.organisation_class = caller.record.size_class
+        match read_head(exchange.request, caller, self.core.snapshot):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(head):
+                progress.tier = head.tier_name
+        wait_s = self.limits.admit(
+            caller.organisation,
+            self.first_guess(caller.organisation, head),
+            time.monotonic(),
+        )
+        if wait_s > 0:
+            return Err(refuse("rate_limited", retry_after_s=wait_s))
+        decision = self.admission.admit(
+            progress.request_id,
+            head.tier.rank,
+            caller.organisation,
+            head.body_length,
+        )
+        for request_id in decision.evict:
+            self.evict(request_id)
+        if not decision.admitted:
+            wait_s = 1.0 + self.core.rng.random()
+            return Err(refuse("entry_overloaded", retry_after_s=wait_s))
+        return Ok(head)
+
+    def first_guess(self, organisation: str, head: CallHead) -> int:
+        if head.kind == "service":
+            return SERVICE_ANSWER_TOKENS
+        return self.estimator.estimate(
+            organisation, "", head.body_length, 0, None
+        ).total
+
+    def evict(self, request_id: str) -> None:
+        refusal = refuse("entry_overloaded", retry_after_s=2.0)
+        call = self.core.calls.get(request_id)
+        if call is None:
+            self.evicted.add(request_id)
+            return
+        call.forced_refusal = refusal
+        call.wake.set()
+
+    # Body.
+
+    async def read_body(
+        self, exchange: HttpExchange, progress: Progress, head: CallHead
+    ) -> Result[list[bytes], Refusal]:
+        """Read the body into pieces that go to the agent as they are."""
+        pieces: list[bytes] = []
+        size = 0
+        async for piece in exchange.read_body():
+            match piece:
+                case Err(refusal):
+                    return Err(refusal)
+                case Ok(data):
+                    size += len(data)
+            if size > head.body_length:
+                return Err(refuse("body_too_large"))
+            if progress.request_id in self.evicted:
+                return Err(refuse("entry_overloaded", retry_after_s=2.0))
+            for start in range(0, len(data), BODY_CHUNK_BYTES):
+                pieces.append(data[start : start + BODY_CHUNK_BYTES])
+        return Ok(pieces)
+
+    def build_call(
+        self,
+        exchange: HttpExchange,
+        progress: Progress,
+        head: CallHead,
+        body: list[bytes],
+    ) -> Result[Call, Refusal]:
+        fields = ChatFields()
+        if head.kind == "chat":
+            match read_chat(body):
+                case Err(refusal):
+                    return Err(refusal)
+                case Ok(fields):
+                    pass
+        match self.find_pool(head, fields):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(pool):
+                pass
+        request = exchange.request
+        repeatable = is_repeatable(pool.record, request.method, request.path)
+        if not repeatable and not head.idempotency_key:
+            return Err(refuse("key_required"))
+        estimate = self.estimate(head, fields)
+        progress.estimate = estimate
+        call = Call(
+            request_id=progress.request_id,
+            head=head,
+            pool=pool,
+            method=request.method,
+            target=request.target,
+            headers=forwarded_headers(request.headers, progress.request_id, head),
+            body=body,
+            body_length=sum(len(piece) for piece in body),
+            repeatable=repeatable,
+            tokens=estimate.total,
+            prompt_tokens=estimate.prompt_tokens,
+            prefix_hash=prefix_hash(fields.model, fields.prefix),
+            started_at=time.monotonic(),
+        )
+        return Ok(call)
+
+    def find_pool(
+        self, head: CallHead, fields: ChatFields
+    ) -> Result[PoolChoice, Refusal]:
+        if head.kind == "chat":
+            return find_chat_pool(self.core.snapshot, fields.model)
+        return find_service_pool(self.core.snapshot, head.service)
+
+    def estimate(self, head: CallHead, fields: ChatFields) -> Estimate:
+        if head.kind == "service":
+            prompt = head.body_length // BYTES_PER_TOKEN
+            total = prompt + SERVICE_ANSWER_TOKENS
+            return Estimate(prompt, SERVICE_ANSWER_TOKENS, total)
+        most = head.caller.policy.max_answer_tokens
+        return self.estimator.estimate(
+            head.caller.organisation,
+            fields.model,
+            fields.text_bytes,
+            fields.images,
+            min(most, fields.max_tokens or most),
+        )
+
+    # Running.
+
+    async def run_once(
+        self, exchange: HttpExchange, progress: Progress, call: Call
+    ) -> Refusal | None:
+        """Run a non-idempotent call under its key, or replay its result."""
+        match await self.claims.claim(call):
+            case Err(refusal):
+                return await self.refuse(exchange, progress, refusal)
+            case Ok(None):
+                pass
+            case Ok(result):
+                headers = [
+                    *result.headers,
+                    ("idempotency-replayed", "true"),
+                    (REQUEST_ID_HEADER, progress.request_id),
+                ]
+                kept = [(n, v) for n, v in headers if n != "content-length"]
+                await exchange.respond(result.status, kept, result.body)
+                return None
+        try:
+            return await self.run(exchange, progress, call)
+        finally:
+            if call.state.certainly_not_run:
+                self.claims.release_later(call)
+
+    async def run(
+        self, exchange: HttpExchange, progress: Progress, call: Call
+    ) -> Refusal | None:
+        """Place the call, pass its answer on, and place it again if it may run."""
+        self.core.calls[call.request_id] = call
+        watcher = asyncio.create_task(self.watch_caller(exchange, call))
+        self.core.budget(call.pool.name).first_attempt()
+        if call.request_id in self.evicted:
+            self.evict(call.request_id)
+        self.placer.judge_wait(call)
+        try:
+            while True:
+                refusal = await self.placer.place(call)
+                if refusal is not None:
+                    return await self.refuse(exchange, progress, refusal)
+                self.admission.handed_off(call.request_id)
+                match await Streamer(call, exchange, self.metrics).run():
+                    case Completed(end):
+                        call.answered_tokens = end.prompt_tokens + end.answer_tokens
+                        self.observe_usage(progress, call, end)
+                        return None
+                    case Failed(refusal):
+                        return refusal
+                    case PlaceAgain():
+                        call.shed_check = None
+                        call.hopeless = False
+        finally:
+            watcher.cancel()
+            call.close()
+            self.core.calls.pop(call.request_id, None)
+
+    async def watch_caller(self, exchange: HttpExchange, call: Call) -> None:
+        await exchange.wait_closed()
+        call.caller_left = True
+        call.events.put_nowait(CallerLeft())
+        call.wake.set()
+
+    # The end.
+
+    def observe_usage(self, progress: Progress, call: Call, end: pb.End) -> None:
+        estimate = progress.estimate
+        if estimate is None or call.head.kind != "chat" or not end.prompt_tokens:
+            return
+        self.estimator.observe(
+            progress.organisation, "", estimate, end.prompt_tokens, end.answer_tokens
+        )
+        self.limits.correct(
+            progress.organisation,
+            estimate.total,
+            end.prompt_tokens + end.answer_tokens,
+            time.monotonic(),
+        )
+
+    async def refuse(
+        self, exchange: HttpExchange, progress: Progress, refusal: Refusal
+    ) -> Refusal:
+        headers = [(REQUEST_ID_HEADER, progress.request_id)]
+        await exchange.respond_refusal(refusal, headers)
+        return refusal
+
+    def release(self, progress: Progress) -> None:
+        self.admission.release(progress.request_id)
+        self.evicted.discard(progress.request_id)
+
+    def count_end(self, progress: Progress, refusal: Refusal | None) -> None:
+        outcome = Outcome.RAN if refusal is None else refusal.code.outcome
+        self.metrics.count(
+            "requests_total",
+            tier=progress.tier,
+            organisation_class=progress.organisation_class,
+            outcome="complete" if refusal is None else str(outcome),
+        )
+        if refusal is not None:
+            self.metrics.count(
+                "refusals_total",
+                code=refusal.code.number,
+                reason=refusal.code.name,
+                tier=progress.tier,
+                organisation_class=progress.organisation_class,
+            )
+        log_event(
+            "request_ended",
+            request_id=progress.request_id,
+            tier=progress.tier,
+            organisation=progress.organisation,
+            code=0 if refusal is None else refusal.code.number,
+            outcome=str(outcome),
+        )
--- /dev/null
+++ b/src/acaciarelay/programs/entry_stream.py
@@ -0,0 +1,183 @@
+"""Passing an answer from the agent that runs a request to its caller."""
+
+import asyncio
+import time
+
+import attrs
+
+from acaciarelay.programs.entry_call import (
+    AnswerPart,
+    Call,
+    CallerLeft,
+    CallEvent,
+    HolderLost,
+    Returned,
+)
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.protocol import relay_pb2 as pb
+from acaciarelay.protocol.caller_api import REQUEST_ID_HEADER
+from acaciarelay.protocol.codes import Outcome, Refusal, code_by_number, refuse
+from acaciarelay.protocol.http_message import Header
+from acaciarelay.protocol.sse import is_event_stream, render_error_event
+from acaciarelay.transport.http_server import CallerGone, HttpExchange
+
+__all__ = ["Completed", "Failed", "PlaceAgain", "StreamEnd", "Streamer"]
+
+# After a cancellation the agent's word on what happened is awaited for this long.
+CANCEL_WAIT_S = 1.0
+
+OUTCOMES = {
+    pb.RAN: Outcome.RAN,
+    pb.NOT_RUN: Outcome.NOT_RUN,
+    pb.OUTCOME_UNKNOWN: Outcome.UNKNOWN,
+}
+
+
+@attrs.frozen
+class Completed:
+    """Say that the caller has the whole answer."""
+
+    end: pb.End
+
+
+@attrs.frozen
+class Failed:
+    """Say why the caller has no whole answer."""
+
+    refusal: Refusal
+
+
+@attrs.frozen
+class PlaceAgain:
+    """Say that the request certainly did not run and may be placed again."""
+
+
+StreamEnd = Completed | Failed | PlaceAgain
+
+
+class Streamer:
+    """Pass one answer on; the caller gets each byte once and in order."""
+
+    def __init__(self, call: Call, exchange: HttpExchange, metrics: Metrics) -> None:
+        self.call = call
+        self.exchange = exchange
+        self.metrics = metrics
+        self.event_stream = False
+
+    async def run(self) -> StreamEnd:
+        """Pass the answer on until it ends, one way or the other."""
+        try:
+            while True:
+                end = await self.step(await self.next_event())
+                if end is not None:
+                    return end
+        except CallerGone:
+            return await self.caller_left()
+
+    async def next_event(self) -> CallEvent | None:
+        """Return the next event, or ``None`` at the deadline."""
+        left_s = self.call.deadline - time.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await self.call.events.get()
+        except TimeoutError:
+            return None
+
+    async def step(self, event: CallEvent | None) -> StreamEnd | None:
+        match event:
+            case None:
+                return await self.deadline_passed()
+            case AnswerPart(pb.Head() as head):
+                await self.start_answer(head)
+            case AnswerPart(pb.Chunk() as chunk):
+                await self.exchange.write(chunk.data)
+                self.call.acknowledge(len(chunk.data))
+            case AnswerPart(pb.End() as end):
+                return await self.end_answer(end)
+            case HolderLost(detail):
+                return await self.cut(refuse("outcome_unknown", detail))
+            case Returned():
+                return PlaceAgain()
+            case CallerLeft():
+                return await self.caller_left()
+        return None
+
+    async def start_answer(self, head: pb.Head) -> None:
+        headers: list[Header] = [(h.name, h.value) for h in head.headers]
+        headers.append((REQUEST_ID_HEADER, self.call.request_id))
+        self.event_stream = is_event_stream(headers)
+        if self.call.body_credit >= len(self.call.body):
+            # The endpoint has all of it and has answered, so it can't be needed again.
+            self.call.body = []
+        first_byte_s = time.monotonic() - self.call.started_at
+        self.metrics.observe(
+            "first_token_seconds", first_byte_s, tier=self.call.head.tier_name
+        )
+        await self.exchange.start(head.status, headers)
+        self.call.acknowledge(0)
+
+    async def end_answer(self, end: pb.End) -> StreamEnd:
+        self.call.acknowledge(0, last=True)
+        if end.code == 0:
+            await self.exchange.finish()
+            return Completed(end)
+        outcome = OUTCOMES.get(end.outcome, Outcome.UNKNOWN)
+        if outcome is Outcome.NOT_RUN and self.may_place_again(end):
+            return PlaceAgain()
+        code = attrs.evolve(code_by_number(end.code), outcome=outcome)
+        retry_after_s = 1.0 if code.retryable else None
+        return await self.cut(Refusal(code, "", retry_after_s))
+
+    def may_place_again(self, end: pb.End) -> bool:
+        """Take back a request whose agent never gave a byte of it to the endpoint."""
+        call = self.call
+        if call.claim_key or call.state.holder is None or self.exchange.started:
+            return False
+        call.state.answer.next_seq = 0
+        return call.give_back(call.state.holder, "not_dispatched") and self.clear()
+
+    def clear(self) -> bool:
+        while not self.call.events.empty():
+            self.call.events.get_nowait()
+        return True
+
+    async def deadline_passed(self) -> StreamEnd:
+        """Stop the run and report what the agent says of it."""
+        self.call.cancel_at_holder()
+        outcome = await self.outcome_after_cancel()
+        if outcome is None:
+            detail = "The deadline passed before the agent reported"
+            return await self.cut(refuse("outcome_unknown", detail))
+        code = attrs.evolve(refuse("answer_cut").code, outcome=outcome)
+        return await self.cut(Refusal(code, "", 1.0))
+
+    async def outcome_after_cancel(self) -> Outcome | None:
+        try:
+            async with asyncio.timeout(CANCEL_WAIT_S):
+                while True:
+                    match await self.call.events.get():
+                        case AnswerPart(pb.End() as end):
+                            self.call.acknowledge(0, last=True)
+                            return OUTCOMES.get(end.outcome)
+                        case Returned():
+                            return Outcome.NOT_RUN
+                        case HolderLost():
+                            return None
+        except TimeoutError:
+            return None
+
+    async def cut(self, refusal: Refusal) -> StreamEnd:
+        """Report a failure in a way that can't be taken for a whole answer."""
+        headers = [(REQUEST_ID_HEADER, self.call.request_id)]
+        if not self.exchange.started:
+            await self.exchange.respond_refusal(refusal, headers)
+            return Failed(refusal)
+        if self.event_stream:
+            await self.exchange.write(render_error_event(refusal))
+        self.exchange.abort()
+        return Failed(refusal)
+
+    async def caller_left(self) -> StreamEnd:
+        self.call.cancel_at_holder()
+        self.exchange.abort()
+        return Failed(refuse("caller_gone"))
--- /dev/null
+++ b/src/acaciarelay/programs/membership.py
@@ -0,0 +1,81 @@
+"""Registration in the member table, and reading it through its changes."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok
+
+from acaciarelay.programs.logs import log_event
+from acaciarelay.protocol.platform_api import Changes, Platform, Transaction, Write
+from acaciarelay.state.directory import AgentMember, Directory, EntryMember, member_key
+
+__all__ = ["MemberReader", "register"]
+
+MEMBERS_TABLE = "members"
+POLL_JITTER = 0.2
+RETRY_MIN_S = 0.5
+RETRY_MAX_S = 10.0
+
+
+async def register(
+    platform: Platform, member: AgentMember | EntryMember, rng: random.Random
+) -> None:
+    """Write a registration, and try again until the platform has taken it."""
+    row = Write(MEMBERS_TABLE, member_key(member), attrs.asdict(member))
+    delay_s = RETRY_MIN_S
+    while True:
+        match await platform.commit(Transaction([], [row])):
+            case Ok():
+                log_event("member_registered", key=row.key)
+                return
+            case Err(error):
+                log_event("member_not_registered", key=row.key, error=str(error))
+        await asyncio.sleep(rng.uniform(RETRY_MIN_S, delay_s))
+        delay_s = min(delay_s * 2, RETRY_MAX_S)
+
+
+class MemberReader:
+    """Follow the member table by reading only what changed."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        directory: Directory,
+        on_change: Callable[[Directory], None],
+        rng: random.Random,
+        poll_interval_s: float,
+    ) -> None:
+        self.platform = platform
+        self.directory = directory
+        self.on_change = on_change
+        self.rng = rng
+        self.poll_interval_s = poll_interval_s
+
+    async def run(self) -> None:
+        """Poll until the task is cancelled; an outage leaves the last list in use."""
+        while True:
+            await self.poll()
+            spread = self.poll_interval_s * POLL_JITTER
+            await asyncio.sleep(
+                self.poll_interval_s + self.rng.uniform(-spread, spread)
+            )
+
+    async def poll(self) -> bool:
+        """Read the changes once; true when the platform answered."""
+        answer = await self.platform.changes(MEMBERS_TABLE, self.directory.revision)
+        match answer:
+            case Ok(Changes() as changes):
+                self.take(changes)
+                return True
+            case _:
+                return False
+
+    def take(self, changes: Changes) -> None:
+        applied = False
+        for row in changes.rows:
+            applied = self.directory.apply(row.key, row.value, row.deleted) or applied
+        self.directory.revision = changes.revision
+        if applied:
+            self.on_change(self.directory)
--- /dev/null
+++ b/src/acaciarelay/programs/metrics.py
@@ -0,0 +1,173 @@
+"""Counters and gauges of the programs, declared in one table."""
+
+import attrs
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["METRICS", "Metric", "Metrics"]
+
+LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.94, 2.0, 5.0, 15.0, 60.0]
+
+
+@attrs.frozen
+class Metric:
+    """Declare one metric with its labels."""
+
+    name: str
+    kind: str
+    labels: tuple[str, ...]
+    help: str
+
+
+METRICS = [
+    Metric(
+        "acaciarelay_requests_total",
+        "counter",
+        ("tier", "organisation_class", "outcome"),
+        "Requests that ended at this entry.",
+    ),
+    Metric(
+        "acaciarelay_refusals_total",
+        "counter",
+        ("code", "reason", "tier", "organisation_class"),
+        "Requests refused or cut, by result code.",
+    ),
+    Metric(
+        "acaciarelay_retries_total",
+        "counter",
+        ("reason",),
+        "Requests that this entry placed again, by reason.",
+    ),
+    Metric(
+        "acaciarelay_reservations_total",
+        "counter",
+        ("link",),
+        "Reservations sent, by link: zone, region or wan.",
+    ),
+    Metric(
+        "acaciarelay_link_bytes_total",
+        "counter",
+        ("link", "direction"),
+        "Message bytes on sessions, by link: zone, region or wan.",
+    ),
+    Metric(
+        "acaciarelay_session_losses_total",
+        "counter",
+        ("agent",),
+        "Sessions lost, by agent.",
+    ),
+    Metric(
+        "acaciarelay_resumes_total",
+        "counter",
+        ("state",),
+        "Requests asked about after a new session, by the agent's answer.",
+    ),
+    Metric(
+        "acaciarelay_first_token_seconds",
+        "histogram",
+        ("tier",),
+        "Time from the request to the first byte of its answer, in seconds.",
+    ),
+    Metric(
+        "acaciarelay_config_generation",
+        "gauge",
+        (),
+        "Configuration generation in force.",
+    ),
+    Metric(
+        "acaciarelay_config_records_set_aside",
+        "gauge",
+        (),
+        "Records set aside because their schema is too new or their form is wrong.",
+    ),
+    Metric(
+        "acaciarelay_platform_failures_total",
+        "counter",
+        ("call",),
+        "Failed calls to the platform.",
+    ),
+    Metric(
+        "acaciarelay_drops_total",
+        "counter",
+        ("reason", "tier"),
+        "Reservations that this agent dropped, by reason.",
+    ),
+    Metric(
+        "acaciarelay_dispatches_total",
+        "counter",
+        ("tier", "outcome"),
+        "Requests that this agent ran, by outcome.",
+    ),
+    Metric(
+        "acaciarelay_preemptions_total",
+        "counter",
+        ("tier",),
+        "Running requests cancelled for more urgent work.",
+    ),
+    Metric(
+        "acaciarelay_wasted_prefill_tokens_total",
+        "counter",
+        ("reason",),
+        "Prompt tokens of runs that brought no whole answer.",
+    ),
+    Metric(
+        "acaciarelay_token_limit",
+        "gauge",
+        (),
+        "Tokens that may be in service at the endpoint.",
+    ),
+    Metric(
+        "acaciarelay_tokens_in_service",
+        "gauge",
+        (),
+        "Tokens in service at the endpoint.",
+    ),
+    Metric(
+        "acaciarelay_commands_total",
+        "counter",
+        ("result",),
+        "Commands given to the engine, by result.",
+    ),
+]
+
+
+class Metrics:
+    """Hold the metrics of one program; raises ``KeyError`` for an unknown name."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.collectors: dict[str, Counter | Gauge | Histogram] = {}
+        for metric in METRICS:
+            self.collectors[metric.name] = self.create(metric)
+
+    def create(self, metric: Metric) -> Counter | Gauge | Histogram:
+        if metric.kind == "counter":
+            return Counter(metric.name, metric.help, registry=self.registry)
+        if metric.kind == "gauge":
+            return Gauge(metric.name, metric.help, registry=self.registry)
+        return Histogram(
+            metric.name,
+            metric.help,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+    def count(self, name: str, amount: int = 1, **labels: object) -> None:
+        """Add to a counter; the name is given without its common prefix."""
+        self.collectors["acaciarelay_" + name].add(_texts(labels), amount)
+
+    def set(self, name: str, value: float, **labels: object) -> None:
+        """Set a gauge; the name is given without its common prefix."""
+        self.collectors["acaciarelay_" + name].set(_texts(labels), value)
+
+    def observe(self, name: str, value: float, **labels: object) -> None:
+        """Add a value to a histogram; the name is given without its common prefix."""
+        self.collectors["acaciarelay_" + name].observe(_texts(labels), value)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return all metrics as text with its content type."""
+        body, headers = render(self.registry, ["text/plain"])
+        return body, headers["Content-Type"]
+
+
+def _texts(labels: dict[str, object]) -> dict[str, str]:
+    return {name: str(value) for name, value in labels.items()}
--- /dev/null
+++ b/src/acaciarelay/programs/runner.py
@@ -0,0 +1,115 @@
+"""Start a program: read its settings, then run its service until it is stopped."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option as cleo_option
+
+from acaciarelay.programs.options import Option, read_options
+
+__all__ = ["EXIT_SETTINGS", "Settings", "Stopper", "run_program"]
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+VERSION = "0.1.0"
+
+
+class Settings:
+    """Hold the values of a program's options as attributes."""
+
+    def __init__(self, values: dict[str, Any]) -> None:
+        self.__dict__.update(values)
+
+    def __getattr__(self, name: str) -> Any:
+        raise AttributeError(f"no such setting: {name}")
+
+
+class Stopper:
+    """Tell the service that SIGTERM or SIGINT arrived."""
+
+    def __init__(self) -> None:
+        self.requested = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.requested.set)
+
+    async def wait(self) -> None:
+        """Return when a stop was requested."""
+        await self.requested.wait()
+
+
+Service = Callable[[Settings, Stopper], Awaitable[int]]
+
+
+class _SingleCommand(Application):
+    """Run one command whose name isn't given on the command line."""
+
+    def __init__(self, command: Command) -> None:
+        super().__init__(command.name or "", VERSION)
+        self.add(command)
+        self._default_command = command.name or ""
+        self._single_command = True
+
+
+def run_program(
+    name: str, description: str, options: list[Option], service: Service
+) -> int:
+    """Run a program and return its exit code."""
+    command = build_command(name, description, options, service)
+    return _SingleCommand(command).run()
+
+
+def build_command(
+    program: str, text: str, options: list[Option], service: Service
+) -> Command:
+    """Build the command line of a program from its option table."""
+    flags = [
+        cleo_option(option.name, None, describe(option), flag=False)
+        for option in options
+    ]
+    flags.append(cleo_option("check", None, "Check the settings and exit."))
+
+    class ProgramCommand(Command):
+        name = program
+        description = text
+
+        def handle(self) -> int:
+            raw = {option.name: self.option(option.name) for option in options}
+            values, problems = read_options(options, raw, os.environ)
+            if problems:
+                count = len(problems)
+                print(f"{program}: {count} settings are wrong:", file=sys.stderr)
+                for problem in problems:
+                    print(f"  {problem}", file=sys.stderr)
+                return EXIT_SETTINGS
+            if self.option("check"):
+                print(f"{program}: the settings are valid")
+                return EXIT_OK
+            return asyncio.run(run_service(service, Settings(values)))
+
+    ProgramCommand.options = flags
+    return ProgramCommand()
+
+
+def describe(option: Option) -> str:
+    """Describe an option with its variable, unit and default."""
+    parts = [option.help, f"Variable {option.variable}."]
+    if option.unit:
+        parts.append(f"Unit: {option.unit}.")
+    parts.append(f"Default: {option.default}." if option.default else "Required.")
+    return " ".join(parts)
+
+
+async def run_service(service: Service, settings: Settings) -> int:
+    try:
+        return await service(settings, Stopper())
+    except OSError as error:
+        print(f"can't start: {error}", file=sys.stderr)
+        return EXIT_FAILED
--- /dev/null
+++ b/src/acaciarelay/protocol/caller_api.py
@@ -0,0 +1,336 @@
+"""The callers' HTTP interface: from a request head and body to a typed call."""
+
+import hashlib
+import io
+from collections.abc import Iterable
+
+import attrs
+import ijson
+from result import Err, Ok, Result
+
+from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.http_message import Header, HttpRequest
+from acaciarelay.state.records import (
+    OrganisationRecord,
+    PolicyRecord,
+    PoolRecord,
+    Snapshot,
+    TierRecord,
+)
+
+__all__ = [
+    "CLASS_HEADER",
+    "KEY_HEADER",
+    "REQUEST_ID_HEADER",
+    "TIMEOUT_HEADER",
+    "CallHead",
+    "Caller",
+    "ChatFields",
+    "KeyIndex",
+    "PoolChoice",
+    "body_hash",
+    "find_chat_pool",
+    "find_service_pool",
+    "forwarded_headers",
+    "is_repeatable",
+    "read_chat",
+    "read_head",
+]
+
+CHAT_PATH = "/v1/chat/completions"
+SERVICE_PREFIX = "/v1/services/"
+CLASS_HEADER = "acaciarelay-class"
+KEY_HEADER = "idempotency-key"
+REQUEST_ID_HEADER = "acaciarelay-request-id"
+TIMEOUT_HEADER = "acaciarelay-timeout-ms"
+TIER_HEADER = "acaciarelay-tier"
+ORGANISATION_HEADER = "acaciarelay-organisation"
+MAX_TIMEOUT_MS = 600_000
+MAX_KEY_LENGTH = 200
+PREFIX_BYTES = 1_024
+WAIT_SHARE = 0.8
+# Refused beyond this, so that one value can't hold the parser for long.
+MAX_MESSAGES = 10_000
+
+PRIVATE_HEADERS = frozenset(["authorization", KEY_HEADER, "content-length"])
+
+
+@attrs.frozen
+class Caller:
+    """Name the organisation of a caller with its records."""
+
+    organisation: str
+    record: OrganisationRecord
+    policy: PolicyRecord
+
+
+class KeyIndex:
+    """Find organisations by bearer key; built again for each new snapshot."""
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        self.snapshot = snapshot
+        self.names: dict[str, str] = {}
+        for name, record in snapshot.organisations.items():
+            for key_hash in record.key_hashes:
+                self.names[key_hash] = name
+
+    def find(self, request: HttpRequest) -> Result[Caller, Refusal]:
+        """Find the caller of a request."""
+        scheme, _, key = (request.header("authorization") or "").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            return Err(refuse("unknown_key", "No bearer key was sent"))
+        name = self.names.get(hashlib.sha256(key.strip().encode()).hexdigest())
+        if name is None:
+            return Err(refuse("unknown_key"))
+        record = self.snapshot.organisations[name]
+        policy = self.snapshot.policies.get(record.policy)
+        if policy is None:
+            detail = f"Policy {record.policy} does not exist"
+            return Err(refuse("tier_not_allowed", detail))
+        return Ok(Caller(name, record, policy))
+
+
+@attrs.frozen(kw_only=True)
+class CallHead:
+    """Hold what the head of a request says; times in seconds."""
+
+    caller: Caller
+    kind: str  # "chat" or "service"
+    service: str
+    tier_name: str
+    tier: TierRecord
+    timeout_s: float
+    wait_budget_s: float
+    body_length: int
+    idempotency_key: str
+
+
+def read_head(
+    request: HttpRequest, caller: Caller, snapshot: Snapshot
+) -> Result[CallHead, Refusal]:
+    """Check path, class, timeout and length of a call, with no look at its body."""
+    kind, service = _read_path(request.path)
+    if not kind:
+        return Err(refuse("unknown_path"))
+    if kind == "chat" and request.method != "POST":
+        return Err(refuse("method_not_allowed"))
+    tier = _read_tier(request, caller, snapshot)
+    if isinstance(tier, Err):
+        return tier
+    tier_name, tier_record = tier.unwrap()
+    timeout = _read_timeout_ms(request, tier_record)
+    if isinstance(timeout, Err):
+        return timeout
+    length = _read_length(request, caller)
+    if isinstance(length, Err):
+        return length
+    key = request.header(KEY_HEADER) or ""
+    if len(key) > MAX_KEY_LENGTH or not key.isprintable():
+        detail = f"Idempotency-Key is longer than {MAX_KEY_LENGTH} or not printable"
+        return Err(refuse("invalid_field", detail))
+    timeout_s = timeout.unwrap() / 1000
+    head = CallHead(
+        caller=caller,
+        kind=kind,
+        service=service,
+        tier_name=tier_name,
+        tier=tier_record,
+        timeout_s=timeout_s,
+        # The rest of the time is for the last-resort round before a refusal.
+        wait_budget_s=min(tier_record.wait_budget_ms / 1000, WAIT_SHARE * timeout_s),
+        body_length=length.unwrap(),
+        idempotency_key=key,
+    )
+    return Ok(head)
+
+
+def _read_path(path: str) -> tuple[str, str]:
+    if path == CHAT_PATH:
+        return "chat", ""
+    if not path.startswith(SERVICE_PREFIX):
+        return "", ""
+    service = path.removeprefix(SERVICE_PREFIX).partition("/")[0]
+    return ("service", service) if service else ("", "")
+
+
+def _read_tier(
+    request: HttpRequest, caller: Caller, snapshot: Snapshot
+) -> Result[tuple[str, TierRecord], Refusal]:
+    request_class = request.header(CLASS_HEADER) or "default"
+    name = caller.policy.tiers.get(request_class)
+    if name is None:
+        return Err(refuse("tier_not_allowed", f"Class {request_class[:64]} is unknown"))
+    record = snapshot.tiers.get(name)
+    if record is None:
+        return Err(refuse("tier_not_allowed", f"Tier {name} does not exist"))
+    return Ok((name, record))
+
+
+def _read_timeout_ms(request: HttpRequest, tier: TierRecord) -> Result[int, Refusal]:
+    text = request.header(TIMEOUT_HEADER)
+    if text is None:
+        return Ok(tier.timeout_ms)
+    if not (text.isascii() and text.isdigit() and 0 < int(text) <= MAX_TIMEOUT_MS):
+        detail = f"{TIMEOUT_HEADER} must be from 1 to {MAX_TIMEOUT_MS}"
+        return Err(refuse("invalid_field", detail))
+    return Ok(int(text))
+
+
+def _read_length(request: HttpRequest, caller: Caller) -> Result[int, Refusal]:
+    length = request.content_length
+    if length is None and request.header("transfer-encoding") is not None:
+        return Err(refuse("length_required"))
+    length = length or 0
+    if length > caller.policy.max_body_bytes:
+        detail = f"The body may have {caller.policy.max_body_bytes} bytes"
+        return Err(refuse("body_too_large", detail))
+    return Ok(length)
+
+
+@attrs.define
+class ChatFields:
+    """Hold the fields of a chat request that scheduling needs."""
+
+    model: str = ""
+    stream: bool = False
+    max_tokens: int | None = None
+    text_bytes: int = 0
+    images: int = 0
+    messages: int = 0
+    prefix: bytes = b""
+
+
+class _Pieces(io.RawIOBase):
+    """Let the parser read a body that is held in pieces, without a copy of it."""
+
+    def __init__(self, pieces: Iterable[bytes]) -> None:
+        self.pieces = iter(pieces)
+        self.rest = b""
+
+    def read(self, size: int = -1) -> bytes:
+        if size == 0:
+            return b""
+        data = self.rest or next(self.pieces, b"")
+        if size < 0 or len(data) <= size:
+            self.rest = b""
+            return data
+        self.rest = data[size:]
+        return data[:size]
+
+
+def read_chat(body: list[bytes]) -> Result[ChatFields, Refusal]:
+    """Read the fields of a chat request; image data is skipped."""
+    fields = ChatFields()
+    try:
+        for path, event, value in ijson.parse(_Pieces(body)):
+            problem = _take_chat_field(fields, path, event, value)
+            if problem:
+                return Err(refuse("invalid_field", problem))
+    except (ijson.JSONError, UnicodeDecodeError) as error:
+        return Err(refuse("invalid_json", str(error)[:200]))
+    if not fields.model:
+        return Err(refuse("invalid_field", "model is missing"))
+    if not fields.messages:
+        return Err(refuse("invalid_field", "messages is missing or empty"))
+    return Ok(fields)
+
+
+def _take_chat_field(
+    fields: ChatFields, path: str, event: str, value: object
+) -> str | None:
+    match path:
+        case "":
+            if event not in ("start_map", "map_key", "end_map"):
+                return "the body must be an object"
+        case "model":
+            if not isinstance(value, str) or not value:
+                return "model must be a text that is not empty"
+            fields.model = value
+        case "stream":
+            if not isinstance(value, bool):
+                return "stream must be true or false"
+            fields.stream = value
+        case "max_tokens" | "max_completion_tokens":
+            if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+                return f"{path} must be a whole number above 0"
+            fields.max_tokens = value
+        case "messages":
+            if event not in ("start_array", "end_array"):
+                return "messages must be a list"
+        case "messages.item":
+            if event == "start_map":
+                fields.messages += 1
+            if fields.messages > MAX_MESSAGES:
+                return f"messages may have {MAX_MESSAGES} items"
+        case "messages.item.content" | "messages.item.content.item.text":
+            if event == "string":
+                _take_text(fields, str(value))
+        case "messages.item.content.item.type":
+            if value == "image_url":
+                fields.images += 1
+    return None
+
+
+def _take_text(fields: ChatFields, text: str) -> None:
+    data = text.encode()
+    fields.text_bytes += len(data)
+    if len(fields.prefix) < PREFIX_BYTES:
+        fields.prefix += data[: PREFIX_BYTES - len(fields.prefix)]
+
+
+@attrs.frozen
+class PoolChoice:
+    """Name the pool that serves a call."""
+
+    name: str
+    record: PoolRecord
+
+
+def find_chat_pool(snapshot: Snapshot, model: str) -> Result[PoolChoice, Refusal]:
+    """Find the pool that serves a model."""
+    for name, record in snapshot.pools.items():
+        if record.kind == "chat" and model in record.models:
+            return Ok(PoolChoice(name, record))
+    return Err(refuse("unknown_model", f"No pool serves model {model[:64]}"))
+
+
+def find_service_pool(snapshot: Snapshot, service: str) -> Result[PoolChoice, Refusal]:
+    """Find the pool that serves a service."""
+    for name, record in snapshot.pools.items():
+        if record.kind == "service" and record.service == service:
+            return Ok(PoolChoice(name, record))
+    return Err(refuse("unknown_service", f"No pool serves service {service[:64]}"))
+
+
+def is_repeatable(pool: PoolRecord, method: str, path: str) -> bool:
+    """Tell whether a call may run twice; the longest matching route decides."""
+    if pool.kind == "chat":
+        return True
+    best: tuple[int, bool] = (-1, method in ("GET", "HEAD"))
+    for route in pool.routes:
+        if route.method != method or not path.startswith(route.path_prefix):
+            continue
+        if len(route.path_prefix) > best[0]:
+            best = (len(route.path_prefix), route.repeatable)
+    return best[1]
+
+
+def body_hash(method: str, path: str, body: list[bytes]) -> str:
+    """Return a SHA-256 sum over method, path and body, as hexadecimal text."""
+    digest = hashlib.sha256(f"{method} {path}\n".encode())
+    for piece in body:
+        digest.update(piece)
+    return digest.hexdigest()
+
+
+def forwarded_headers(
+    headers: list[Header], request_id: str, head: CallHead
+) -> list[Header]:
+    """Build the headers for the endpoint: the caller's key is never passed on."""
+    kept = [(name, value) for name, value in headers if name not in PRIVATE_HEADERS]
+    kept.append((REQUEST_ID_HEADER, request_id))
+    kept.append((TIER_HEADER, str(head.tier.rank)))
+    kept.append((ORGANISATION_HEADER, head.caller.organisation))
+    if head.idempotency_key:
+        kept.append((KEY_HEADER, head.idempotency_key))
+    return kept
--- /dev/null
+++ b/src/acaciarelay/protocol/http_message.py
@@ -0,0 +1,55 @@
+"""The head of an HTTP request, as the layers above the transport see it."""
+
+import attrs
+
+__all__ = ["Header", "HttpRequest", "end_to_end_headers"]
+
+Header = tuple[str, str]
+
+# Fields that hold for one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "host",
+    ]
+)
+
+
+@attrs.frozen
+class HttpRequest:
+    """Hold the head of a request; header names are in lower case.
+
+    ``target`` is the path with its query as sent.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: list[Header]
+    target: str = ""
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or ``None``."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    @property
+    def content_length(self) -> int | None:
+        """Length of the body in bytes, or ``None`` when it is not stated."""
+        value = self.header("content-length")
+        return int(value) if value is not None else None
+
+
+def end_to_end_headers(headers: list[Header]) -> list[Header]:
+    """Leave out the fields that hold for one connection only."""
+    return [(name, value) for name, value in headers if name not in HOP_BY_HOP]
--- /dev/null
+++ b/src/acaciarelay/protocol/sse.py
@@ -0,0 +1,26 @@
+"""Server-sent events, as far as answers of model engines use them."""
+
+import orjson
+
+from acaciarelay.protocol.codes import Refusal
+
+__all__ = ["is_event_stream", "render_error_event"]
+
+
+def is_event_stream(headers: list[tuple[str, str]]) -> bool:
+    """Tell whether an answer with these headers is a stream of events."""
+    for name, value in headers:
+        if name.lower() == "content-type":
+            return value.lower().startswith("text/event-stream")
+    return False
+
+
+def render_error_event(refusal: Refusal) -> bytes:
+    """Render the event that ends an answer which could not be completed."""
+    error = {
+        "code": refusal.code.number,
+        "type": refusal.code.name,
+        "outcome": str(refusal.code.outcome),
+        "message": refusal.message,
+    }
+    return b"event: error\ndata: " + orjson.dumps({"error": error}) + b"\n\n"
--- /dev/null
+++ b/src/acaciarelay/state/directory.py
@@ -0,0 +1,70 @@
+"""The members of the system as registered in the platform's table."""
+
+from typing import Any
+
+import attrs
+import cattrs
+
+__all__ = ["AgentMember", "Directory", "EntryMember", "member_key"]
+
+
+@attrs.frozen
+class AgentMember:
+    """Hold the registration of an agent; ``address`` is IP:PORT."""
+
+    id: str
+    address: str
+    incarnation: int
+    pool: str
+    zone: str
+    region: str
+
+
+@attrs.frozen
+class EntryMember:
+    """Hold the registration of an entry; ``admin`` is its HTTP address."""
+
+    id: str
+    address: str
+    incarnation: int
+    zone: str
+    region: str
+    admin: str
+
+
+Member = AgentMember | EntryMember
+_CLASSES: dict[str, type] = {"agent": AgentMember, "entry": EntryMember}
+
+
+def member_key(member: Member) -> str:
+    """Return the row key of a member."""
+    kind = "agent" if isinstance(member, AgentMember) else "entry"
+    return f"{kind}/{member.id}"
+
+
+@attrs.define
+class Directory:
+    """Hold the members known; a hint, since liveness is judged by sessions."""
+
+    agents: dict[str, AgentMember] = attrs.field(factory=dict)
+    entries: dict[str, EntryMember] = attrs.field(factory=dict)
+    revision: int = 0
+
+    def apply(self, key: str, value: Any, deleted: bool) -> bool:
+        """Apply one changed row; false when its form is not understood."""
+        kind, _, member_id = key.partition("/")
+        groups: dict[str, dict[str, Any]] = {
+            "agent": self.agents,
+            "entry": self.entries,
+        }
+        group = groups.get(kind)
+        if group is None:
+            return False
+        if deleted:
+            group.pop(member_id, None)
+            return True
+        try:
+            group[member_id] = cattrs.structure(value, _CLASSES[kind])
+        except Exception:
+            return False
+        return True
--- a/src/acaciarelay/transport/http_client.py
+++ b/src/acaciarelay/transport/http_client.py
@@ -9,6 +9,8 @@
 import h11
 from result import Err, Ok, Result
 
+from acaciarelay.protocol.http_message import Header
+
 __all__ = [
     "ClientExchange",
     "ClientLimits",
@@ -23,8 +25,6 @@
 
 READ_SIZE_BYTES = 65_536
 
-Header = tuple[str, str]
-
 
 class HttpFault(enum.StrEnum):
     """Say how far a failed request came."""
--- a/src/acaciarelay/transport/http_server.py
+++ b/src/acaciarelay/transport/http_server.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.http_message import Header, HttpRequest
 
 __all__ = [
     "CallerGone",
@@ -31,8 +32,6 @@
 LINGER_S = 1.0
 LINGER_BYTES = 4_194_304
 
-Header = tuple[str, str]
-
 
 @attrs.frozen(kw_only=True)
 class ServerLimits:
@@ -53,28 +52,6 @@
     """Report that the caller closed the connection or stopped reading."""
 
 
-@attrs.frozen
-class HttpRequest:
-    """Hold the head of a request; header names are in lower case."""
-
-    method: str
-    path: str
-    query: dict[str, str]
-    headers: list[Header]
-
-    def header(self, name: str) -> str | None:
-        """Return the first value of a header, or ``None``."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    @property
-    def content_length(self) -> int | None:
-        value = self.header("content-length")
-        return int(value) if value is not None else None
-
-
 def refusal_headers(refusal: Refusal) -> list[Header]:
     """Build the header fields that describe a refusal."""
     headers = [
@@ -220,7 +197,8 @@
             return Ok(None)
         if not isinstance(event, h11.Request):
             return Ok(None)
-        parts = urlsplit(event.target.decode("latin-1"))
+        target = event.target.decode("latin-1")
+        parts = urlsplit(target)
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
@@ -230,6 +208,7 @@
             parts.path,
             dict(parse_qsl(parts.query)),
             headers,
+            target,
         )
         return Ok(request)
 
--- /dev/null
+++ b/src/acaciarelay/transport/outgoing.py
@@ -0,0 +1,77 @@
+"""Outgoing messages of one session: control messages go before bulk data."""
+
+import asyncio
+from collections import deque
+from typing import Generic, TypeVar
+
+__all__ = ["OutgoingQueue", "SessionClosed"]
+
+Message = TypeVar("Message")
+
+# Enough bulk messages to keep the link busy; more would only delay cancellation.
+MAX_BULK_MESSAGES = 16
+# A peer that lets this many control messages pile up is taken for lost.
+MAX_CONTROL_MESSAGES = 20_000
+
+
+class SessionClosed(Exception):
+    """Report that the session ended before the message was sent."""
+
+
+class OutgoingQueue(Generic[Message]):
+    """Queue messages for one writer; control messages never wait for bulk ones."""
+
+    def __init__(self) -> None:
+        self.control: deque[Message] = deque()
+        self.bulk: deque[Message] = deque()
+        self.readable = asyncio.Event()
+        self.bulk_space = asyncio.Event()
+        self.bulk_space.set()
+        self.closed = False
+
+    def put(self, message: Message) -> None:
+        """Add a control message; it is dropped when the session is closed."""
+        if self.closed:
+            return
+        if len(self.control) >= MAX_CONTROL_MESSAGES:
+            self.close()
+            return
+        self.control.append(message)
+        self.readable.set()
+
+    def put_bounded(self, message: Message) -> None:
+        """Add bulk data that the sender bounds by itself; dropped when closed."""
+        if self.closed:
+            return
+        self.bulk.append(message)
+        self.readable.set()
+
+    async def put_bulk(self, message: Message) -> None:
+        """Add bulk data when there is space; raises ``SessionClosed``."""
+        while not self.closed and len(self.bulk) >= MAX_BULK_MESSAGES:
+            self.bulk_space.clear()
+            await self.bulk_space.wait()
+        if self.closed:
+            raise SessionClosed
+        self.bulk.append(message)
+        self.readable.set()
+
+    async def get(self) -> Message:
+        """Return the next message; raises ``SessionClosed`` at the end."""
+        while True:
+            if self.closed:
+                raise SessionClosed
+            if self.control:
+                return self.control.popleft()
+            if self.bulk:
+                message = self.bulk.popleft()
+                self.bulk_space.set()
+                return message
+            self.readable.clear()
+            await self.readable.wait()
+
+    def close(self) -> None:
+        """End the queue and wake all that wait on it."""
+        self.closed = True
+        self.readable.set()
+        self.bulk_space.set()
--- /dev/null
+++ b/src/acaciarelay/transport/relay_server.py
@@ -0,0 +1,128 @@
+"""The agent's side of its sessions with entries."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Protocol
+
+import grpc
+
+from acaciarelay.protocol import relay_pb2 as pb, relay_pb2_grpc
+from acaciarelay.transport.outgoing import OutgoingQueue, SessionClosed
+
+__all__ = ["EntryLink", "LinkHandler", "RelayServer", "start_grpc_server"]
+
+SERVER_OPTIONS = [
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", 8_388_608),
+    ("grpc.max_send_message_length", 8_388_608),
+]
+HELLO_TIMEOUT_S = 3.0
+
+
+class EntryLink:
+    """Hold one open session with an entry."""
+
+    def __init__(self, hello: pb.Hello) -> None:
+        self.entry_id = hello.entry_id
+        self.incarnation = hello.incarnation
+        self.zone = hello.zone
+        self.region = hello.region
+        self.generation = hello.generation
+        self.outgoing: OutgoingQueue[pb.AgentMessage] = OutgoingQueue()
+        self.last_heard = time.monotonic()
+
+    def send(self, message: pb.AgentMessage) -> None:
+        """Send a control message; it is dropped when the session has ended."""
+        self.outgoing.put(message)
+
+    def close(self) -> None:
+        """End the session."""
+        self.outgoing.close()
+
+
+class LinkHandler(Protocol):
+    """Receive the events of all sessions of an agent."""
+
+    def on_attach(self, link: EntryLink) -> None:
+        """Take up a new session."""
+
+    def on_message(self, link: EntryLink, message: pb.EntryMessage) -> None:
+        """Take one message."""
+
+    def on_detach(self, link: EntryLink) -> None:
+        """Note that the session ended."""
+
+
+class RelayServer(relay_pb2_grpc.RelayServicer):
+    """Accept sessions and pass their messages to a handler."""
+
+    def __init__(self, handler: LinkHandler, silence_s: float) -> None:
+        self.handler = handler
+        self.silence_s = silence_s
+
+    def add_to(self, server: grpc.aio.Server) -> None:
+        """Register the service with a server, before it starts."""
+        relay_pb2_grpc.add_RelayServicer_to_server(self, server)
+
+    async def Session(
+        self,
+        request_iterator: AsyncIterator[pb.EntryMessage],
+        context: grpc.aio.ServicerContext,
+    ) -> None:
+        """Serve one session until either side ends it or it falls silent."""
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            first = await anext(request_iterator)
+        if not first.HasField("hello"):
+            return
+        link = EntryLink(first.hello)
+        self.handler.on_attach(link)
+        reader = asyncio.create_task(self.read(link, request_iterator))
+        watcher = asyncio.create_task(self.watch(link))
+        try:
+            with contextlib.suppress(SessionClosed):
+                while True:
+                    await context.write(await link.outgoing.get())
+        finally:
+            link.close()
+            reader.cancel()
+            watcher.cancel()
+            self.handler.on_detach(link)
+
+    async def read(
+        self, link: EntryLink, messages: AsyncIterator[pb.EntryMessage]
+    ) -> None:
+        try:
+            async for message in messages:
+                if link.outgoing.closed:
+                    return
+                link.last_heard = time.monotonic()
+                self.handler.on_message(link, message)
+        except grpc.RpcError:
+            pass
+        finally:
+            link.close()
+
+    async def watch(self, link: EntryLink) -> None:
+        while True:
+            await asyncio.sleep(self.silence_s / 3)
+            if time.monotonic() - link.last_heard > self.silence_s:
+                link.close()
+                return
+
+
+async def start_grpc_server(
+    address: str, add_service: Callable[[grpc.aio.Server], None]
+) -> grpc.aio.Server:
+    """Start a gRPC server on IP:PORT; raises ``OSError`` when it can't be bound."""
+    server = grpc.aio.server(options=SERVER_OPTIONS)
+    add_service(server)
+    try:
+        port = server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise OSError(f"can't listen on {address}") from error
+    if port == 0:
+        raise OSError(f"can't listen on {address}")
+    await server.start()
+    return server
