Add first versions of all coordination modules

Ruled out: a turn of a whole quantum in the fair queue, because it lets an organisation with many short requests run all of them before another's single one; visiting every organisation in every round, because a request of 100 quanta would cost 100 visits. Rounds are numbered and kept in a heap instead.

--- /dev/null
+++ b/src/acaciarelay/coordination/concurrency.py
@@ -0,0 +1,205 @@
+"""The token limit of an endpoint: additive increase, multiplicative decrease."""
+
+import math
+import sys
+
+import attrs
+
+__all__ = ["TokenLimit"]
+
+TARGET_INTER_TOKEN_S = 0.053
+TARGET_FIRST_TOKEN_S = 0.94
+
+# The limit grows only when the mean is below this share of the target and shrinks only
+# above the target; the band between them keeps it from oscillating on noise.
+GROW_BELOW = 0.85
+DECREASE_FACTOR = 0.85
+SHRINK_FACTOR = 0.5
+# A step of 1/20 of the initial limit twice a second restores a limit that fell to the
+# minimum within 10 s, the time in which goodput must recover after an overload.
+INCREASE_SHARE = 1 / 20
+ADJUST_INTERVAL_S = 0.5
+# Streams that started before a decrease still show the old latency for about this long.
+DECREASE_INTERVAL_S = 1.5
+# Fewer samples than this are one or two odd requests, not the state of the engine.
+MIN_SAMPLES = 4
+# One prompt of a hundred times the usual length must not outweigh all other samples.
+MAX_SAMPLE_RATIO = 4.0
+# The limit counts as the bottleneck when this share of it was in use.
+PRESSED_SHARE = 0.8
+# Time constant of the measured rate at which running work frees tokens.
+RATE_WINDOW_S = 10.0
+
+
+@attrs.define
+class _Mean:
+    """Average latency samples as ratios of their target."""
+
+    target_s: float
+    count: int = 0
+    total: float = 0.0
+
+    def add(self, sample_s: float) -> None:
+        self.count += 1
+        self.total += min(sample_s / self.target_s, MAX_SAMPLE_RATIO)
+
+    def ratio(self) -> float:
+        return self.total / self.count if self.count else 0.0
+
+    def clear(self) -> None:
+        self.count = 0
+        self.total = 0.0
+
+
+@attrs.define
+class _FreedRate:
+    """Measure freed tokens per second over busy time only."""
+
+    tokens: float = 0.0
+    seconds: float = 0.0
+    last: float | None = None
+
+    def freed(self, tokens: int, busy: bool, now: float) -> None:
+        if self.last is not None:
+            elapsed = max(0.0, now - self.last)
+            keep = math.exp(-elapsed / RATE_WINDOW_S)
+            self.tokens = self.tokens * keep + tokens
+            self.seconds = self.seconds * keep + elapsed
+        # The start of the next busy period is unknown, so it gives no interval.
+        self.last = now if busy else None
+
+    def per_second(self) -> float:
+        return self.tokens / self.seconds if self.seconds > 0 else 0.0
+
+
+class TokenLimit:
+    """Bound the tokens in use at an endpoint by its measured latency.
+
+    The limit grows by steps while it is the bottleneck and both latencies are well
+    below their targets, and is multiplied down when one of them exceeds its target.
+    """
+
+    def __init__(
+        self,
+        initial: int,
+        minimum: int,
+        maximum: int,
+        target_inter_token_s: float = TARGET_INTER_TOKEN_S,
+        target_first_token_s: float = TARGET_FIRST_TOKEN_S,
+    ) -> None:
+        self.minimum = max(1, minimum)
+        self.maximum = max(self.minimum, maximum)
+        self.limit = self._clamp(initial)
+        self.in_use = 0
+        self._step = max(1, int(self.limit * INCREASE_SHARE))
+        self._held: dict[str, int] = {}
+        self._inter_token = _Mean(target_inter_token_s)
+        self._first_token = _Mean(target_first_token_s)
+        self._freed = _FreedRate()
+        self._pressed = False
+        self._peak_running = 0
+        self._window_start: float | None = None
+        self._last_decrease = -math.inf
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that hold tokens."""
+        return len(self._held)
+
+    @property
+    def room(self) -> int:
+        """Return the free tokens; an idle endpoint has room for any request."""
+        if not self._held:
+            return sys.maxsize
+        return max(0, self.limit - self.in_use)
+
+    @property
+    def tokens_per_second(self) -> float:
+        """Return the rate at which running work frees tokens, 0 when unknown."""
+        return self._freed.per_second()
+
+    def acquire(self, request_id: str, tokens: int) -> bool:
+        """Hold tokens for a request; ``False`` when they do not fit.
+
+        One request always fits at an idle endpoint. A request that already holds
+        tokens keeps them unchanged.
+        """
+        if request_id in self._held:
+            return True
+        if tokens > self.room:
+            self._pressed = True
+            return False
+        self._held[request_id] = tokens
+        self.in_use += tokens
+        self._peak_running = max(self._peak_running, len(self._held))
+        if self.in_use >= PRESSED_SHARE * self.limit:
+            self._pressed = True
+        return True
+
+    def blocked(self) -> None:
+        """Note that work waits which the free room does not admit."""
+        self._pressed = True
+
+    def release(self, request_id: str, now: float) -> None:
+        """Free the tokens of a request; unknown requests are ignored."""
+        tokens = self._held.pop(request_id, None)
+        if tokens is None:
+            return
+        self.in_use -= tokens
+        self._freed.freed(tokens, bool(self._held), now)
+
+    def observe(
+        self, first_token_s: float | None, inter_token_s: float | None, now: float
+    ) -> None:
+        """Record measured latencies and adjust the limit when it is time."""
+        if self._window_start is None:
+            self._window_start = now
+        if first_token_s is not None:
+            self._first_token.add(first_token_s)
+        if inter_token_s is not None:
+            self._inter_token.add(inter_token_s)
+        if now - self._window_start >= ADJUST_INTERVAL_S:
+            self._adjust(now)
+
+    def shrink(self, now: float) -> None:
+        """Halve the limit, since the endpoint stalled or failed.
+
+        All streams of a stalled engine report it at once, so further calls within the
+        decrease interval have no effect.
+        """
+        if now - self._last_decrease < DECREASE_INTERVAL_S:
+            return
+        self._decrease(SHRINK_FACTOR, now)
+
+    def _adjust(self, now: float) -> None:
+        means = (self._inter_token, self._first_token)
+        if any(mean.count >= MIN_SAMPLES and mean.ratio() > 1 for mean in means):
+            # With a single request running, a lower limit cannot make it faster.
+            waited = now - self._last_decrease >= DECREASE_INTERVAL_S
+            if waited and self._peak_running > 1:
+                self._decrease(DECREASE_FACTOR, now)
+            else:
+                self._start_window(now)
+            return
+        if any(mean.ratio() > GROW_BELOW for mean in means):
+            if all(mean.ratio() <= 1 for mean in means):
+                self._start_window(now)
+            return
+        if self._pressed:
+            self.limit = self._clamp(self.limit + self._step)
+        self._start_window(now)
+
+    def _decrease(self, factor: float, now: float) -> None:
+        self.limit = self._clamp(int(self.limit * factor))
+        self._last_decrease = now
+        self._start_window(now)
+
+    def _start_window(self, now: float) -> None:
+        self._window_start = now
+        self._inter_token.clear()
+        self._first_token.clear()
+        self._peak_running = len(self._held)
+        self._pressed = self.in_use >= PRESSED_SHARE * self.limit
+
+    def _clamp(self, limit: int) -> int:
+        return max(self.minimum, min(self.maximum, limit))
--- /dev/null
+++ b/src/acaciarelay/coordination/placement/late_binding.py
@@ -0,0 +1,123 @@
+"""Reservations at several agents; the first one with room runs the request."""
+
+import math
+from random import Random
+
+from .base import (
+    AgentView,
+    PlacementPolicy,
+    PlacementRequest,
+    agent_wait_s,
+    is_usable,
+    load_share,
+    spare_tokens,
+)
+from .rendezvous import rendezvous_agent
+
+__all__ = ["LateBinding"]
+
+# Each time this share of the wait budget passes, the first number of agents is added.
+WIDEN_SHARE = 0.1
+# A full agent keeps this share of its limit as its weight: reports are seconds old, and
+# an agent that none of the entries chooses would stay idle until its next report.
+MIN_WEIGHT_SHARE = 0.05
+# The prefix agent is used up to this load, or up to this multiple of the mean load. A
+# cached prefix saves less time than a longer queue costs.
+PREFIX_LOAD_BOUND = 0.8
+PREFIX_LOAD_RATIO = 1.25
+# Another zone of the region costs at most 1 ms, so a small saved wait justifies it.
+ZONE_WAIT_S = 0.02
+
+
+class LateBinding(PlacementPolicy):
+    """Choose at random by spare capacity, near agents first, more as time passes."""
+
+    name = "late_binding"
+
+    def choose(
+        self,
+        request: PlacementRequest,
+        agents: list[AgentView],
+        already: set[str],
+        random: Random,
+    ) -> list[str]:
+        """Return further agents: the prefix agent first, then a weighted sample."""
+        nearby = _near_enough(request, agents)
+        chosen: list[str] = []
+        # The prefix agent comes on top of the wanted number, but only at first: when
+        # it was tried and dropped the request, another agent is more useful.
+        if request.waited_s < request.wait_budget_s * WIDEN_SHARE:
+            chosen = _prefix_choice(request, nearby, already)
+        wanted = _wanted(request) - len(already)
+        taken = already.union(chosen)
+        candidates = [agent for agent in nearby if agent.agent_id not in taken]
+        return chosen + _sample(candidates, request.tier, wanted, random)
+
+
+def _wanted(request: PlacementRequest) -> int:
+    """Return how many agents should hold a reservation after the time waited."""
+    step_s = request.wait_budget_s * WIDEN_SHARE
+    steps = int(request.waited_s / step_s) if step_s > 0 else 0
+    return request.reservations * (1 + steps)
+
+
+def _near_enough(request: PlacementRequest, agents: list[AgentView]) -> list[AgentView]:
+    """Return the usable agents of the zone, the region or all regions."""
+    usable = [agent for agent in agents if is_usable(agent, request.tier)]
+    regional = [agent for agent in usable if agent.region == request.region]
+    zonal = [agent for agent in regional if agent.zone == request.zone]
+    near_s = _shortest_wait_s(request, regional)
+    far_s = _shortest_wait_s(request, usable)
+    # A request that has waited shows that the reports understate the wait here.
+    if len(regional) < len(usable):
+        if max(near_s, request.waited_s) - far_s > request.wan_wait_s:
+            return usable
+    enough = len(zonal) >= _wanted(request)
+    if enough and _shortest_wait_s(request, zonal) - near_s <= ZONE_WAIT_S:
+        return zonal
+    return regional
+
+
+def _shortest_wait_s(request: PlacementRequest, agents: list[AgentView]) -> float:
+    """Return the shortest estimated wait; infinite without agents."""
+    shortest = math.inf
+    for agent in agents:
+        wait_s = agent_wait_s(agent, request.tier, request.tokens)
+        # An unknown rate is that of an agent that has just started.
+        shortest = min(shortest, 0.0 if wait_s is None else wait_s)
+    return shortest
+
+
+def _prefix_choice(
+    request: PlacementRequest, agents: list[AgentView], already: set[str]
+) -> list[str]:
+    """Return the rendezvous agent of the prefix, unless it is loaded or has it."""
+    if request.prefix_hash == 0 or not agents:
+        return []
+    by_id = {agent.agent_id: agent for agent in agents}
+    name = rendezvous_agent(request.prefix_hash, by_id)
+    if name is None or name in already:
+        return []
+    mean = sum(load_share(agent) for agent in agents) / len(agents)
+    bound = max(PREFIX_LOAD_BOUND, PREFIX_LOAD_RATIO * mean)
+    return [name] if load_share(by_id[name]) <= bound else []
+
+
+def _sample(
+    agents: list[AgentView], tier: int, number: int, random: Random
+) -> list[str]:
+    """Sample agents without replacement, weighted by spare capacity.
+
+    The smallest of exponential variables divided by the weights gives such a sample
+    (Efraimidis and Spirakis, 2006). A random choice keeps entries that hold the same
+    report from all choosing the same agents.
+    """
+    if number <= 0:
+        return []
+    keyed = []
+    for agent in agents:
+        floor = max(1.0, agent.token_limit * MIN_WEIGHT_SHARE)
+        weight = max(floor, spare_tokens(agent, tier))
+        keyed.append((random.expovariate(weight), agent.agent_id))
+    keyed.sort()
+    return [name for _, name in keyed[:number]]
--- /dev/null
+++ b/src/acaciarelay/coordination/progress.py
@@ -0,0 +1,24 @@
+"""A limit on the time that a stream may go without progress."""
+
+__all__ = ["ProgressLimit"]
+
+
+class ProgressLimit:
+    """Tell when nothing has advanced for ``limit_s`` seconds.
+
+    The time starts at the first call of either method.
+    """
+
+    def __init__(self, limit_s: float) -> None:
+        self.limit_s = limit_s
+        self._last: float | None = None
+
+    def advanced(self, now: float) -> None:
+        """Record progress."""
+        self._last = now
+
+    def stalled(self, now: float) -> bool:
+        """Tell whether the limit has passed since the last progress."""
+        if self._last is None:
+            self._last = now
+        return now - self._last >= self.limit_s
--- /dev/null
+++ b/src/acaciarelay/coordination/shedding.py
@@ -0,0 +1,104 @@
+"""The tier floor, preemption, and the check before a request is shed."""
+
+import attrs
+
+from .fair_queue import Reservation
+
+__all__ = ["RunningWork", "ShedCheck", "TierFloor", "choose_victim", "should_preempt"]
+
+TIER_FLOOR_S = 2.0
+PREEMPT_SHARE = 0.5
+# A last-resort round crosses one link twice. An agent that does not answer within this
+# time is unreachable, and waiting longer would only use up the caller's deadline.
+SHED_CHECK_S = 1.0
+
+
+@attrs.define
+class RunningWork:
+    """Describe a running request; ``tokens_done`` counts prefill and answer."""
+
+    request_id: str
+    tier: int
+    repeatable: bool
+    prompt_tokens: int
+    tokens_done: int
+    first_token_sent: bool
+
+
+class TierFloor:
+    """Hold the lowest tier that is served, for 2 s after each request to set it."""
+
+    def __init__(self) -> None:
+        self._until: dict[int, float] = {}
+
+    def set(self, tier: int, now: float) -> None:
+        """Serve no tier below the given one for a while."""
+        self._until[tier] = now + TIER_FLOOR_S
+
+    def current(self, now: float) -> int | None:
+        """Return the most urgent floor in force, or ``None``."""
+        for tier in [key for key, until in self._until.items() if until <= now]:
+            del self._until[tier]
+        return min(self._until, default=None)
+
+
+def _prefill_done(work: RunningWork) -> int:
+    if work.first_token_sent:
+        return work.prompt_tokens
+    return min(work.tokens_done, work.prompt_tokens)
+
+
+def choose_victim(running: list[RunningWork], tier: int) -> str | None:
+    """Return the request to cancel for one of the given tier, or ``None``.
+
+    Only idempotent work of a strictly lower tier is cancelled: the lowest tier first,
+    and in it the request that loses least prefill.
+    """
+    candidates = [work for work in running if work.tier > tier and work.repeatable]
+    if not candidates:
+        return None
+    victim = min(
+        candidates,
+        key=lambda work: (-work.tier, _prefill_done(work), work.tokens_done),
+    )
+    return victim.request_id
+
+
+def should_preempt(head: Reservation, now: float) -> bool:
+    """Tell whether lower-tier work is to be cancelled for the head of the queue."""
+    if head.last_resort:
+        return True
+    waited_s = head.waited_s + max(0.0, now - head.queued_at)
+    return waited_s > head.wait_budget_s * PREEMPT_SHARE
+
+
+class ShedCheck:
+    """Track the last-resort round that precedes the shedding of one request."""
+
+    def __init__(self) -> None:
+        self._pending: set[str] = set()
+        self._started_at: float | None = None
+
+    @property
+    def pending(self) -> list[str]:
+        """Return the agents that have neither answered nor been lost."""
+        return sorted(self._pending)
+
+    def start(self, agent_ids: list[str], now: float) -> None:
+        """Start a round in which the given agents are asked."""
+        self._pending = set(agent_ids)
+        self._started_at = now
+
+    def answered(self, agent_id: str) -> None:
+        """Record that an agent replied that it has no lower work."""
+        self._pending.discard(agent_id)
+
+    def lost(self, agent_id: str) -> None:
+        """Record that the session with an agent ended."""
+        self._pending.discard(agent_id)
+
+    def complete(self, now: float) -> bool:
+        """Tell whether the request may be shed; never before a round has started."""
+        if self._started_at is None:
+            return False
+        return not self._pending or now - self._started_at >= SHED_CHECK_S
--- /dev/null
+++ b/src/acaciarelay/coordination/tier_queue.py
@@ -0,0 +1,265 @@
+"""Deficit round robin over the organisations of one tier.
+
+Rounds are numbered. In each round an organisation may spend ``quantum * weight``
+tokens; what it spends beyond that is a debt that moves it to a later round. Ordering
+organisations by round number in a heap avoids visiting indebted organisations once in
+every round, so that a step takes O(log n) whatever the request lengths are.
+
+Within a round the organisations take turns of one request each. A turn of a whole
+quantum would let an organisation with many short requests run all of them before an
+organisation with a single one.
+"""
+
+import heapq
+from collections import OrderedDict
+
+import attrs
+
+from .largest import LargestKey
+from .load import TierCount
+
+__all__ = ["Reservation", "TierQueue", "Waiting"]
+
+# A reservation at the head that does not fit is passed at most this often by smaller
+# ones; after that the free room is kept for it.
+MAX_BYPASSES = 4
+# Organisations behind a blocked head that are examined for a reservation that fits.
+BYPASS_LOOKAHEAD = 4
+# Idle organisations are looked through when their number has doubled and exceeds this.
+MIN_SWEEP = 256
+
+
+@attrs.define(eq=False)
+class Reservation:
+    """Describe a request that waits at an agent; tier 0 is the most urgent.
+
+    ``tokens`` is the estimate of prompt and answer, ``queued_at`` and ``deadline`` are
+    monotonic seconds, ``waited_s`` is the wait before ``queued_at``.
+    """
+
+    request_id: str
+    entry_id: str
+    pool: str
+    tier: int
+    organisation: str
+    weight: int
+    tokens: int
+    prompt_tokens: int
+    prefix_hash: int
+    repeatable: bool
+    last_resort: bool
+    queued_at: float
+    deadline: float
+    wait_budget_s: float
+    waited_s: float
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """Hold a waiting reservation and how often smaller ones have passed it."""
+
+    reservation: Reservation
+    bypasses: int = 0
+
+
+@attrs.define(eq=False)
+class _Organisation:
+    """Hold an organisation's queue, its round and its credit in that round."""
+
+    name: str
+    weight: int
+    round: int
+    credit: float
+    queue: OrderedDict[str, Waiting] = attrs.field(factory=OrderedDict)
+    tokens: int = 0
+    place: int = -1
+
+    def first(self) -> Waiting:
+        return next(iter(self.queue.values()))
+
+
+class TierQueue:
+    """Queue the reservations of one tier; last-resort ones are served first."""
+
+    def __init__(self, quantum_tokens: int) -> None:
+        self.quantum = max(1, quantum_tokens)
+        self.round = 0
+        self.count = TierCount()
+        self.last_resort: OrderedDict[str, Waiting] = OrderedDict()
+        self._organisations: dict[str, _Organisation] = {}
+        self._turns: list[tuple[int, int, _Organisation]] = []
+        self._largest = LargestKey()
+        self._next_place = 0
+        self._active = 0
+        self._sweep_at = MIN_SWEEP
+
+    def add(self, waiting: Waiting) -> None:
+        """Append a reservation to the queue of its organisation."""
+        reservation = waiting.reservation
+        self.count.waiting += 1
+        self.count.waiting_tokens += reservation.tokens
+        if reservation.last_resort:
+            self.last_resort[reservation.request_id] = waiting
+            return
+        organisation = self._organisation(reservation.organisation)
+        organisation.weight = max(1, reservation.weight)
+        organisation.queue[reservation.request_id] = waiting
+        organisation.tokens += reservation.tokens
+        self._largest.set(organisation.name, organisation.tokens)
+        if len(organisation.queue) == 1:
+            self._active += 1
+            self._enter(organisation)
+
+    def remove(self, reservation: Reservation) -> None:
+        """Remove a waiting reservation without a charge."""
+        self.count.waiting -= 1
+        self.count.waiting_tokens -= reservation.tokens
+        if reservation.last_resort:
+            del self.last_resort[reservation.request_id]
+            return
+        organisation = self._organisations[reservation.organisation]
+        del organisation.queue[reservation.request_id]
+        organisation.tokens -= reservation.tokens
+        self._largest.set(organisation.name, organisation.tokens)
+        if not organisation.queue:
+            self._active -= 1
+            organisation.place = -1
+
+    def head(self) -> Waiting | None:
+        """Return what is next by order, whether or not it fits."""
+        if self.last_resort:
+            return next(iter(self.last_resort.values()))
+        organisation = self._next_organisation()
+        return organisation.first() if organisation else None
+
+    def take(self, room_tokens: int) -> Waiting | None:
+        """Remove and charge the next reservation, or a smaller one that may pass it."""
+        head = self.head()
+        if head is None:
+            return None
+        chosen: Waiting | None = head
+        if head.reservation.tokens > room_tokens:
+            chosen = self._smaller(head, room_tokens)
+        if chosen is None:
+            return None
+        reservation = chosen.reservation
+        organisation = self._organisation(reservation.organisation)
+        # A last-resort reservation is taken out of turn and must not advance the round,
+        # which would cancel the debts of all other organisations.
+        if chosen is head and not reservation.last_resort:
+            self.round = max(self.round, organisation.round)
+        self.remove(reservation)
+        organisation.weight = max(1, reservation.weight)
+        self._spend(organisation, reservation.tokens)
+        self._enter(organisation)
+        return chosen
+
+    def charge(self, name: str, tokens: int) -> None:
+        """Charge tokens to an organisation, or refund them when negative."""
+        organisation = self._organisations.get(name)
+        if organisation is None and tokens <= 0:
+            return
+        organisation = organisation or self._organisation(name)
+        before = organisation.round
+        self._spend(organisation, tokens)
+        if organisation.round != before:
+            self._enter(organisation)
+
+    def eviction_candidate(self) -> Waiting | None:
+        """Return the newest reservation of the organisation with most waiting tokens.
+
+        Last-resort reservations are the entry's final attempt for a request, so they
+        are candidates only when nothing else waits in the tier.
+        """
+        name = self._largest.largest()
+        if name is not None:
+            return next(reversed(self._organisations[name].queue.values()))
+        if self.last_resort:
+            return next(reversed(self.last_resort.values()))
+        return None
+
+    def _smaller(self, head: Waiting, room_tokens: int) -> Waiting | None:
+        """Find a reservation that fits and may pass the blocked head."""
+        if head.reservation.last_resort or head.bypasses >= MAX_BYPASSES:
+            return None
+        examined: list[tuple[int, int, _Organisation]] = []
+        found = None
+        while self._turns and len(examined) <= BYPASS_LOOKAHEAD:
+            entry = heapq.heappop(self._turns)
+            if entry[1] != entry[2].place:
+                continue
+            examined.append(entry)
+            if entry[2].first().reservation.tokens <= room_tokens:
+                found = entry[2].first()
+                break
+        for entry in examined:
+            heapq.heappush(self._turns, entry)
+        if found is not None:
+            head.bypasses += 1
+        return found
+
+    def _organisation(self, name: str) -> _Organisation:
+        """Return an organisation's state; an unknown one starts with no debt."""
+        organisation = self._organisations.get(name)
+        if organisation is None:
+            self._sweep()
+            organisation = _Organisation(name, 1, self.round - 1, 0.0)
+            self._organisations[name] = organisation
+        return organisation
+
+    def _spend(self, organisation: _Organisation, tokens: int) -> None:
+        """Subtract tokens and move the organisation to the round it can pay in."""
+        self._renew(organisation)
+        share = self.quantum * organisation.weight
+        credit = organisation.credit - tokens
+        rounds = 0
+        if credit <= 0:
+            rounds = int(-credit // share) + 1
+        elif credit > share:
+            rounds = -int(-(-(credit - share) // share))
+        organisation.round += rounds
+        organisation.credit = credit + rounds * share
+        self._renew(organisation)
+
+    def _renew(self, organisation: _Organisation) -> None:
+        """Give a full share to an organisation whose round is past.
+
+        Credit that was not spent in its round lapses, so that an organisation with an
+        empty queue cannot save up for a burst.
+        """
+        if organisation.round >= self.round:
+            return
+        organisation.round = self.round
+        organisation.credit = float(self.quantum * organisation.weight)
+
+    def _enter(self, organisation: _Organisation) -> None:
+        """Place an organisation with waiting work at the end of its round."""
+        if not organisation.queue:
+            return
+        self._renew(organisation)
+        organisation.place = self._next_place
+        self._next_place += 1
+        entry = (organisation.round, organisation.place, organisation)
+        heapq.heappush(self._turns, entry)
+        if len(self._turns) > 2 * self._active + MIN_SWEEP:
+            self._turns = [item for item in self._turns if item[1] == item[2].place]
+            heapq.heapify(self._turns)
+
+    def _next_organisation(self) -> _Organisation | None:
+        while self._turns:
+            _, place, organisation = self._turns[0]
+            if place == organisation.place:
+                return organisation
+            heapq.heappop(self._turns)
+        return None
+
+    def _sweep(self) -> None:
+        """Forget idle organisations without debt, at amortised constant cost."""
+        if len(self._organisations) < self._sweep_at:
+            return
+        self._organisations = {
+            name: organisation
+            for name, organisation in self._organisations.items()
+            if organisation.queue or organisation.round >= self.round
+        }
+        self._sweep_at = max(MIN_SWEEP, 2 * len(self._organisations))
