--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -21,7 +21,8 @@
 TICK_S = 0.05
 # A pull whose answer is lost must not hold room for long.
 PULL_TIMEOUT_S = 3.0
-ANY_ROOM = 1 << 62
+# Below this number lies every tier.
+EVERY_TIER = -1
 
 
 @attrs.frozen(kw_only=True)
@@ -64,6 +65,7 @@
         self.floor = TierFloor()
         self.links: dict[str, EntryLink] = {}
         self.pulls: dict[str, PendingPull] = {}
+        self.last_resorts: dict[str, Reservation] = {}
         self.draining = False
         self.endpoint_up = True
         self.generation = 0
@@ -165,7 +167,6 @@
         if floor is not None and reservation.tier > floor:
             self.drop(reservation, pb.EVICTED)
             return
-        self.queue.remove(request_id)
         if reservation.last_resort:
             self.raise_floor(reservation.tier, now)
         for evicted in self.queue.add(reservation):
@@ -174,6 +175,7 @@
         self.preempt_for_head(now)
         self.pump()
         if reservation.last_resort:
+            self.last_resorts[request_id] = reservation
             self.settle_last_resort(reservation)
 
     def raise_floor(self, tier: int, now: float) -> None:
@@ -183,10 +185,15 @@
 
     def settle_last_resort(self, reservation: Reservation) -> None:
         """Drop a last-resort reservation once no lower work can make room for it."""
-        if reservation.request_id in self.pulls or self.lower_work(reservation.tier):
+        request_id = reservation.request_id
+        if request_id not in self.queue:
+            self.last_resorts.pop(request_id, None)
+            return
+        if self.lower_work(reservation.tier):
             return
-        if self.queue.remove(reservation.request_id) is not None:
-            self.drop(reservation, pb.NO_LOWER_WORK)
+        self.last_resorts.pop(request_id, None)
+        self.queue.remove(request_id)
+        self.drop(reservation, pb.NO_LOWER_WORK)
 
     def lower_work(self, tier: int) -> bool:
         for pull in self.pulls.values():
@@ -221,12 +228,10 @@
             return
         now = time.monotonic()
         while True:
-            idle = self.limit.in_use == 0
-            room = ANY_ROOM if idle else self.limit.limit - self.limit.in_use
-            if room <= 0:
-                return
-            reservation = self.queue.take(room, self.floor.current(now))
+            reservation = self.queue.take(self.limit.room, self.floor.current(now))
             if reservation is None:
+                if len(self.queue):
+                    self.limit.blocked()
                 return
             link = self.links.get(reservation.entry_id)
             if link is None:
@@ -250,8 +255,7 @@
         head = self.queue.head()
         if head is None or not should_preempt(head, now):
             return
-        room = self.limit.limit - self.limit.in_use
-        if self.limit.in_use == 0 or room >= head.tokens:
+        if head.tokens <= self.limit.room:
             return
         tier = self.runs.preempt(head.tier)
         if tier is not None:
@@ -270,7 +274,7 @@
 
     def drop_all(self, reason: pb.DropReason) -> None:
         """Drop every waiting reservation."""
-        for reservation in self.queue.clear():
+        for reservation in self.queue.evict_below(EVERY_TIER):
             self.drop(reservation, reason)
 
     # Time.
@@ -286,7 +290,7 @@
         self.runs.tick(now)
         self.preempt_for_head(now)
         self.pump()
-        for reservation in self.queue.last_resorts():
+        for reservation in list(self.last_resorts.values()):
             self.settle_last_resort(reservation)
 
     async def run_ticks(self) -> None:
@@ -328,7 +332,7 @@
             draining=self.draining,
             generation=self.generation,
             endpoint_up=self.endpoint_up,
-            tokens_per_second=self.runs.tokens_per_second(time.monotonic()),
+            tokens_per_second=self.limit.tokens_per_second,
         )
 
     def in_service(self) -> list[Reservation]:
--- a/src/acaciarelay/programs/agent_main.py
+++ b/src/acaciarelay/programs/agent_main.py
@@ -22,7 +22,8 @@
 from acaciarelay.state.records import EndpointRecord, Snapshot, decode_snapshot
 from acaciarelay.transport.claim_store import ClaimStore
 from acaciarelay.transport.endpoints import ENDPOINT_KINDS
-from acaciarelay.transport.http_client import ClientLimits, split_address
+from acaciarelay.transport.endpoints.base import EndpointLimits
+from acaciarelay.transport.http_client import split_address
 from acaciarelay.transport.http_server import HttpExchange, HttpServer
 from acaciarelay.transport.platform_client import PlatformClient
 from acaciarelay.transport.relay_server import RelayServer, start_grpc_server
@@ -45,9 +46,7 @@
         self.rng = random.Random()
         self.metrics = Metrics()
         self.platform = PlatformClient(settings.platform, settings.platform_timeout_s)
-        limits = ClientLimits(
-            read_timeout_s=settings.stall_s, head_timeout_s=settings.stall_s
-        )
+        limits = EndpointLimits(stall_s=settings.stall_s)
         self.adapter = ENDPOINT_KINDS[settings.kind](settings.endpoint, limits)
         self.limit = TokenLimit(
             settings.token_limit, settings.token_limit_min, settings.token_limit_max
--- a/src/acaciarelay/programs/agent_service.py
+++ b/src/acaciarelay/programs/agent_service.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from acaciarelay.coordination.concurrency import TokenLimit
 from acaciarelay.coordination.fair_queue import Reservation
-from acaciarelay.coordination.shedding import choose_victim
+from acaciarelay.coordination.shedding import RunningWork, choose_victim
 from acaciarelay.programs.agent_runs import BodyFeed, Run, RunOutput
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
@@ -19,7 +19,6 @@
 
 __all__ = ["RunService"]
 
-RATE_WINDOW_S = 5.0
 STORE_RETRY_S = 1.0
 # A result that can't be stored for so long leaves the claim as started, and repeats
 # hear that the outcome is unknown.
@@ -52,7 +51,6 @@
         self.runs: dict[str, Run] = {}
         self.background: set[asyncio.Task[None]] = set()
         self.incarnations: dict[str, int] = {}
-        self.freed_tokens: list[tuple[float, int]] = []
         self.transmit: Callable[[str, pb.AgentMessage], None] = lambda *args: None
         self.on_finished: Callable[[Reservation, int], None] = lambda *args: None
 
@@ -228,15 +226,9 @@
         log_event("run_preempted", request_id=victim, tier=run.reservation.tier)
         return run.reservation.tier
 
-    def stoppable(self) -> list:
+    def stoppable(self) -> list[RunningWork]:
         return [run.work() for run in self.active() if not run.stop_code]
 
-    def tokens_per_second(self, now: float) -> float:
-        """Return the rate at which finished runs freed tokens in the last 5 s."""
-        while self.freed_tokens and self.freed_tokens[0][0] < now - RATE_WINDOW_S:
-            self.freed_tokens.pop(0)
-        return sum(tokens for _, tokens in self.freed_tokens) / RATE_WINDOW_S
-
     # One run.
 
     async def serve(self, run: Run) -> None:
@@ -251,7 +243,9 @@
                 code, outcome = self.judge(run, result)
                 await self.settle_claim(run, code, outcome)
         except asyncio.CancelledError:
+            # Stopped before the call, so the claim may be given back.
             code = run.stop_code
+            self.in_background(self.release_claim(run))
         finally:
             run.output.end(code, outcome, result)
             self.finished(run, code, outcome, result)
@@ -274,7 +268,7 @@
             return
         key, token = run.grant.claim_key, run.grant.claim_token
         if outcome is Outcome.NOT_RUN:
-            await self.claims.release(key, token)
+            await self.release_claim(run)
             return
         if code != 0:
             return
@@ -286,9 +280,16 @@
         )
         stored = await self.claims.finish(key, token, result)
         if stored.is_err():
-            task = asyncio.create_task(self.store_later(key, token, result))
-            self.background.add(task)
-            task.add_done_callback(self.background.discard)
+            self.in_background(self.store_later(key, token, result))
+
+    def in_background(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def release_claim(self, run: Run) -> None:
+        if run.grant.claim_key:
+            await self.claims.release(run.grant.claim_key, run.grant.claim_token)
 
     async def store_later(self, key: str, token: str, result: StoredResult) -> None:
         for _ in range(STORE_RETRIES):
@@ -306,7 +307,6 @@
         actual = reservation.tokens
         if result is not None and result.prompt_tokens:
             actual = result.prompt_tokens + result.answer_tokens
-        self.freed_tokens.append((now, reservation.tokens))
         self.metrics.count(
             "dispatches_total", tier=reservation.tier, outcome=str(outcome)
         )
--- a/src/acaciarelay/programs/entry_place.py
+++ b/src/acaciarelay/programs/entry_place.py
@@ -58,12 +58,14 @@
             return refuse("deadline_exceeded", retry_after_s=self.retry_after(call))
         if call.shed_check is not None:
             return self.check_last_resort(call, now)
-        waited_s = now - call.started_at
-        if waited_s < call.head.wait_budget_s and not call.hopeless:
+        over_budget = now - call.started_at >= call.head.wait_budget_s
+        if not over_budget and not call.hopeless:
             return None
         if self.may_shed_now(call, now):
             return self.shed(call)
-        self.start_last_resort(call, now)
+        # An estimate alone is no reason to stop lower work for this call.
+        if over_budget:
+            self.start_last_resort(call, now)
         return None
 
     def may_shed_now(self, call: Call, now: float) -> bool:
--- a/src/acaciarelay/programs/entry_requests.py
+++ b/src/acaciarelay/programs/entry_requests.py
@@ -262,8 +262,7 @@
     def estimate(self, head: CallHead, fields: ChatFields) -> Estimate:
         if head.kind == "service":
             prompt = head.body_length // BYTES_PER_TOKEN
-            total = prompt + SERVICE_ANSWER_TOKENS
-            return Estimate(prompt, SERVICE_ANSWER_TOKENS, total)
+            return Estimate(prompt, SERVICE_ANSWER_TOKENS)
         most = head.caller.policy.max_answer_tokens
         return self.estimator.estimate(
             head.caller.organisation,
