Add the platform client and the platform stand-in

Claims, leases and configuration need a client that separates writes that certainly took no effect from writes whose effect is unknown. Only a missing connection, status 503 and other 4xx answers count as UNAVAILABLE; every other failure of a write is UNKNOWN.

Counting a time-out as UNAVAILABLE was ruled out, since the write may still take effect. A limit on progress alone was ruled out, since an answer that trickles in would extend a call without end; the whole call has one limit.

--- /dev/null
+++ b/src/acaciarelay/transport/platform_client.py
@@ -0,0 +1,175 @@
+"""HTTP client of the platform's table, object and VM services."""
+
+import asyncio
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import attrs
+import cattrs
+import orjson
+from result import Err, Ok, Result
+
+from acaciarelay.protocol.platform_api import (
+    Changes,
+    Committed,
+    Conflict,
+    Platform,
+    PlatformError,
+    PlatformFault,
+    Row,
+    Transaction,
+    Vm,
+)
+from acaciarelay.transport.http_client import (
+    ClientLimits,
+    FetchedAnswer,
+    HttpFault,
+    fetch,
+)
+
+__all__ = ["PlatformClient"]
+
+JSON_HEADERS = [("content-type", "application/json")]
+
+Answer = TypeVar("Answer")
+
+
+class PlatformClient(Platform):
+    """Call the platform at ``IP:PORT``; each call ends within ``timeout_s`` seconds.
+
+    A failed read is ``UNAVAILABLE``. A failed write is ``UNAVAILABLE`` only when it
+    certainly took no effect: no connection, or a status that says so.
+    """
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        self.address = address
+        self.timeout_s = timeout_s
+        # The connect step gets half of the time, so that a call which uses up all of
+        # it has always reached the sending step.
+        self.limits = ClientLimits(
+            connect_timeout_s=timeout_s / 2,
+            head_timeout_s=timeout_s,
+            read_timeout_s=timeout_s,
+            write_timeout_s=timeout_s,
+        )
+
+    async def read(self, table: str, key: str) -> Result[Row | None, PlatformError]:
+        """Read one row; ``None`` when it does not exist."""
+        answer = await self.get(f"/tables/{_quote(table)}/{_quote(key)}")
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value is None:
+            return Ok(None)
+        return _structure(answer.ok_value, Row, PlatformFault.UNAVAILABLE)
+
+    async def changes(self, table: str, after: int) -> Result[Changes, PlatformError]:
+        """Read the rows changed after a revision; 0 reads the whole table."""
+        answer = await self.get(f"/tables/{_quote(table)}?after={after}")
+        if isinstance(answer, Err):
+            return answer
+        data = answer.ok_value
+        return _structure(data or b"", Changes, PlatformFault.UNAVAILABLE)
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[Committed, Conflict | PlatformError]:
+        """Commit a transaction; ``UNKNOWN`` asks the caller to read back."""
+        body = orjson.dumps(attrs.asdict(transaction))
+        answer = await self.write("POST", "/transactions", body)
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status != 409:
+            return _committed(answer.ok_value)
+        match _structure(answer.ok_value.body, Conflict, PlatformFault.UNAVAILABLE):
+            case Ok(conflict):
+                return Err(conflict)
+            case Err(error):
+                return Err(error)
+
+    async def get_object(self, name: str) -> Result[bytes | None, PlatformError]:
+        """Read one object; ``None`` when it does not exist."""
+        return await self.get(f"/objects/{_quote(name)}")
+
+    async def put_object(
+        self, name: str, data: bytes
+    ) -> Result[Committed, PlatformError]:
+        """Write one object."""
+        answer = await self.write("PUT", f"/objects/{_quote(name)}", data)
+        if isinstance(answer, Err):
+            return answer
+        return _committed(answer.ok_value)
+
+    async def list_vms(self) -> Result[list[Vm], PlatformError]:
+        """Read the VM list, which lags behind reality."""
+        answer = await self.get("/vms")
+        if isinstance(answer, Err):
+            return answer
+        data = answer.ok_value
+        return _structure(data or b"", list[Vm], PlatformFault.UNAVAILABLE)
+
+    async def get(self, path: str) -> Result[bytes | None, PlatformError]:
+        """Read one path; ``None`` for status 404."""
+        match await self.fetch("GET", path, b""):
+            case Err(error):
+                return Err(PlatformError(PlatformFault.UNAVAILABLE, error.detail))
+            case Ok(answer):
+                if answer.status == 404:
+                    return Ok(None)
+                if answer.status != 200:
+                    return Err(_status_error(answer, PlatformFault.UNAVAILABLE))
+                return Ok(answer.body)
+
+    async def write(
+        self, method: str, path: str, body: bytes
+    ) -> Result[FetchedAnswer, PlatformError]:
+        """Send a write and return an answer of status 200 or 409."""
+        match await self.fetch(method, path, body):
+            case Err(error):
+                return Err(error)
+            case Ok(answer):
+                if answer.status in (200, 409):
+                    return Ok(answer)
+                refused = answer.status == 503 or 400 <= answer.status < 500
+                fault = PlatformFault.UNAVAILABLE if refused else PlatformFault.UNKNOWN
+                return Err(_status_error(answer, fault))
+
+    async def fetch(
+        self, method: str, path: str, body: bytes
+    ) -> Result[FetchedAnswer, PlatformError]:
+        headers = JSON_HEADERS if method == "POST" else []
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                answer = await fetch(
+                    self.address, method, path, headers, body, self.limits
+                )
+        except TimeoutError:
+            detail = f"no answer within {self.timeout_s:g} s"
+            return Err(PlatformError(PlatformFault.UNKNOWN, detail))
+        if isinstance(answer, Ok):
+            return answer
+        error = answer.err_value
+        not_sent = error.fault is HttpFault.NOT_SENT
+        fault = PlatformFault.UNAVAILABLE if not_sent else PlatformFault.UNKNOWN
+        return Err(PlatformError(fault, error.detail))
+
+
+def _quote(part: str) -> str:
+    return quote(part, safe="")
+
+
+def _status_error(answer: FetchedAnswer, fault: PlatformFault) -> PlatformError:
+    return PlatformError(fault, f"the platform answered with status {answer.status}")
+
+
+def _committed(answer: FetchedAnswer) -> Result[Committed, PlatformError]:
+    # An unreadable answer to a write says nothing about its effect.
+    return _structure(answer.body, Committed, PlatformFault.UNKNOWN)
+
+
+def _structure(
+    data: bytes, kind: type[Answer] | Any, fault: PlatformFault
+) -> Result[Answer, PlatformError]:
+    try:
+        return Ok(cattrs.structure(orjson.loads(data), kind))
+    except (orjson.JSONDecodeError, cattrs.BaseValidationError) as error:
+        return Err(PlatformError(fault, f"unreadable answer: {error}"))
--- /dev/null
+++ b/src/acaciarelay_standins/platform.py
@@ -0,0 +1,276 @@
+"""Stand-in of the platform: tables, objects and the VM list, held in memory.
+
+Besides the paths of ``acaciarelay.protocol.platform_api`` it has:
+
+- ``POST /vms`` replaces the VM list.
+- ``POST /faults`` replaces all faults; ``{}`` clears them. See ``Faults``.
+- ``GET /record`` lists all writes in order, ``?after=N`` those after the first N.
+"""
+
+import argparse
+import asyncio
+import random
+import time
+from typing import Any
+from urllib.parse import unquote
+
+import attrs
+import cattrs
+
+from acaciarelay.protocol.platform_api import (
+    Changes,
+    Committed,
+    Conflict,
+    Row,
+    Transaction,
+    Vm,
+)
+from acaciarelay.transport.http_server import HttpExchange
+from acaciarelay_standins.common import (
+    add_listen,
+    read_body,
+    read_json,
+    serve_until_stopped,
+)
+
+__all__ = ["Faults", "PlatformStandin", "Tables", "main"]
+
+OBJECTS_TABLE = "objects"
+
+
+@attrs.define
+class Faults:
+    """Hold the faults in effect.
+
+    ``slow_s`` delays each call, in seconds; ``slow_answer_s`` delays the answer after
+    the effect. ``down`` is ``status`` (503) or ``close``. Answers of writes are lost
+    after the effect: the next ``lose_answers`` ones, or each one with
+    ``lose_probability``; ``lose_table`` limits this to writes that touch one table
+    (``objects`` for the object store). ``vm_lag_s`` delays changes of the VM list.
+    """
+
+    slow_s: float = 0.0
+    slow_answer_s: float = 0.0
+    down: str = ""
+    lose_answers: int = 0
+    lose_probability: float = 0.0
+    lose_table: str = ""
+    seed: int = 0
+    vm_lag_s: float = 0.0
+
+
+@attrs.frozen
+class RecordedWrite:
+    """Hold one write that took effect; ``at`` is monotonic, in seconds."""
+
+    at: float
+    revision: int
+    table: str
+    key: str
+    value: Any
+    answer_lost: bool
+
+
+class Tables:
+    """Hold rows under one global revision counter."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.rows: dict[str, dict[str, Row]] = {}
+
+    def read(self, table: str, key: str) -> Row | None:
+        row = self.rows.get(table, {}).get(key)
+        return None if row is None or row.deleted else row
+
+    def changes(self, table: str, after: int) -> Changes:
+        """List changed rows; deleted ones only when ``after`` is above 0."""
+        rows = [
+            row
+            for row in self.rows.get(table, {}).values()
+            if row.revision > after and not (row.deleted and after == 0)
+        ]
+        rows.sort(key=lambda row: row.revision)
+        return Changes(rows, self.revision)
+
+    def commit(self, transaction: Transaction) -> Committed | Conflict:
+        """Apply all writes when all checks hold."""
+        for check in transaction.checks:
+            row = self.read(check.table, check.key)
+            found = row.revision if row is not None else 0
+            if found != check.revision:
+                return Conflict(check.table, check.key, found)
+        if transaction.writes:
+            self.revision += 1
+        for write in transaction.writes:
+            row = Row(write.key, write.value, self.revision, write.value is None)
+            self.rows.setdefault(write.table, {})[write.key] = row
+        return Committed(self.revision)
+
+
+class PlatformStandin:
+    """Answer platform calls and inject faults."""
+
+    def __init__(self) -> None:
+        self.tables = Tables()
+        self.objects: dict[str, bytes] = {}
+        self.vms: list[tuple[float, list[Vm]]] = [(float("-inf"), [])]
+        self.faults = Faults()
+        self.random = random.Random(0)
+        self.writes: list[RecordedWrite] = []
+        self.reads = 0
+        self.refused = 0
+
+    async def handle(self, exchange: HttpExchange) -> None:
+        """Answer one request."""
+        method, path = exchange.request.method, exchange.request.path
+        match method, path.split("/")[1:]:
+            case "POST", ["faults"]:
+                await self.set_faults(exchange)
+                return
+            case "POST", ["vms"]:
+                await self.set_vms(exchange)
+                return
+            case "GET", ["record"]:
+                await self.send_record(exchange)
+                return
+        if self.faults.slow_s > 0:
+            await asyncio.sleep(self.faults.slow_s)
+        match self.faults.down:
+            case "status":
+                self.refused += 1
+                await exchange.respond_json(503, {"error": "down"})
+            case "close":
+                self.refused += 1
+                exchange.abort()
+            case _:
+                await self.serve(exchange, method, path)
+
+    async def serve(self, exchange: HttpExchange, method: str, path: str) -> None:
+        match method, path.split("/")[1:]:
+            case "POST", ["transactions"]:
+                await self.commit(exchange)
+            case "GET", ["tables", table, *key]:
+                self.reads += 1
+                await self.read(exchange, unquote(table), unquote("/".join(key)))
+            case "GET", ["objects", *name]:
+                self.reads += 1
+                await self.get_object(exchange, unquote("/".join(name)))
+            case "PUT", ["objects", *name]:
+                await self.put_object(exchange, unquote("/".join(name)))
+            case "GET", ["vms"]:
+                self.reads += 1
+                vms = [attrs.asdict(vm) for vm in self.visible_vms()]
+                await self.answer(exchange, 200, vms)
+            case _:
+                await exchange.respond_json(404, {"error": "unknown path"})
+
+    async def read(self, exchange: HttpExchange, table: str, key: str) -> None:
+        if not key:
+            after = int(exchange.request.query.get("after", "0"))
+            changes = self.tables.changes(table, after)
+            await self.answer(exchange, 200, attrs.asdict(changes))
+            return
+        row = self.tables.read(table, key)
+        if row is None:
+            await self.answer(exchange, 404, {"error": "no such row"})
+            return
+        await self.answer(exchange, 200, attrs.asdict(row))
+
+    async def commit(self, exchange: HttpExchange) -> None:
+        body = await read_json(exchange)
+        if body is None:
+            return
+        try:
+            transaction = cattrs.structure(body, Transaction)
+        except cattrs.BaseValidationError:
+            await exchange.respond_json(400, {"error": "not a transaction"})
+            return
+        answer = self.tables.commit(transaction)
+        if isinstance(answer, Conflict):
+            await self.answer(exchange, 409, attrs.asdict(answer))
+            return
+        lost = self.loses_answer({write.table for write in transaction.writes})
+        for write in transaction.writes:
+            self.record(write.table, write.key, write.value, lost)
+        await self.answer(exchange, 200, attrs.asdict(answer), lost)
+
+    async def get_object(self, exchange: HttpExchange, name: str) -> None:
+        data = self.objects.get(name)
+        if data is None:
+            await self.answer(exchange, 404, {"error": "no such object"})
+            return
+        await exchange.respond(200, [], data)
+
+    async def put_object(self, exchange: HttpExchange, name: str) -> None:
+        data = await read_body(exchange)
+        if data is None:
+            return
+        self.tables.revision += 1
+        self.objects[name] = data
+        lost = self.loses_answer({OBJECTS_TABLE})
+        self.record(OBJECTS_TABLE, name, len(data), lost)
+        await self.answer(exchange, 200, {"revision": self.tables.revision}, lost)
+
+    async def answer(
+        self, exchange: HttpExchange, status: int, value: object, lost: bool = False
+    ) -> None:
+        if self.faults.slow_answer_s > 0:
+            await asyncio.sleep(self.faults.slow_answer_s)
+        if lost:
+            exchange.abort()
+            return
+        await exchange.respond_json(status, value)
+
+    def loses_answer(self, tables: set[str]) -> bool:
+        faults = self.faults
+        if faults.lose_table and faults.lose_table not in tables:
+            return False
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            return True
+        return self.random.random() < faults.lose_probability
+
+    def record(self, table: str, key: str, value: Any, lost: bool) -> None:
+        revision = self.tables.revision
+        now = time.monotonic()
+        self.writes.append(RecordedWrite(now, revision, table, key, value, lost))
+
+    def visible_vms(self) -> list[Vm]:
+        horizon = time.monotonic() - self.faults.vm_lag_s
+        return [vms for at, vms in self.vms if at <= horizon][-1]
+
+    async def set_faults(self, exchange: HttpExchange) -> None:
+        body = await read_json(exchange)
+        if body is None:
+            return
+        self.faults = cattrs.structure(body, Faults)
+        self.random = random.Random(self.faults.seed)
+        await exchange.respond_json(200, attrs.asdict(self.faults))
+
+    async def set_vms(self, exchange: HttpExchange) -> None:
+        body = await read_json(exchange)
+        if body is None:
+            return
+        self.vms.append((time.monotonic(), cattrs.structure(body, list[Vm])))
+        await exchange.respond_json(200, {})
+
+    async def send_record(self, exchange: HttpExchange) -> None:
+        after = int(exchange.request.query.get("after", "0"))
+        record = {
+            "writes": [attrs.asdict(write) for write in self.writes[after:]],
+            "reads": self.reads,
+            "refused": self.refused,
+        }
+        await exchange.respond_json(200, record)
+
+
+def main() -> None:
+    """Run the stand-in until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    add_listen(parser)
+    arguments = parser.parse_args()
+    asyncio.run(serve_until_stopped(PlatformStandin().handle, arguments.listen))
+
+
+if __name__ == "__main__":
+    main()
