Add the endpoint adapters and the engine and service stand-ins

The agent needs to know of each run whether any byte reached the endpoint, how it ended and how fast the engine was. A call whose connection failed is not_run; a service call without the head of an answer is outcome_unknown; an engine without progress is endpoint_stalled. HTTP framing alone was ruled out as the mark of a whole answer, since an engine can end a stream cleanly before its last event. Comments of an event stream are no progress, and the time that the reader of an answer takes does not count against the engine.

Answers of the stand-ins are a fixed function of the request, so that a test can compare every byte.

--- a/src/acaciarelay/transport/endpoints/__init__.py
+++ b/src/acaciarelay/transport/endpoints/__init__.py
@@ -1,1 +1,11 @@
-"""Adapters to endpoints, one kind in each module."""
+"""Adapters to endpoints, one kind in each module, and their registry."""
+
+from acaciarelay.transport.endpoints.base import EndpointAdapter
+from acaciarelay.transport.endpoints.chat_engine import ChatEngine
+from acaciarelay.transport.endpoints.plain_service import PlainService
+
+__all__ = ["ENDPOINT_KINDS"]
+
+ENDPOINT_KINDS: dict[str, type[EndpointAdapter]] = {
+    kind.name: kind for kind in (ChatEngine, PlainService)
+}
--- /dev/null
+++ b/src/acaciarelay/transport/endpoints/base.py
@@ -0,0 +1,167 @@
+"""Base class of endpoint adapters and the types that they exchange with the agent."""
+
+import abc
+import enum
+from collections.abc import AsyncIterator, Sequence
+from typing import Protocol
+
+import attrs
+from result import Result
+
+from acaciarelay.protocol.codes import CODES, Outcome
+from acaciarelay.transport.http_client import ClientLimits, HttpError
+
+__all__ = [
+    "AnswerSink",
+    "CommandKind",
+    "EndpointAdapter",
+    "EndpointCall",
+    "EndpointLimits",
+    "EndpointLoad",
+    "EngineCommand",
+    "Header",
+    "RunResult",
+]
+
+Header = tuple[str, str]
+
+
+@attrs.frozen(kw_only=True)
+class EndpointLimits:
+    """Bound the steps of a run, in seconds.
+
+    ``first_answer_s`` is the time from the end of the request body to the first piece
+    of the answer, which includes the endpoint's own queue. ``stall_s`` is the time
+    without progress after that.
+    """
+
+    connect_timeout_s: float = 2.0
+    first_answer_s: float = 60.0
+    stall_s: float = 10.0
+    probe_timeout_s: float = 2.0
+
+    @property
+    def for_runs(self) -> ClientLimits:
+        return ClientLimits(
+            connect_timeout_s=self.connect_timeout_s,
+            head_timeout_s=self.first_answer_s,
+            read_timeout_s=self.first_answer_s,
+            write_timeout_s=self.stall_s,
+        )
+
+    @property
+    def for_probes(self) -> ClientLimits:
+        return ClientLimits(
+            connect_timeout_s=self.connect_timeout_s,
+            head_timeout_s=self.probe_timeout_s,
+            read_timeout_s=self.probe_timeout_s,
+            write_timeout_s=self.probe_timeout_s,
+        )
+
+
+@attrs.frozen
+class EndpointCall:
+    """Hold the head of a call; ``path`` includes the query, sizes are in bytes."""
+
+    method: str
+    path: str
+    headers: list[Header]
+    body_length: int
+
+
+class AnswerSink(Protocol):
+    """Take an answer in order; a call returns when there is room for more."""
+
+    async def head(self, status: int, headers: Sequence[Header]) -> None:
+        """Take status and headers."""
+
+    async def chunk(self, data: bytes) -> None:
+        """Take a piece of the body."""
+
+
+@attrs.frozen(kw_only=True)
+class RunResult:
+    """Describe the end of a run.
+
+    ``sent`` is false only when no byte reached the endpoint. ``code`` is 0 for a whole
+    answer of any HTTP status, else a result code. Token counts are 0 when not known.
+    ``first_token_s`` counts from the end of the request body; ``inter_token_s`` is a
+    mean and ``None`` when slow reading of the answer has distorted it.
+    """
+
+    sent: bool
+    code: int
+    outcome: Outcome
+    detail: str = ""
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    first_token_s: float | None = None
+    inter_token_s: float | None = None
+
+    @classmethod
+    def whole(cls) -> "RunResult":
+        return cls(sent=True, code=0, outcome=Outcome.RAN)
+
+    @classmethod
+    def failed(cls, code_name: str, sent: bool, detail: str) -> "RunResult":
+        """Build a result from a code's name; raises ``KeyError`` if unknown."""
+        code = CODES[code_name]
+        return cls(sent=sent, code=code.number, outcome=code.outcome, detail=detail)
+
+
+@attrs.frozen(kw_only=True)
+class EndpointLoad:
+    """Hold an endpoint's own load report, which may lag.
+
+    ``tokens`` counts the prompt and answer tokens that its running requests hold.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    tokens: int = 0
+
+
+class CommandKind(enum.StrEnum):
+    """Name an engine command; each one may be repeated without a further effect."""
+
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    LOAD_VERSION = "load_version"
+    CHANGE_ROLE = "change_role"
+
+
+@attrs.frozen
+class EngineCommand:
+    """Hold a command; ``token`` is the fencing token of the endpoint's lease."""
+
+    kind: CommandKind
+    target: str
+    token: int
+
+
+class EndpointAdapter(abc.ABC):
+    """Run calls at one endpoint; one subclass for each kind of endpoint."""
+
+    name: str
+
+    def __init__(self, address: str, limits: EndpointLimits | None = None) -> None:
+        self.address = address
+        self.limits = limits or EndpointLimits()
+
+    @abc.abstractmethod
+    async def run(
+        self, call: EndpointCall, body: AsyncIterator[bytes], sink: AnswerSink
+    ) -> RunResult:
+        """Run one call and pass its answer on.
+
+        Cancelling the task closes the connection to the endpoint. An exception that
+        ``body`` or ``sink`` raises does so too and is passed on.
+        """
+
+    @abc.abstractmethod
+    async def probe(self) -> Result[EndpointLoad, HttpError]:
+        """Read the endpoint's load, which also shows that it is up."""
+
+    @abc.abstractmethod
+    async def command(self, command: EngineCommand) -> Result[None, HttpError]:
+        """Send a command; ``NOT_SENT`` means that it certainly had no effect."""
--- /dev/null
+++ b/src/acaciarelay_standins/answers.py
@@ -0,0 +1,139 @@
+"""Answers of the stand-ins, each a fixed function of its request.
+
+A test computes the answer that belongs to a request with the same functions and
+compares every byte.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import orjson
+import xxhash
+
+__all__ = [
+    "ChatRequest",
+    "expected_chat_answer",
+    "lookup_answer",
+    "parse_chat_request",
+    "stream_events",
+    "whole_answer",
+]
+
+BYTES_PER_TOKEN = 4
+IMAGE_TOKENS = 256
+DEFAULT_MAX_TOKENS = 64
+
+
+@attrs.frozen
+class ChatRequest:
+    """Hold what the engine stand-in needs of a request; ``digest`` covers it all."""
+
+    model: str
+    text: bytes
+    images: int
+    max_tokens: int
+    stream: bool
+    digest: int
+
+    @property
+    def prompt_tokens(self) -> int:
+        return max(1, len(self.text) // BYTES_PER_TOKEN) + self.images * IMAGE_TOKENS
+
+
+def parse_chat_request(body: bytes) -> ChatRequest:
+    """Read a request; raises ``ValueError`` when it has another form."""
+    try:
+        fields = orjson.loads(body)
+        texts, images = _content(fields["messages"])
+        return ChatRequest(
+            str(fields["model"]),
+            "".join(texts).encode(),
+            images,
+            max(1, int(fields.get("max_tokens", DEFAULT_MAX_TOKENS))),
+            bool(fields.get("stream", False)),
+            xxhash.xxh64_intdigest(body),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a chat request: {error!r}") from error
+
+
+def _content(messages: list[Any]) -> tuple[list[str], int]:
+    texts: list[str] = []
+    images = 0
+    for message in messages:
+        content = message["content"]
+        if isinstance(content, str):
+            texts.append(content)
+            continue
+        for part in content:
+            if part["type"] == "text":
+                texts.append(part["text"])
+            else:
+                images += 1
+    return texts, images
+
+
+def _words(request: ChatRequest, start: int, stop: int) -> str:
+    seed = request.digest
+    return "".join(
+        f"{xxhash.xxh32_intdigest(seed.to_bytes(8, 'big'), index):08x} "
+        for index in range(start, stop)
+    )
+
+
+def _usage(request: ChatRequest) -> dict[str, int]:
+    return {
+        "prompt_tokens": request.prompt_tokens,
+        "completion_tokens": request.max_tokens,
+        "total_tokens": request.prompt_tokens + request.max_tokens,
+    }
+
+
+def _event(value: dict[str, Any]) -> bytes:
+    return b"data: " + orjson.dumps(value) + b"\n\n"
+
+
+def stream_events(request: ChatRequest, tokens_per_event: int) -> Iterator[bytes]:
+    """Render the answer as events; the last one holds ``usage`` and the end mark."""
+    head = {
+        "id": f"chatcmpl-{request.digest:016x}",
+        "object": "chat.completion.chunk",
+        "model": request.model,
+    }
+    for start in range(0, request.max_tokens, tokens_per_event):
+        stop = min(start + tokens_per_event, request.max_tokens)
+        delta = {"content": _words(request, start, stop)}
+        yield _event({**head, "choices": [{"index": 0, "delta": delta}]})
+    choice = {"index": 0, "delta": {}, "finish_reason": "length"}
+    last = {**head, "choices": [choice], "usage": _usage(request)}
+    yield _event(last) + b"data: [DONE]\n\n"
+
+
+def whole_answer(request: ChatRequest) -> bytes:
+    """Render the answer as one JSON body."""
+    message = {"role": "assistant", "content": _words(request, 0, request.max_tokens)}
+    choice = {"index": 0, "message": message, "finish_reason": "length"}
+    return orjson.dumps(
+        {
+            "id": f"chatcmpl-{request.digest:016x}",
+            "object": "chat.completion",
+            "model": request.model,
+            "choices": [choice],
+            "usage": _usage(request),
+        }
+    )
+
+
+def expected_chat_answer(body: bytes, tokens_per_event: int = 1) -> bytes:
+    """Return the whole answer body that belongs to a request body."""
+    request = parse_chat_request(body)
+    if request.stream:
+        return b"".join(stream_events(request, tokens_per_event))
+    return whole_answer(request)
+
+
+def lookup_answer(service: str, item: str) -> bytes:
+    """Return the answer body of a lookup at the service stand-in."""
+    value = f"{xxhash.xxh64_intdigest(f'{service}/{item}'.encode()):016x}"
+    return orjson.dumps({"service": service, "id": item, "value": value})
--- a/tests/unit/test_platform_client.py
+++ b/tests/unit/test_platform_client.py
@@ -1,7 +1,6 @@
 """Guard against calling a write failed or done when its effect is not known."""
 
 import asyncio
-import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -9,6 +8,7 @@
 import pytest
 import pytest_asyncio
 from result import Err, Ok
+from unit.standin_serving import serving
 
 from acaciarelay.protocol.platform_api import (
     Check,
@@ -21,21 +21,12 @@
     Write,
 )
 from acaciarelay.transport.http_client import fetch
-from acaciarelay.transport.http_server import HttpServer
 from acaciarelay.transport.platform_client import PlatformClient
 from acaciarelay_standins.platform import Faults, PlatformStandin
 
 TRANSACTION = Transaction([Check("t", "a/b", 0)], [Write("t", "a/b", {"n": 1})])
 
 
-@contextlib.asynccontextmanager
-async def serving(handler: Any) -> AsyncIterator[str]:
-    server = HttpServer(handler)
-    port = await server.listen("127.0.0.1", 0)
-    yield f"127.0.0.1:{port}"
-    await server.close(0.0)
-
-
 @pytest_asyncio.fixture
 async def platform() -> AsyncIterator[PlatformStandin]:
     yield PlatformStandin()
