--- a/src/acaciarelay/programs/agent_main.py
+++ b/src/acaciarelay/programs/agent_main.py
@@ -96,7 +96,7 @@
         settings = self.settings
         member = AgentMember(
             id=settings.id,
-            address=settings.listen,
+            address=settings.advertise or settings.listen,
             incarnation=self.config.incarnation,
             pool=settings.pool,
             zone=settings.zone,
--- /dev/null
+++ b/src/acaciarelay/programs/entry_claims.py
@@ -0,0 +1,58 @@
+"""Idempotency keys at the entry: claim before placing, release if nothing ran."""
+
+import asyncio
+import secrets
+
+from result import Err, Ok, Result
+
+from acaciarelay.programs.entry_call import Call
+from acaciarelay.programs.logs import log_event
+from acaciarelay.protocol.caller_api import body_hash
+from acaciarelay.protocol.codes import Refusal
+from acaciarelay.transport.claim_store import ClaimStore, Finished, StoredResult
+
+__all__ = ["ClaimKeeper"]
+
+RELEASE_ATTEMPTS = 5
+RELEASE_RETRY_S = 1.0
+
+
+class ClaimKeeper:
+    """Claim and release the keys of non-idempotent calls."""
+
+    def __init__(self, store: ClaimStore) -> None:
+        self.store = store
+        self.releases: set[asyncio.Task[None]] = set()
+
+    async def claim(self, call: Call) -> Result[StoredResult | None, Refusal]:
+        """Claim the key of a call; returns the stored result of a finished one."""
+        key = f"{call.head.caller.organisation}/{call.head.idempotency_key}"
+        token = secrets.token_hex(16)
+        digest = body_hash(call.method, call.target, call.body)
+        match await self.store.claim(key, digest, token):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(Finished(result)):
+                return Ok(result)
+        call.claim_key = key
+        call.claim_token = token
+        return Ok(None)
+
+    def release_later(self, call: Call) -> None:
+        """Give a claim back, so that a repeat needn't wait until it is stale."""
+        task = asyncio.create_task(self.release(call.claim_key, call.claim_token))
+        self.releases.add(task)
+        task.add_done_callback(self.releases.discard)
+
+    async def release(self, key: str, token: str) -> None:
+        for _ in range(RELEASE_ATTEMPTS):
+            released = await self.store.release(key, token)
+            if released.is_ok():
+                return
+            await asyncio.sleep(RELEASE_RETRY_S)
+        log_event("claim_not_released", claim=key)
+
+    async def close(self, timeout_s: float) -> None:
+        """Wait for releases under way; ``timeout_s`` is in seconds."""
+        if self.releases:
+            await asyncio.wait(self.releases, timeout=timeout_s)
--- a/src/acaciarelay/programs/entry_main.py
+++ b/src/acaciarelay/programs/entry_main.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import sys
-import time
 
 from acaciarelay.coordination.admission import Admission
 from acaciarelay.coordination.estimator import TokenEstimator
@@ -66,9 +65,13 @@
             TokenEstimator(),
             ClaimKeeper(ClaimStore(self.platform, settings.claim_stale_s)),
         )
-        writer = ConfigWriter(self.platform, self.sync, self.rng, time.time)
-        status = FleetStatus(self.core, self.sync, self.directory, self.handler)
-        self.admin = AdminRoutes(writer, self.sync, settings.operator_key, status)
+        self.writer = ConfigWriter(self.sync)
+        self.status = FleetStatus(
+            self.core, self.sync, self.directory, self.handler, self.peer_clients
+        )
+        self.admin = AdminRoutes(
+            self.writer, self.sync, settings.operator_key, self.status
+        )
         self.members = MemberReader(
             self.platform,
             self.directory,
@@ -112,6 +115,7 @@
         for work in (
             self.sync.run(),
             self.members.run(),
+            self.status.run(),
             register(self.platform, member, self.rng),
         ):
             self.tasks.append(asyncio.create_task(work))
@@ -124,6 +128,7 @@
         self.handler.stopping = True
         await server.close(self.settings.stop_grace_s)
         await self.handler.claims.close(self.settings.platform_timeout_s)
+        await self.writer.close()
         for task in self.tasks:
             task.cancel()
         await self.core.close()
--- a/src/acaciarelay/programs/entry_requests.py
+++ b/src/acaciarelay/programs/entry_requests.py
@@ -40,6 +40,7 @@
 BYTES_PER_TOKEN = 4
 # A service call has no tokens; its cost in the queue is that of a short answer.
 SERVICE_ANSWER_TOKENS = 64
+FIRST_GUESS_BYTES = 16_384
 
 
 @attrs.define
@@ -52,6 +53,8 @@
     organisation: str = ""
     call: Call | None = None
     estimate: Estimate | None = None
+    charged_tokens: int = 0
+    model: str = ""
 
 
 class RequestHandler:
@@ -152,10 +155,9 @@
                 return Err(refusal)
             case Ok(head):
                 progress.tier = head.tier_name
+        progress.charged_tokens = self.first_guess(caller.organisation, head)
         wait_s = self.limits.admit(
-            caller.organisation,
-            self.first_guess(caller.organisation, head),
-            time.monotonic(),
+            caller.organisation, progress.charged_tokens, time.monotonic()
         )
         if wait_s > 0:
             return Err(refuse("rate_limited", retry_after_s=wait_s))
@@ -175,9 +177,10 @@
     def first_guess(self, organisation: str, head: CallHead) -> int:
         if head.kind == "service":
             return SERVICE_ANSWER_TOKENS
-        return self.estimator.estimate(
-            organisation, "", head.body_length, 0, None
-        ).total
+        # Most of a long body is image data, which isn't counted by its bytes.
+        length = min(head.body_length, FIRST_GUESS_BYTES)
+        most = head.caller.policy.max_answer_tokens
+        return self.estimator.estimate(organisation, "", length, 0, most).total
 
     def evict(self, request_id: str) -> None:
         refusal = refuse("entry_overloaded", retry_after_s=2.0)
@@ -235,6 +238,7 @@
             return Err(refuse("key_required"))
         estimate = self.estimate(head, fields)
         progress.estimate = estimate
+        progress.model = fields.model
         call = Call(
             request_id=progress.request_id,
             head=head,
@@ -341,13 +345,14 @@
         estimate = progress.estimate
         if estimate is None or call.head.kind != "chat" or not end.prompt_tokens:
             return
+        prompt, answer = end.prompt_tokens, end.answer_tokens
         self.estimator.observe(
-            progress.organisation, "", estimate, end.prompt_tokens, end.answer_tokens
+            progress.organisation, progress.model, estimate, prompt, answer
         )
         self.limits.correct(
             progress.organisation,
-            estimate.total,
-            end.prompt_tokens + end.answer_tokens,
+            progress.charged_tokens,
+            prompt + answer,
             time.monotonic(),
         )
 
--- /dev/null
+++ b/src/acaciarelay/programs/entry_status.py
@@ -0,0 +1,123 @@
+"""What an entry knows of the fleet, for the administration API."""
+
+import asyncio
+import time
+
+from result import Ok
+
+from acaciarelay.programs.config_sync import ConfigSync
+from acaciarelay.programs.entry_core import EntryCore
+from acaciarelay.programs.entry_requests import RequestHandler
+from acaciarelay.protocol.admin_api import ProcessStatus, TierStatus
+from acaciarelay.state.directory import Directory
+from acaciarelay.state.records import RECORD_TYPES
+from acaciarelay.transport.peer import PeerClient
+
+__all__ = ["FleetStatus"]
+
+# Peers are asked only while an operator looks, since all entries asking all others
+# would cost each of 320 entries 160 calls/s.
+WATCHED_S = 10.0
+REFRESH_S = 1.0
+
+
+class FleetStatus:
+    """Describe this entry, its peers and the agents that it has sessions with."""
+
+    def __init__(
+        self,
+        core: EntryCore,
+        sync: ConfigSync,
+        directory: Directory,
+        handler: RequestHandler,
+        peers: dict[str, PeerClient],
+    ) -> None:
+        self.core = core
+        self.sync = sync
+        self.directory = directory
+        self.handler = handler
+        self.peers = peers
+        self.peer_generations: dict[str, int] = {}
+        self.watched_until = 0.0
+        self.watched = asyncio.Event()
+
+    def processes(self) -> list[ProcessStatus]:
+        """Return all known entries and agents, this entry among them."""
+        self.watched_until = time.monotonic() + WATCHED_S
+        self.watched.set()
+        found = [self.own_status()]
+        for member in self.directory.entries.values():
+            if member.id == self.core.place.entry_id:
+                continue
+            generation = self.peer_generations.get(member.address)
+            found.append(
+                ProcessStatus(
+                    kind="entry",
+                    id=member.id,
+                    address=member.admin,
+                    zone=member.zone,
+                    region=member.region,
+                    connected=generation is not None,
+                    generation=generation or 0,
+                )
+            )
+        for agent_id in sorted(self.core.views):
+            found.append(self.agent_status(agent_id))
+        return found
+
+    def own_status(self) -> ProcessStatus:
+        place = self.core.place
+        member = self.directory.entries.get(place.entry_id)
+        counts: dict[int, list[int]] = {}
+        for call in self.core.calls.values():
+            pair = counts.setdefault(call.rank, [0, 0])
+            pair[0 if call.waiting else 1] += 1
+        return ProcessStatus(
+            kind="entry",
+            id=place.entry_id,
+            address=member.admin if member is not None else "",
+            zone=place.zone,
+            region=place.region,
+            draining=self.handler.stopping_soon,
+            generation=self.core.snapshot.generation,
+            tiers=[TierStatus(t, w, r) for t, (w, r) in sorted(counts.items())],
+            schemas={kind.name: kind.newest for kind in RECORD_TYPES.values()},
+        )
+
+    def agent_status(self, agent_id: str) -> ProcessStatus:
+        view = self.core.views[agent_id]
+        return ProcessStatus(
+            kind="agent",
+            id=agent_id,
+            address=self.core.sessions[agent_id].address,
+            pool=view.pool,
+            zone=view.zone,
+            region=view.region,
+            connected=view.connected,
+            draining=view.draining,
+            generation=self.core.generations.get(agent_id, 0),
+            token_limit=view.token_limit,
+            tiers=[
+                TierStatus(tier, count.waiting, count.running)
+                for tier, count in sorted(view.tiers.items())
+            ],
+        )
+
+    async def run(self) -> None:
+        """Ask the peers for their generation while an operator looks."""
+        while True:
+            self.watched.clear()
+            await self.watched.wait()
+            while time.monotonic() < self.watched_until:
+                await self.refresh()
+                await asyncio.sleep(REFRESH_S)
+
+    async def refresh(self) -> None:
+        clients = list(self.peers.values())
+        answers = await asyncio.gather(*(client.generation() for client in clients))
+        for client, answer in zip(clients, answers, strict=True):
+            match answer:
+                case Ok(generation):
+                    self.peer_generations[client.address] = generation
+                case _:
+                    self.peer_generations.pop(client.address, None)
--- a/src/acaciarelay/programs/options.py
+++ b/src/acaciarelay/programs/options.py
@@ -15,6 +15,7 @@
     "read_choice",
     "read_float",
     "read_int",
+    "read_optional",
     "read_options",
     "read_text",
 ]
@@ -137,6 +138,15 @@
     return [read_address(option, part.strip()) for part in value.split(",")]
 
 
+def read_optional(reader: Reader) -> Reader:
+    """Return a reader that gives ``None`` for an empty text."""
+
+    def read(option: str, value: str) -> object:
+        return reader(option, value) if value else None
+
+    return read
+
+
 def read_options(
     options: list[Option], flags: Mapping[str, str | None], environment: Mapping
 ) -> tuple[dict[str, Any], list[OptionError]]:
--- a/src/acaciarelay/programs/settings.py
+++ b/src/acaciarelay/programs/settings.py
@@ -8,6 +8,7 @@
     read_choice,
     read_float,
     read_int,
+    read_optional,
     read_text,
 )
 
@@ -102,6 +103,12 @@
 AGENT_OPTIONS = [
     *PLACE_OPTIONS,
     Option("listen", read_address, None, "gRPC address for entries."),
+    Option(
+        "advertise",
+        read_optional(read_address),
+        "",
+        "gRPC address that entries dial, if it differs from the listening one.",
+    ),
     Option("http-listen", read_address, None, "HTTP address for health and metrics."),
     Option("pool", read_text, None, "Pool that the endpoint belongs to."),
     Option("endpoint", read_address, None, "HTTP address of the endpoint."),
--- /dev/null
+++ b/src/acaciarelay_standins/fleet.py
@@ -0,0 +1,273 @@
+"""Start and stop whole fleets of real processes on loopback, for demo and tests."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+from result import Ok, Result
+
+from acaciarelay.transport.http_client import FetchedAnswer, HttpError, fetch
+
+__all__ = ["Fleet", "Member", "Process", "free_port"]
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+OPERATOR_KEY = "operator-key-for-tests"
+POLL_S = 0.05
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+@attrs.define(eq=False)
+class Process:
+    """Hold one started process; its log goes to a file."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    log_path: Path
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if the process still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        """Ask the process to stop."""
+        self.signal(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self.signal(signal.SIGCONT)
+
+    async def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code; raises ``TimeoutError``."""
+        async with asyncio.timeout(timeout_s):
+            return await self.process.wait()
+
+    def log(self) -> str:
+        """Return all that the process has logged."""
+        return self.log_path.read_text(errors="replace")
+
+
+@attrs.define(kw_only=True)
+class Member:
+    """Hold an entry or agent of the fleet with its addresses."""
+
+    name: str
+    process: Process
+    http: str
+    grpc: str
+    flags: list[str]
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Start stand-ins, entries and agents; stops them all at the end.
+
+    Use it as an asynchronous context manager. Addresses are IP:PORT.
+    """
+
+    directory: Path
+    processes: list[Process] = attrs.field(factory=list)
+    entries: dict[str, Member] = attrs.field(factory=dict)
+    agents: dict[str, Member] = attrs.field(factory=dict)
+    platform: str = ""
+    environment: dict[str, str] = attrs.field(factory=dict)
+
+    async def __aenter__(self) -> "Fleet":
+        self.directory.mkdir(parents=True, exist_ok=True)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        for process in self.processes:
+            process.resume()
+            process.kill()
+        for process in self.processes:
+            with contextlib.suppress(TimeoutError):
+                await process.wait()
+
+    async def spawn(
+        self, name: str, words: Sequence[str], ready_line: bool = False
+    ) -> tuple[Process, str]:
+        """Start ``python -m`` with words; returns the address that it announces."""
+        log_path = self.directory / f"{name}-{len(self.processes)}.log"
+        environment = {
+            key: value
+            for key, value in os.environ.items()
+            if not key.startswith("ACACIARELAY_")
+        }
+        environment.update(self.environment)
+        environment["PYTHONPATH"] = os.pathsep.join(sys.path)
+        with log_path.open("wb") as log:
+            child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *words,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE if ready_line else log,
+                stderr=log,
+                env=environment,
+            )
+        process = Process(name, child, log_path)
+        self.processes.append(process)
+        if not ready_line or child.stdout is None:
+            return process, ""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            line = (await child.stdout.readline()).decode()
+        if not line.startswith("listening on "):
+            raise RuntimeError(f"{name} did not start: {line} {process.log()}")
+        return process, line.split()[2]
+
+    async def start_platform(self, *flags: str) -> str:
+        """Start the platform stand-in."""
+        words = ["acaciarelay_standins.platform", *flags]
+        _, self.platform = await self.spawn("platform", words, ready_line=True)
+        return self.platform
+
+    async def start_engine(self, name: str, *flags: str) -> str:
+        """Start a model engine stand-in."""
+        words = ["acaciarelay_standins.engine", *flags]
+        return (await self.spawn(name, words, ready_line=True))[1]
+
+    async def start_service(self, name: str, *flags: str) -> str:
+        """Start a plain service stand-in."""
+        words = ["acaciarelay_standins.service", *flags]
+        return (await self.spawn(name, words, ready_line=True))[1]
+
+    async def start_entry(
+        self, name: str, zone: str = "zone-a", region: str = "region-a", *flags: str
+    ) -> Member:
+        """Start an entry, with short polls so that tests take little time."""
+        http, grpc = f"{HOST}:{free_port()}", f"{HOST}:{free_port()}"
+        words = [
+            *("--id", name, "--zone", zone, "--region", region),
+            *("--listen", http, "--peer-listen", grpc, "--platform", self.platform),
+            *("--operator-key", OPERATOR_KEY, "--members-poll-s", "0.3"),
+            *("--config-poll-s", "0.5", "--drain-delay-s", "0.5"),
+            *flags,
+        ]
+        module = "acaciarelay.programs.entry_main"
+        process, _ = await self.spawn(name, [module, *words])
+        member = Member(name=name, process=process, http=http, grpc=grpc, flags=words)
+        self.entries[name] = member
+        await self.wait_http(http, "/healthz", process)
+        return member
+
+    async def start_agent(
+        self,
+        name: str,
+        pool: str,
+        kind: str,
+        endpoint: str,
+        zone: str = "zone-a",
+        region: str = "region-a",
+        *flags: str,
+        advertise: str | None = None,
+    ) -> Member:
+        """Start an agent; ``advertise`` is the address of a proxy before it."""
+        http, grpc = f"{HOST}:{free_port()}", f"{HOST}:{free_port()}"
+        words = [
+            *("--id", name, "--zone", zone, "--region", region),
+            *("--listen", grpc, "--http-listen", http, "--platform", self.platform),
+            *("--pool", pool, "--kind", kind, "--endpoint", endpoint),
+            *flags,
+        ]
+        if advertise is not None:
+            words += ["--advertise", advertise]
+        module = "acaciarelay.programs.agent_main"
+        process, _ = await self.spawn(name, [module, *words])
+        member = Member(name=name, process=process, http=http, grpc=grpc, flags=words)
+        self.agents[name] = member
+        await self.wait_http(http, "/healthz", process)
+        return member
+
+    async def wait_http(self, address: str, path: str, process: Process) -> None:
+        """Wait until a path answers 200."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            match await fetch(address, "GET", path):
+                case Ok(answer) if answer.status == 200:
+                    return
+            if process.process.returncode is not None:
+                break
+            await asyncio.sleep(POLL_S)
+        raise RuntimeError(f"{process.name} is not ready: {process.log()[-2000:]}")
+
+    async def wait_ready(self, agents: int | None = None) -> None:
+        """Wait until every entry is ready and has sessions with all agents."""
+        wanted = len(self.agents) if agents is None else agents
+        deadline = time.monotonic() + START_TIMEOUT_S
+        for entry in self.entries.values():
+            await self.wait_http(entry.http, "/readyz", entry.process)
+            while True:
+                status = await self.admin(entry.name, "GET", "/admin/v1/status")
+                connected = 0
+                for process in status["processes"]:
+                    if process["kind"] == "agent" and process["connected"]:
+                        connected += 1
+                if connected >= wanted:
+                    break
+                if time.monotonic() > deadline:
+                    raise RuntimeError(f"{entry.name}: {connected} of {wanted} agents")
+                await asyncio.sleep(POLL_S)
+
+    async def admin(
+        self, entry: str, method: str, path: str, body: Any = None
+    ) -> dict[str, Any]:
+        """Call the administration API; raises ``RuntimeError`` when it is refused."""
+        data = b"" if body is None else orjson.dumps(body)
+        headers = [("authorization", f"Bearer {OPERATOR_KEY}")]
+        answer = await fetch(self.entries[entry].http, method, path, headers, data)
+        match answer:
+            case Ok(found) if found.status == 200:
+                return orjson.loads(found.body)
+            case _:
+                raise RuntimeError(f"{method} {path}: {answer}")
+
+    async def set_faults(self, address: str, **faults: Any) -> None:
+        """Replace the faults of a stand-in."""
+        body = orjson.dumps(faults)
+        answer = await fetch(address, "POST", "/faults", (), body)
+        if answer.is_err() or answer.unwrap().status != 200:
+            raise RuntimeError(f"faults not set at {address}: {answer}")
+
+    async def record(self, address: str) -> dict[str, Any]:
+        """Read what a stand-in recorded."""
+        answer = await fetch(address, "GET", "/record")
+        return orjson.loads(answer.unwrap().body)
+
+    async def call(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        key: str,
+        body: bytes = b"",
+        headers: Sequence[tuple[str, str]] = (),
+    ) -> Result[FetchedAnswer, HttpError]:
+        """Send a caller's request and read the whole answer."""
+        fields = [("authorization", f"Bearer {key}"), *headers]
+        return await fetch(self.entries[entry].http, method, path, fields, body)
