Add idempotency claims and fenced leases on the table service

A non-idempotent call may run once although writers pause, die and lose answers. Each step of a claim or a lease is a pure function of the stored row, applied by a conditional write; a writer whose answer was lost reads the row back and applies the same step again. A start carries an id of its own besides the claim token, since two agents can hold the same token after a repeated message. The holder of a lease counts from before its write, an observer from after its read.

Judging a lease by a wall-clock expiry in the row was ruled out, since clocks of VMs differ. Treating a time-out as a failed write was ruled out, since the write may land later. Taking over a started claim was ruled out in every case.

--- /dev/null
+++ b/src/acaciarelay/transport/claim_store.py
@@ -0,0 +1,258 @@
+"""Idempotency claims in table ``claims``, keyed ``ORGANISATION/KEY``."""
+
+import base64
+import collections
+import secrets
+import time
+from collections.abc import Callable
+
+import attrs
+import cattrs
+from result import Err, Ok, Result
+
+from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.platform_api import (
+    Platform,
+    PlatformError,
+    PlatformFault,
+    Row,
+)
+from acaciarelay.state.claim import (
+    Claim,
+    ClaimStep,
+    Denied,
+    DeniedReason,
+    Put,
+    ResultRecord,
+    Settled,
+    claim_step,
+    finish_step,
+    release_step,
+    start_step,
+)
+from acaciarelay.transport.conditional_write import (
+    MAX_ATTEMPTS,
+    KnownRow,
+    Replace,
+    Stop,
+    Written,
+    update_row,
+)
+
+__all__ = ["ClaimAnswer", "ClaimStore", "Claimed", "Finished", "StoredResult"]
+
+TABLE = "claims"
+RETRY_AFTER_S = 1.0
+# Bounds the memory for starts that an outage left unconfirmed.
+MAX_UNCONFIRMED = 10_000
+
+REFUSALS = {
+    DeniedReason.OTHER_BODY: "key_conflict",
+    DeniedReason.IN_PROGRESS: "key_in_progress",
+    DeniedReason.STARTED: "key_unsettled",
+    DeniedReason.NOT_STARTED: "key_unsettled",
+    # Another claimant has the key; this call was not sent.
+    DeniedReason.REPLACED: "key_in_progress",
+    DeniedReason.MISSING: "key_in_progress",
+}
+
+
+@attrs.frozen
+class StoredResult:
+    """Hold the answer of a finished call."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@attrs.frozen
+class Claimed:
+    """Say that the key is claimed under the caller's token."""
+
+
+@attrs.frozen
+class Finished:
+    """Hold the result of an earlier call with the key."""
+
+    result: StoredResult
+
+
+ClaimAnswer = Claimed | Finished
+
+
+class ClaimStore:
+    """Move claims through their states by conditional writes.
+
+    ``take_over_s`` is the age in seconds from which a claim that never started may be
+    taken over. Bodies above ``inline_limit_bytes`` go to the object store. ``clock``
+    is the wall clock, since claims outlive the process that made them.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        take_over_s: float,
+        inline_limit_bytes: int = 65_536,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.platform = platform
+        self.take_over_s = take_over_s
+        self.inline_limit_bytes = inline_limit_bytes
+        self.clock = clock
+        self.unconfirmed: collections.OrderedDict[str, str] = collections.OrderedDict()
+
+    async def claim(
+        self, key: str, body_hash: str, token: str
+    ) -> Result[ClaimAnswer, Refusal]:
+        """Claim a key for one call; ``token`` must be new for each call.
+
+        Every refusal means that this call was not run. ``key_unsettled`` means that an
+        earlier call with the key may have run.
+        """
+
+        def step(current: Claim | None) -> ClaimStep:
+            now = self.clock()
+            return claim_step(current, body_hash, token, now, self.take_over_s)
+
+        # Most keys are new, so the first attempt writes without a read.
+        match await self.apply(key, step, KnownRow(None)):
+            case Err(PlatformError() as error):
+                # An unconfirmed claim is harmless: nobody will start it.
+                return Err(_unavailable(error))
+            case Err(Denied() as denied):
+                return Err(_denied(denied))
+            case Ok(Claim(result=ResultRecord() as record)):
+                return await self.load(record)
+        return Ok(Claimed())
+
+    async def start(self, key: str, token: str) -> Result[None, Refusal]:
+        """Confirm that the call may be sent now; on any refusal it must not be.
+
+        After ``platform_unavailable`` the claim may be left as started; ``release`` by
+        the same store frees it.
+        """
+        # Two agents with the same token must not both see a start as their own.
+        start_id = secrets.token_hex(16)
+        match await self.apply(key, lambda now: start_step(now, token, start_id)):
+            case Err(PlatformError() as error):
+                if error.fault is PlatformFault.UNKNOWN:
+                    self.remember_unconfirmed(token, start_id)
+                return Err(_unavailable(error))
+            case Err(Denied() as denied):
+                return Err(_denied(denied))
+        return Ok(None)
+
+    async def finish(
+        self, key: str, token: str, result: StoredResult
+    ) -> Result[None, Refusal]:
+        """Store the result; after ``platform_unknown`` it may be called again."""
+        match await self.store(key, token, result):
+            case Err(error):
+                return Err(_not_stored(error))
+            case Ok(record):
+                pass
+        match await self.apply(key, lambda now: finish_step(now, token, record)):
+            case Err(PlatformError() as error):
+                return Err(_not_stored(error))
+            case Err(Denied() as denied):
+                detail = f"the result can't be stored: {denied.reason}"
+                return Err(refuse("key_unsettled", detail))
+        return Ok(None)
+
+    async def release(self, key: str, token: str) -> Result[None, Refusal]:
+        """Give up a claim whose call was not sent."""
+        start_id = self.unconfirmed.get(token, "")
+        match await self.apply(key, lambda now: release_step(now, token, start_id)):
+            case Err(PlatformError() as error):
+                return Err(_unavailable(error))
+            case Err(Denied() as denied):
+                return Err(_denied(denied))
+        self.unconfirmed.pop(token, None)
+        return Ok(None)
+
+    async def apply(
+        self,
+        key: str,
+        step: Callable[[Claim | None], ClaimStep],
+        known: KnownRow | None = None,
+    ) -> Result[Claim | None, Denied | PlatformError]:
+        def decide(row: Row | None) -> Replace | Stop[Settled | Denied]:
+            match step(_read_claim(row)):
+                case Put(None):
+                    return Replace(None)
+                case Put(Claim() as claim):
+                    return Replace(cattrs.unstructure(claim))
+                case Settled() | Denied() as end:
+                    return Stop(end)
+            raise AssertionError("a step is one of the cases above")
+
+        match await update_row(self.platform, TABLE, key, decide, known):
+            case Err(error):
+                return Err(error)
+            case Ok(Stop(Denied() as denied)):
+                return Err(denied)
+            case Ok(Stop(Settled(claim))):
+                return Ok(claim)
+            case Ok(Written(row)):
+                return Ok(_read_claim(row))
+        raise AssertionError("an update has one of the ends above")
+
+    def remember_unconfirmed(self, token: str, start_id: str) -> None:
+        self.unconfirmed[token] = start_id
+        while len(self.unconfirmed) > MAX_UNCONFIRMED:
+            self.unconfirmed.popitem(last=False)
+
+    async def store(
+        self, key: str, token: str, result: StoredResult
+    ) -> Result[ResultRecord, PlatformError]:
+        record = ResultRecord(status=result.status, headers=result.headers)
+        if len(result.body) <= self.inline_limit_bytes:
+            text = base64.b64encode(result.body).decode()
+            return Ok(attrs.evolve(record, body_base64=text))
+        # The name holds the token, so a repeated write stores the same bytes.
+        name = f"{TABLE}/{key}/{token}"
+        error = PlatformError(PlatformFault.UNAVAILABLE, "")
+        for _ in range(MAX_ATTEMPTS):
+            match await self.platform.put_object(name, result.body):
+                case Ok(_):
+                    return Ok(attrs.evolve(record, object_name=name))
+                case Err(error):
+                    if error.fault is PlatformFault.UNAVAILABLE:
+                        break
+        return Err(error)
+
+    async def load(self, record: ResultRecord) -> Result[ClaimAnswer, Refusal]:
+        if not record.object_name:
+            body = base64.b64decode(record.body_base64)
+            return Ok(Finished(StoredResult(record.status, record.headers, body)))
+        match await self.platform.get_object(record.object_name):
+            case Ok(bytes() as data):
+                return Ok(Finished(StoredResult(record.status, record.headers, data)))
+            case Err(error):
+                detail = f"the call has run; its result is not readable: {error.detail}"
+            case _:
+                detail = "the call has run; its result is missing"
+        return Err(refuse("platform_unknown", detail))
+
+
+def _read_claim(row: Row | None) -> Claim | None:
+    # A row that an update has just deleted has no value.
+    if row is None or row.value is None:
+        return None
+    return cattrs.structure(row.value, Claim)
+
+
+def _denied(denied: Denied) -> Refusal:
+    name = REFUSALS[denied.reason]
+    retry_after_s = RETRY_AFTER_S if name == "key_in_progress" else None
+    return refuse(name, f"the claim of this key is {denied.reason}", retry_after_s)
+
+
+def _unavailable(error: PlatformError) -> Refusal:
+    return refuse("platform_unavailable", error.detail, RETRY_AFTER_S)
+
+
+def _not_stored(error: PlatformError) -> Refusal:
+    detail = f"the call has run; its result is not stored: {error.detail}"
+    return refuse("platform_unknown", detail)
--- /dev/null
+++ b/src/acaciarelay/transport/lease_store.py
@@ -0,0 +1,215 @@
+"""Fenced leases in table ``leases`` and slots for weight-store loads in ``slots``."""
+
+import random
+import secrets
+import time
+from collections.abc import Callable
+
+import attrs
+import cattrs
+from result import Err, Ok, Result
+
+from acaciarelay.protocol.platform_api import Platform, PlatformError, Row
+from acaciarelay.state.lease import (
+    FencedLease,
+    LeaseHeld,
+    LeaseOwned,
+    LeasePut,
+    LeaseRow,
+    LeaseStep,
+    acquire_step,
+    release_step,
+    renew_step,
+)
+from acaciarelay.transport.conditional_write import (
+    KnownRow,
+    Replace,
+    Stop,
+    Written,
+    update_row,
+)
+
+__all__ = ["LeaseStore", "SlotStore"]
+
+LEASE_TABLE = "leases"
+SLOT_TABLE = "slots"
+
+
+@attrs.frozen
+class _Observed:
+    """Hold an observer's view of the row that one write left."""
+
+    write_id: str
+    lease: FencedLease
+
+
+class LeaseStore:
+    """Acquire and renew leases for one holder.
+
+    ``holder`` must include the incarnation: a process may take its own lease again at
+    once. ``margin_s`` is the safety margin; it must be below half of ``duration_s``.
+    ``clock`` is monotonic. Raises ``ValueError`` for a margin that is too large.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        holder: str,
+        duration_s: float,
+        margin_s: float,
+        table: str = LEASE_TABLE,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        if not 0 <= margin_s < duration_s / 2:
+            raise ValueError("margin_s must be below half of duration_s")
+        self.platform = platform
+        self.holder = holder
+        self.duration_s = duration_s
+        self.margin_s = margin_s
+        self.table = table
+        self.clock = clock
+        self.observed: dict[str, _Observed] = {}
+        self.held: dict[str, Row] = {}
+
+    async def acquire(
+        self, name: str
+    ) -> Result[FencedLease, LeaseHeld | PlatformError]:
+        """Acquire a lease with a token above all earlier ones.
+
+        A lease of another holder is taken over only when this store has seen it
+        unchanged for its duration and the margin; call again until then.
+        """
+        wanted = self.new_row(0)
+
+        def step(row: Row | None) -> LeaseStep:
+            return acquire_step(_read_row(row), wanted, self.lapsed(name, row))
+
+        return await self.apply(name, step, None)
+
+    async def renew(
+        self, lease: FencedLease
+    ) -> Result[FencedLease, LeaseHeld | PlatformError]:
+        """Renew a lease; after an error the old one is valid until it expires."""
+        wanted = self.new_row(lease.token)
+        row = self.held.get(lease.name)
+        known = KnownRow(row) if row is not None else None
+        answer = await self.apply(
+            lease.name, lambda row: renew_step(_read_row(row), wanted), known
+        )
+        if isinstance(answer, Err) and isinstance(answer.err_value, LeaseHeld):
+            self.held.pop(lease.name, None)
+        return answer
+
+    async def release(self, lease: FencedLease) -> Result[None, PlatformError]:
+        """Give a lease back; the holder must have stopped acting under it."""
+        wanted = self.new_row(lease.token)
+        row = self.held.pop(lease.name, None)
+        known = KnownRow(row) if row is not None else None
+        answer = await self.apply(
+            lease.name, lambda row: release_step(_read_row(row), wanted), known
+        )
+        self.held.pop(lease.name, None)
+        if isinstance(answer, Err) and isinstance(answer.err_value, PlatformError):
+            return Err(answer.err_value)
+        return Ok(None)
+
+    async def apply(
+        self,
+        name: str,
+        step: Callable[[Row | None], LeaseStep],
+        known: KnownRow | None,
+    ) -> Result[FencedLease, LeaseHeld | PlatformError]:
+        # Taken before any write, so the holder's time runs out before an observer's.
+        since = self.clock()
+        current: list[Row | None] = [None]
+
+        def decide(row: Row | None) -> Replace | Stop[LeaseOwned | LeaseHeld]:
+            current[0] = row
+            match step(row):
+                case LeasePut(wanted):
+                    return Replace(cattrs.unstructure(wanted))
+                case LeaseOwned() | LeaseHeld() as end:
+                    return Stop(end)
+            raise AssertionError("a step is one of the cases above")
+
+        match await update_row(self.platform, self.table, name, decide, known):
+            case Err(error):
+                return Err(error)
+            case Ok(Stop(LeaseHeld() as held)):
+                return Err(held)
+            case Ok(Written(row)):
+                current[0] = row
+        owned = current[0]
+        assert owned is not None
+        self.held[name] = owned
+        return Ok(self.view(name, cattrs.structure(owned.value, LeaseRow), since))
+
+    def lapsed(self, name: str, row: Row | None) -> bool:
+        """Note the row as seen now and judge whether its holder has surely lapsed."""
+        current = _read_row(row)
+        if current is None:
+            return True
+        now = self.clock()
+        seen = self.observed.get(name)
+        if seen is None or seen.write_id != current.write_id:
+            seen = _Observed(current.write_id, self.view(name, current, now))
+            self.observed[name] = seen
+        return seen.lease.lapsed_surely(now)
+
+    def new_row(self, token: int) -> LeaseRow:
+        return LeaseRow(
+            holder=self.holder,
+            token=token,
+            write_id=secrets.token_hex(16),
+            duration_s=self.duration_s,
+        )
+
+    def view(self, name: str, row: LeaseRow, since: float) -> FencedLease:
+        return FencedLease(
+            name=name,
+            holder=row.holder,
+            token=row.token,
+            since=since,
+            duration_s=row.duration_s,
+            margin_s=self.margin_s,
+        )
+
+
+class SlotStore:
+    """Limit weight-store loads by a number of slots, each a lease of its own."""
+
+    def __init__(
+        self, leases: LeaseStore, group: str, count: int, random: random.Random
+    ) -> None:
+        self.leases = leases
+        self.group = group
+        self.count = count
+        self.random = random
+        self.acquiring: set[str] = set()
+
+    async def acquire(self) -> Result[FencedLease, LeaseHeld | PlatformError]:
+        """Acquire any free slot; renew and release it through ``leases``."""
+        first = self.random.randrange(self.count)
+        held = LeaseHeld("", 0)
+        for offset in range(self.count):
+            name = f"{self.group}/{(first + offset) % self.count}"
+            # The store could take its own lease again, but a slot serves one load.
+            if name in self.leases.held or name in self.acquiring:
+                continue
+            self.acquiring.add(name)
+            try:
+                answer = await self.leases.acquire(name)
+            finally:
+                self.acquiring.discard(name)
+            match answer:
+                case Ok(lease):
+                    return Ok(lease)
+                case Err(LeaseHeld() as held):
+                    continue
+                case Err(PlatformError() as error):
+                    return Err(error)
+        return Err(held)
+
+
+def _read_row(row: Row | None) -> LeaseRow | None:
+    return None if row is None else cattrs.structure(row.value, LeaseRow)
--- /dev/null
+++ b/tests/unit/test_claim.py
@@ -0,0 +1,173 @@
+"""Guard against a non-idempotent call that starts twice for one key."""
+
+import attrs
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from acaciarelay.state.claim import (
+    Claim,
+    ClaimPhase,
+    Denied,
+    DeniedReason,
+    Put,
+    ResultRecord,
+    Settled,
+    claim_step,
+    finish_step,
+    release_step,
+    start_step,
+)
+
+RESULT = ResultRecord(status=200, headers=[])
+TAKE_OVER_S = 10.0
+
+
+def claimed(current: Claim | None, token: str, now: float = 0.0) -> Claim:
+    step = claim_step(current, "hash", token, now, TAKE_OVER_S)
+    assert isinstance(step, Put) and step.claim is not None
+    return step.claim
+
+
+def started(token: str, start_id: str) -> Claim:
+    step = start_step(claimed(None, token), token, start_id)
+    assert isinstance(step, Put) and step.claim is not None
+    return step.claim
+
+
+def test_another_body_is_denied_in_every_phase() -> None:
+    for claim in (claimed(None, "a"), started("a", "1")):
+        step = claim_step(claim, "other", "b", 100.0, TAKE_OVER_S)
+        assert step == Denied(DeniedReason.OTHER_BODY)
+
+
+def test_only_a_claim_that_never_started_is_taken_over() -> None:
+    early = claim_step(claimed(None, "a"), "hash", "b", 9.0, TAKE_OVER_S)
+    assert early == Denied(DeniedReason.IN_PROGRESS)
+    taken = claimed(claimed(None, "a"), "b", 10.0)
+    assert start_step(taken, "a", "1") == Denied(DeniedReason.REPLACED)
+    late = claim_step(started("a", "1"), "hash", "b", 1e9, TAKE_OVER_S)
+    assert late == Denied(DeniedReason.STARTED)
+
+
+def test_a_clock_that_was_ahead_does_not_block_the_key() -> None:
+    assert claimed(claimed(None, "a", 1e6), "b", 0.0).token == "b"
+
+
+def test_the_same_token_starts_once() -> None:
+    claim = started("a", "1")
+    assert start_step(claim, "a", "1") == Settled(claim)
+    assert start_step(claim, "a", "2") == Denied(DeniedReason.STARTED)
+
+
+def test_a_started_claim_is_released_by_its_own_attempt_only() -> None:
+    claim = started("a", "1")
+    assert release_step(claim, "a", "") == Denied(DeniedReason.STARTED)
+    assert release_step(claim, "a", "2") == Denied(DeniedReason.STARTED)
+    assert release_step(claim, "a", "1") == Put(None)
+    assert release_step(claim, "b", "1") == Settled(None)
+
+
+def test_the_first_result_stays() -> None:
+    assert finish_step(claimed(None, "a"), "a", RESULT) == Denied(
+        DeniedReason.NOT_STARTED
+    )
+    step = finish_step(started("a", "1"), "a", RESULT)
+    assert isinstance(step, Put)
+    other = attrs.evolve(RESULT, status=500)
+    assert finish_step(step.claim, "a", other) == Settled(step.claim)
+    assert claim_step(step.claim, "hash", "b", 0.0, TAKE_OVER_S) == Settled(step.claim)
+
+
+@attrs.define
+class Pending:
+    """Hold a conditional write on its way to the table."""
+
+    revision: int
+    claim: Claim | None
+    start_id: str = ""
+
+
+TOKENS = st.sampled_from(["a", "b", "c"])
+AGENTS = st.sampled_from(["1", "2"])
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Deliver writes late, twice, in any order or never, with or without an answer.
+
+    Two agents may hold the same token, as after a repeated message.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.revision = 0
+        self.row_revision = 0
+        self.claim: Claim | None = None
+        self.pending: list[Pending] = []
+        self.called: set[str] = set()
+        self.given_up: set[str] = set()
+
+    def send(self, step: object, start_id: str = "") -> None:
+        if isinstance(step, Put):
+            self.pending.append(Pending(self.row_revision, step.claim, start_id))
+
+    def confirm(self, start_id: str) -> None:
+        if start_id and start_id not in self.given_up:
+            self.called.add(start_id)
+
+    @rule(seconds=st.floats(0.0, 20.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(token=TOKENS)
+    def claim_key(self, token: str) -> None:
+        self.send(claim_step(self.claim, "hash", token, self.now, TAKE_OVER_S))
+
+    @rule(token=TOKENS, agent=AGENTS)
+    def start(self, token: str, agent: str) -> None:
+        start_id = token + agent
+        if start_id in self.given_up:
+            return
+        step = start_step(self.claim, token, start_id)
+        if isinstance(step, Settled):
+            self.confirm(start_id)
+        self.send(step, start_id)
+
+    @rule(token=TOKENS, agent=AGENTS)
+    def finish(self, token: str, agent: str) -> None:
+        if token + agent in self.called:
+            self.send(finish_step(self.claim, token, RESULT))
+
+    @rule(token=TOKENS, agent=AGENTS)
+    def give_up(self, token: str, agent: str) -> None:
+        start_id = token + agent
+        if start_id not in self.called:
+            self.given_up.add(start_id)
+            self.send(release_step(self.claim, token, start_id))
+
+    @rule(data=st.data(), answered=st.booleans(), kept=st.booleans())
+    def deliver(self, data: st.DataObject, answered: bool, kept: bool) -> None:
+        if not self.pending:
+            return
+        index = data.draw(st.integers(0, len(self.pending) - 1))
+        write = self.pending[index] if kept else self.pending.pop(index)
+        if write.revision != self.row_revision:
+            return
+        self.revision += 1
+        self.row_revision = self.revision if write.claim is not None else 0
+        self.claim = write.claim
+        if answered:
+            self.confirm(write.start_id)
+
+    @invariant()
+    def the_call_is_made_at_most_once(self) -> None:
+        assert len(self.called) <= 1
+
+    @invariant()
+    def a_call_made_stays_on_record(self) -> None:
+        if self.called:
+            assert self.claim is not None
+            assert self.claim.phase is not ClaimPhase.CLAIMED
+
+
+TestClaimMachine = ClaimMachine.TestCase
--- /dev/null
+++ b/tests/unit/test_lease_store.py
@@ -0,0 +1,99 @@
+"""Guard against a paused holder, a lost answer and a slot that serves two loads."""
+
+import asyncio
+import random
+
+import pytest
+from result import Err, Ok
+from unit.scripted_platform import ScriptedPlatform, Step
+
+from acaciarelay.state.lease import FencedLease, LeaseHeld
+from acaciarelay.transport.lease_store import LeaseStore, SlotStore
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def new_store(platform: ScriptedPlatform, holder: str, clock: Clock) -> LeaseStore:
+    return LeaseStore(platform, holder, 10.0, 1.0, clock=clock)
+
+
+async def acquired(store: LeaseStore, name: str = "e1") -> FencedLease:
+    return (await store.acquire(name)).unwrap()
+
+
+async def test_a_paused_holder_loses_its_lease_to_a_newer_token() -> None:
+    platform, clock = ScriptedPlatform(), Clock()
+    paused, other = (new_store(platform, name, clock) for name in "ab")
+    lease = await acquired(paused)
+    assert await other.acquire("e1") == Err(LeaseHeld("a", 1))
+    clock.now += 10.9
+    assert not lease.may_act(clock.now)
+    assert isinstance(await other.acquire("e1"), Err)
+    clock.now += 0.1
+    newer = await acquired(other)
+    assert (newer.token, newer.may_act(clock.now)) == (2, True)
+    assert await paused.renew(lease) == Err(LeaseHeld("b", 2))
+    assert isinstance(await paused.acquire("e1"), Err)
+
+
+async def test_a_renewed_lease_is_not_taken_over() -> None:
+    platform, clock = ScriptedPlatform(), Clock()
+    holder, other = (new_store(platform, name, clock) for name in "ab")
+    lease = await acquired(holder)
+    for _ in range(5):
+        assert isinstance(await other.acquire("e1"), Err)
+        clock.now += 8.0
+        lease = (await holder.renew(lease)).unwrap()
+        assert lease.token == 1 and lease.may_act(clock.now)
+
+
+@pytest.mark.parametrize("step", [Step.LOST, Step.DROPPED, Step.LATE, Step.TWICE])
+async def test_a_lost_answer_is_settled_by_reading_back(step: Step) -> None:
+    platform, clock = ScriptedPlatform([Step.OK, step]), Clock()
+    store = new_store(platform, "a", clock)
+    lease = await acquired(store)
+    platform.steps = iter([step])
+    lease = (await store.renew(lease)).unwrap()
+    assert lease.token == 1
+    platform.steps = iter([step])
+    assert await store.release(lease) == Ok(None)
+    assert (await acquired(new_store(platform, "b", clock))).token == 2
+
+
+async def test_the_time_counts_from_before_the_write() -> None:
+    """A slow platform must not lengthen the holder's view of its lease."""
+    platform, clock = ScriptedPlatform(), Clock()
+
+    async def slow_step() -> Step:
+        clock.now += 4.0
+        return Step.OK
+
+    platform.next_step = slow_step  # type: ignore[method-assign]
+    assert (await acquired(new_store(platform, "a", clock))).expires_at == 110.0
+
+
+async def test_slots_limit_loads_within_and_across_processes() -> None:
+    platform, clock = ScriptedPlatform(), Clock()
+    stores = [
+        LeaseStore(platform, holder, 10.0, 1.0, table="slots", clock=clock)
+        for holder in "ab"
+    ]
+    slots = [SlotStore(store, "weights", 3, random.Random(1)) for store in stores]
+    answers = await asyncio.gather(*(slots[i % 2].acquire() for i in range(6)))
+    leases = [answer.ok_value for answer in answers if isinstance(answer, Ok)]
+    assert len(leases) == len({lease.name for lease in leases}) == 3
+    holder = next(store for store in stores if store.holder == leases[0].holder)
+    await holder.release(leases[0])
+    assert isinstance(await slots[1].acquire(), Ok)
+    assert isinstance(await slots[0].acquire(), Err)
+
+
+def test_a_margin_that_leaves_no_time_is_refused() -> None:
+    with pytest.raises(ValueError):
+        LeaseStore(ScriptedPlatform(), "a", 10.0, 5.0)
