--- a/src/acaciarelay/coordination/placement/base.py
+++ b/src/acaciarelay/coordination/placement/base.py
@@ -23,7 +23,7 @@
 RESERVATION_COPIES = 2
 
 
-@attrs.define(eq=False)
+@attrs.define
 class AgentView:
     """Hold what an entry knows about an agent; the counts may be seconds old.
 
--- a/src/acaciarelay/coordination/prefix.py
+++ b/src/acaciarelay/coordination/prefix.py
@@ -11,6 +11,8 @@
 # Hints that were stored before a gap in the events stay in use this long. Many gaps are
 # only late events, and a wrong hint costs less than an unused cache.
 GAP_GRACE_S = 5.0
+# An event this far behind the last one comes from a restarted engine, not a late one.
+MAX_REORDER = 10_000
 
 
 def prefix_hash(model: str, text: bytes) -> int:
@@ -43,7 +45,8 @@
         self.last = max(self.last, sequence)
         if gap:
             self.gap = sequence
-            self.gap_until = self.gap_until or now + GAP_GRACE_S
+            if self.gap_until is None:
+                self.gap_until = now + GAP_GRACE_S
 
     def settle(self, now: float) -> None:
         if self.gap_until is not None and now >= self.gap_until:
@@ -71,7 +74,7 @@
 
         A late event may be older than an eviction that has already been seen.
         """
-        state = self._sources.setdefault(source, _Source())
+        state = self._source(source, sequence)
         if sequence <= state.last:
             return
         state.advance(sequence, now)
@@ -82,7 +85,7 @@
 
     def evicted(self, source: str, sequence: int, prefix: int, now: float) -> None:
         """Record that an engine evicted a prefix; later stored ones are kept."""
-        state = self._sources.setdefault(source, _Source())
+        state = self._source(source, sequence)
         state.advance(sequence, now)
         holders = self._hints.get(prefix, {})
         if holders.get(source, sequence) < sequence:
@@ -106,6 +109,12 @@
         for prefix in [key for key, held in self._hints.items() if source in held]:
             self._drop(prefix, source)
 
+    def _source(self, source: str, sequence: int) -> _Source:
+        state = self._sources.get(source)
+        if state is not None and sequence < state.last - MAX_REORDER:
+            self.forget(source)
+        return self._sources.setdefault(source, _Source())
+
     def _drop(self, prefix: int, source: str) -> None:
         held = self._hints[prefix]
         del held[source]
--- a/src/acaciarelay/coordination/tier_queue.py
+++ b/src/acaciarelay/coordination/tier_queue.py
@@ -29,12 +29,13 @@
 MIN_SWEEP = 256
 
 
-@attrs.define(eq=False)
+@attrs.define
 class Reservation:
     """Describe a request that waits at an agent; tier 0 is the most urgent.
 
     ``tokens`` is the estimate of prompt and answer, ``queued_at`` and ``deadline`` are
-    monotonic seconds, ``waited_s`` is the wait before ``queued_at``.
+    monotonic seconds, ``waited_s`` is the wait before ``queued_at``. It must not be
+    changed while it is in a queue, which keeps sums of its values.
     """
 
     request_id: str
@@ -84,6 +85,7 @@
     def __init__(self, quantum_tokens: int) -> None:
         self.quantum = max(1, quantum_tokens)
         self.round = 0
+        self._latest_round = 0
         self.count = TierCount()
         self.last_resort: OrderedDict[str, Waiting] = OrderedDict()
         self._organisations: dict[str, _Organisation] = {}
@@ -114,6 +116,9 @@
         """Remove a waiting reservation without a charge."""
         self.count.waiting -= 1
         self.count.waiting_tokens -= reservation.tokens
+        if not self.count.waiting:
+            # Nobody waited for what is still owed, so debts end with the busy period.
+            self.round = self._latest_round + 1
         if reservation.last_resort:
             del self.last_resort[reservation.request_id]
             return
@@ -219,6 +224,7 @@
             rounds = -int(-(-(credit - share) // share))
         organisation.round += rounds
         organisation.credit = credit + rounds * share
+        self._latest_round = max(self._latest_round, organisation.round)
         self._renew(organisation)
 
     def _renew(self, organisation: _Organisation) -> None:
