--- a/src/acaciarelay/coordination/placement/late_binding.py
+++ b/src/acaciarelay/coordination/placement/late_binding.py
@@ -63,31 +63,32 @@
 
 def _near_enough(request: PlacementRequest, agents: list[AgentView]) -> list[AgentView]:
     """Return the usable agents of the zone, the region or all regions."""
-    usable = [agent for agent in agents if is_usable(agent, request.tier)]
-    regional = [agent for agent in usable if agent.region == request.region]
-    zonal = [agent for agent in regional if agent.zone == request.zone]
-    near_s = _shortest_wait_s(request, regional)
-    far_s = _shortest_wait_s(request, usable)
+    zonal, zonal_s = [], math.inf
+    regional, regional_s = [], math.inf
+    usable, usable_s = [], math.inf
+    for agent in agents:
+        if not is_usable(agent, request.tier):
+            continue
+        # An unknown rate is that of an agent that has just started.
+        wait_s = agent_wait_s(agent, request.tier, request.tokens) or 0.0
+        usable.append(agent)
+        usable_s = min(usable_s, wait_s)
+        if agent.region != request.region:
+            continue
+        regional.append(agent)
+        regional_s = min(regional_s, wait_s)
+        if agent.zone == request.zone:
+            zonal.append(agent)
+            zonal_s = min(zonal_s, wait_s)
     # A request that has waited shows that the reports understate the wait here.
-    if len(regional) < len(usable):
-        if max(near_s, request.waited_s) - far_s > request.wan_wait_s:
-            return usable
-    enough = len(zonal) >= _wanted(request)
-    if enough and _shortest_wait_s(request, zonal) - near_s <= ZONE_WAIT_S:
+    saved_s = max(regional_s, request.waited_s) - usable_s
+    if len(regional) < len(usable) and saved_s > request.wan_wait_s:
+        return usable
+    if len(zonal) >= _wanted(request) and zonal_s - regional_s <= ZONE_WAIT_S:
         return zonal
     return regional
 
 
-def _shortest_wait_s(request: PlacementRequest, agents: list[AgentView]) -> float:
-    """Return the shortest estimated wait; infinite without agents."""
-    shortest = math.inf
-    for agent in agents:
-        wait_s = agent_wait_s(agent, request.tier, request.tokens)
-        # An unknown rate is that of an agent that has just started.
-        shortest = min(shortest, 0.0 if wait_s is None else wait_s)
-    return shortest
-
-
 def _prefix_choice(
     request: PlacementRequest, agents: list[AgentView], already: set[str]
 ) -> list[str]:
