Apply configuration changes incrementally and never backwards

A change set now names its base and its generation: lower or equal ones are stale, a base above the one in force is a gap. cattrs also converted values, so that the text "abc" was read as three key hashes; records now refuse values of another type.

--- a/src/acaciarelay/state/records.py
+++ b/src/acaciarelay/state/records.py
@@ -30,7 +30,9 @@
     "decode_snapshot",
     "dangling_references",
     "encode_snapshot",
+    "known_schemas",
     "parse_record",
+    "read_envelope",
 ]
 
 EndpointState = str  # "active" or "draining"
@@ -174,6 +176,11 @@
 }
 
 
+def known_schemas() -> dict[str, int]:
+    """Return the newest schema that this process understands, by record type."""
+    return {name: kind.newest for name, kind in RECORD_TYPES.items()}
+
+
 @attrs.frozen
 class Envelope:
     """Hold a stored record; ``body`` has the form of ``schema``."""
@@ -198,6 +205,67 @@
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
 
+def _read_int(value: Any, _: type) -> int:
+    whole = isinstance(value, int) or (isinstance(value, float) and value.is_integer())
+    if not whole or isinstance(value, bool):
+        raise ValueError(f"{value!r} is not a whole number")
+    return int(value)
+
+
+def _read_float(value: Any, _: type) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise ValueError(f"{value!r} is not a number")
+    return float(value)
+
+
+def _read_str(value: Any, _: type) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def _read_bool(value: Any, _: type) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is not true or false")
+    return value
+
+
+def _read_list(value: Any, list_type: Any) -> list:
+    if not isinstance(value, list):
+        raise ValueError(f"{value!r} is not a list")
+    (item_type,) = list_type.__args__
+    return [_CONVERTER.structure(item, item_type) for item in value]
+
+
+# By default cattrs converts: "abc" would give three key hashes, "false" would be true.
+_CONVERTER.register_structure_hook(int, _read_int)
+_CONVERTER.register_structure_hook(float, _read_float)
+_CONVERTER.register_structure_hook(str, _read_str)
+_CONVERTER.register_structure_hook(bool, _read_bool)
+_CONVERTER.register_structure_hook_func(
+    lambda wanted: getattr(wanted, "__origin__", None) is list, _read_list
+)
+
+
+def read_envelope(value: Any) -> Envelope:
+    """Read a stored envelope; raises ``ValueError`` when the value has another form."""
+    try:
+        envelope = Envelope(
+            value["type"],
+            value["name"],
+            value["schema"],
+            value["revision"],
+            value["body"],
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError("not a stored record") from error
+    texts = isinstance(envelope.type, str) and isinstance(envelope.name, str)
+    numbers = isinstance(envelope.schema, int) and isinstance(envelope.revision, int)
+    if not texts or not numbers or not isinstance(envelope.body, dict):
+        raise ValueError("not a stored record")
+    return envelope
+
+
 def parse_record(envelope: Envelope) -> Result[Record, RecordError]:
     """Read the body of an envelope into the record class of its type."""
     kind = RECORD_TYPES.get(envelope.type)
@@ -256,7 +324,8 @@
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
     """Encode generation and envelopes as JSON."""
-    envelopes = [attrs.asdict(envelope) for envelope in snapshot.envelopes]
+    # Recursion would copy every body, which takes most of the time of encoding.
+    envelopes = [attrs.asdict(item, recurse=False) for item in snapshot.envelopes]
     return orjson.dumps({"generation": snapshot.generation, "records": envelopes})
 
 
@@ -264,9 +333,9 @@
     """Decode a snapshot; raises ``ValueError`` when the data has another form."""
     try:
         body = orjson.loads(data)
-        envelopes = cattrs.structure(body["records"], list[Envelope])
+        envelopes = [read_envelope(value) for value in body["records"]]
         return build_snapshot(int(body["generation"]), envelopes)
-    except (KeyError, TypeError, cattrs.BaseValidationError) as error:
+    except (KeyError, TypeError, ValueError) as error:
         raise ValueError("not a configuration snapshot") from error
 
 
--- /dev/null
+++ b/tests/unit/test_config_state.py
@@ -0,0 +1,197 @@
+"""Guard against a configuration that goes back, loses records or re-reads all."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from acaciarelay.state import config_state
+from acaciarelay.state.config_state import (
+    ApplyOutcome,
+    ChangeSet,
+    ConfigState,
+    RowKey,
+    agent_view,
+    decode_change,
+    encode_change,
+    read_row_key,
+    whole_change,
+)
+from acaciarelay.state.records import Envelope, decode_snapshot, encode_snapshot
+
+
+def organisation(name: str, schema: int = 2, revision: int = 1, **body) -> Envelope:
+    fields = {"key_hashes": ["aa"], "policy": "main", **body}
+    return Envelope("organisation", name, schema, revision, fields)
+
+
+def tier(name: str, rank: int, revision: int = 1) -> Envelope:
+    return Envelope("tier", name, 1, revision, {"rank": rank})
+
+
+def state_with(*envelopes: Envelope, generation: int = 1) -> ConfigState:
+    state = ConfigState()
+    change = ChangeSet(generation=generation, changed=list(envelopes), whole=True)
+    assert state.apply(change) is ApplyOutcome.APPLIED
+    return state
+
+
+def test_one_change_parses_one_record(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With 18,000 organisations, parsing all of them would stall the event loop."""
+    state = state_with(*(organisation(f"o{n}") for n in range(500)))
+    parsed = []
+    parse = config_state.parse_record
+    monkeypatch.setattr(
+        config_state, "parse_record", lambda item: parsed.append(item) or parse(item)
+    )
+    before = state.snapshot
+    one = organisation("o7", revision=2, weight=5)
+    state.apply(ChangeSet(generation=2, base=1, changed=[one]))
+    whole = decode_change(encode_change(whole_change(state.snapshot)))
+    ConfigState.apply(state, ChangeSet(generation=3, changed=whole.changed, whole=True))
+    assert parsed == [one]
+    assert state.snapshot.organisations["o7"].weight == 5
+    assert before.organisations["o7"].weight == 1
+
+
+@pytest.mark.parametrize("generation", [4, 5])
+def test_an_old_generation_is_not_applied(generation: int) -> None:
+    state = state_with(tier("a", 0), generation=5)
+    late = ChangeSet(generation=generation, changed=[tier("a", 3)], whole=True)
+    assert state.apply(late) is ApplyOutcome.STALE
+    assert state.snapshot.tiers["a"].rank == 0
+
+
+def test_a_change_after_a_gap_is_not_applied() -> None:
+    """Applying it would hide what changed in the generations between."""
+    state = state_with(tier("a", 0))
+    assert state.apply(ChangeSet(generation=4, base=3)) is ApplyOutcome.GAP
+    assert ConfigState().apply(ChangeSet(generation=1)) is ApplyOutcome.GAP
+    assert state.generation == 1
+
+
+def test_the_last_understood_record_survives_a_newer_schema() -> None:
+    state = state_with(organisation("o", weight=4))
+    newer = organisation("o", schema=9, revision=2)
+    old_key = RowKey("organisation", "o", 2)
+    state.apply(ChangeSet(generation=2, base=1, changed=[newer], deleted=[old_key]))
+    assert state.snapshot.organisations["o"].weight == 4
+    assert state.set_aside == 1
+    later = state_with(newer, generation=3).snapshot
+    assert state.apply_snapshot(later) is ApplyOutcome.APPLIED
+    assert state.snapshot.organisations["o"].weight == 4
+    new_key = RowKey("organisation", "o", 9)
+    state.apply(ChangeSet(generation=4, base=3, deleted=[new_key]))
+    assert state.snapshot.organisations == {} and state.set_aside == 0
+
+
+def test_the_newest_understood_of_several_schemas_is_used() -> None:
+    old = Envelope("organisation", "o", 1, 1, {"key_hash": "aa", "policy": "main"})
+    forms = [organisation("o", schema=9), organisation("o", weight=7), old]
+    state = state_with(*forms)
+    assert state.snapshot.organisations["o"].weight == 7
+    deleted = [RowKey("organisation", "o", 2)]
+    state.apply(ChangeSet(generation=2, base=1, deleted=deleted))
+    assert state.snapshot.organisations["o"].weight == 1
+
+
+def test_an_invalid_or_unknown_record_does_not_stop_the_others() -> None:
+    state = state_with(
+        tier("a", 0), Envelope("tier", "b", 1, 1, {}), Envelope("quota", "c", 1, 1, {})
+    )
+    assert set(state.snapshot.tiers) == {"a"}
+    assert [error.name for error in state.snapshot.errors] == ["b", "c"]
+
+
+def test_an_agent_gets_only_what_it_needs() -> None:
+    pool = {"kind": "chat"}
+    state = state_with(
+        tier("a", 0),
+        organisation("o"),
+        Envelope("pool", "p", 1, 1, pool),
+        Envelope("pool", "q", 1, 1, pool),
+        Envelope("endpoint", "e", 1, 1, {"pool": "p"}),
+        Envelope("endpoint", "f", 1, 1, {"pool": "q"}),
+        generation=6,
+    )
+    view = decode_snapshot(encode_snapshot(agent_view(state.snapshot, "e", "p")))
+    assert view.generation == 6
+    groups = [view.tiers, view.pools, view.endpoints, view.organisations]
+    assert [list(group) for group in groups] == [["a"], ["p"], ["e"], []]
+
+
+def test_malformed_changes_are_value_errors() -> None:
+    for data in [b"", b"[]", b"{}", b'{"generation":"x","records":[]}']:
+        with pytest.raises(ValueError):
+            decode_change(data)
+    for key in ["generation", "log/1", "record/tier/a", "record/tier/a/x"]:
+        assert read_row_key(key) is None
+
+
+LAST = 8
+
+
+def history() -> list[ChangeSet]:
+    """Each generation sets tier t to its number, and adds or deletes a tier."""
+    changes = []
+    for number in range(1, LAST + 1):
+        changed = [tier("t", number, number)]
+        deleted = []
+        if number % 2:
+            changed.append(tier(f"odd{number}", number, number))
+        else:
+            deleted.append(RowKey("tier", f"odd{number - 1}", 1))
+        changes.append(
+            ChangeSet(
+                generation=number, base=number - 1, changed=changed, deleted=deleted
+            )
+        )
+    return changes
+
+
+def snapshots() -> dict[int, ChangeSet]:
+    state = state_with(generation=0)
+    held = {0: whole_change(state.snapshot)}
+    for change in history():
+        state.apply(change)
+        held[change.generation] = whole_change(state.snapshot)
+    return held
+
+
+def polled(after: int, last: int) -> ChangeSet:
+    """Merge generations as one read of the table does."""
+    changed: dict[RowKey, Envelope | None] = {}
+    for change in history()[after:last]:
+        for envelope in change.changed:
+            changed[RowKey(envelope.type, envelope.name, envelope.schema)] = envelope
+        changed.update(dict.fromkeys(change.deleted))
+    return ChangeSet(
+        generation=last,
+        base=after,
+        changed=[item for item in changed.values() if item],
+        deleted=[key for key, item in changed.items() if item is None],
+    )
+
+
+numbers = st.integers(0, LAST)
+updates = st.one_of(
+    numbers.map(lambda number: ("peer", number, number)),
+    numbers.filter(bool).map(lambda number: ("push", number - 1, number)),
+    st.tuples(numbers, numbers)
+    .map(sorted)
+    .filter(lambda pair: pair[0] < pair[1])
+    .map(lambda pair: ("poll", pair[0], pair[1])),
+)
+
+
+@given(st.lists(updates, max_size=30))
+def test_any_order_of_updates_never_goes_back(order: list) -> None:
+    """Pushes, polls and peers overtake and repeat one another."""
+    state = ConfigState()
+    held = snapshots()
+    for source, after, last in [*order, ("peer", LAST, LAST)]:
+        before = state.generation
+        state.apply(held[last] if source == "peer" else polled(after, last))
+        assert state.generation >= before
+        if state.in_force:
+            wanted = sorted(held[state.generation].changed, key=str)
+            assert sorted(state.snapshot.envelopes, key=str) == wanted
+    assert state.generation == LAST
