Commit configuration changes exactly once

Cause: two operators can change one record, and the platform can lose the answer to a commit that took effect. A commit checks the generation row and every row of each record. After a lost answer the history row of the intended generation is read back; if it is missing the same transaction is sent again, as the first copy may still arrive and its checks let only one of the two take effect. A repeated request is known by its token.

Ruled out: treating a missing history row as proof of failure, and a revision taken from the table service, which a writer can't know before its commit; a record's revision is the generation that last wrote it.

--- /dev/null
+++ b/src/acaciarelay/programs/config_writer.py
@@ -0,0 +1,365 @@
+"""Commit record changes to the table, exactly once and against known revisions."""
+
+import asyncio
+import enum
+import secrets
+import time
+from collections.abc import Callable
+
+import attrs
+import eliot
+from result import Err, Ok, Result
+
+from acaciarelay.programs.config_plan import Plan, plan_changes
+from acaciarelay.programs.config_sync import (
+    CONFIG_TABLE,
+    GENERATION_KEY,
+    ConfigSync,
+    Peer,
+    read_generation,
+)
+from acaciarelay.protocol.admin_api import (
+    ApplyAnswer,
+    ApplyRequest,
+    LogEntry,
+    RecordRefusal,
+    read_as,
+    to_plain,
+)
+from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.platform_api import (
+    Check,
+    Conflict,
+    PlatformError,
+    PlatformFault,
+    Row,
+    Transaction,
+    Write,
+)
+from acaciarelay.state.config_state import ChangeSet, whole_change
+
+__all__ = ["ConfigWriter", "WriterLimits", "log_key"]
+
+
+@attrs.frozen(kw_only=True)
+class WriterLimits:
+    """Bound the work of one commit; times in seconds.
+
+    A starting entry reads the table whole, and ``history_kept`` bounds the part of it
+    that is history. At 530 changes a day, 2,000 entries cover the last three days.
+    """
+
+    commit_attempts: int = 8
+    settle_attempts: int = 20
+    settle_pause_s: float = 0.5
+    retry_after_s: float = 2.0
+    parallel_reads: int = 16
+    parallel_pushes: int = 32
+    history_kept: int = 2_000
+    tokens_searched: int = 32
+
+
+class _Fate(enum.Enum):
+    """Say what became of a transaction."""
+
+    COMMITTED = enum.auto()
+    LOST_RACE = enum.auto()  # Another commit came first, so it never takes effect.
+    UNAVAILABLE = enum.auto()  # It took no effect.
+    UNKNOWN = enum.auto()
+
+
+@attrs.frozen
+class _Base:
+    generation: int
+    row_revision: int
+
+
+def log_key(generation: int) -> str:
+    """Return the key of a history row."""
+    return f"log/{generation:012d}"
+
+
+def _row_revision(row: Row | None) -> int:
+    return 0 if row is None or row.deleted else row.revision
+
+
+class ConfigWriter:
+    """Write the configuration and push what was committed to the peers of ``sync``."""
+
+    def __init__(
+        self,
+        sync: ConfigSync,
+        limits: WriterLimits | None = None,
+        new_token: Callable[[], str] = lambda: secrets.token_hex(8),
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.sync = sync
+        self.platform = sync.platform
+        self.limits = limits or WriterLimits()
+        self.new_token = new_token
+        self.wall_clock = wall_clock
+        self.pushes: set[asyncio.Task] = set()
+        self.push_slots = asyncio.Semaphore(self.limits.parallel_pushes)
+
+    async def apply(self, request: ApplyRequest) -> Result[ApplyAnswer, Refusal]:
+        """Commit all changes in one transaction, or none of them.
+
+        Errors: 600 when nothing was written, 601 while the outcome can't be read back,
+        701, 702, 704 and 705 for what is wrong with the changes.
+        """
+        token = request.token or self.new_token()
+        for _ in range(self.limits.commit_attempts):
+            match await self.read_base():
+                case Err(refusal):
+                    return Err(refusal)
+                case Ok(base):
+                    pass
+            match plan_changes(self.sync.state, request.changes):
+                case Err(refusal):
+                    return await self.earlier_commit(refusal, request, token)
+                case Ok(plan):
+                    pass
+            if request.dry_run or not plan.diffs:
+                generation = self.sync.generation
+                return Ok(
+                    ApplyAnswer(
+                        generation=generation,
+                        token=token,
+                        committed=False,
+                        changes=plan.diffs,
+                    )
+                )
+            match await self.write(base, plan, request.operator, token):
+                case Err(refusal):
+                    return Err(refusal)
+                case Ok(_Fate.COMMITTED):
+                    self.publish(plan.change)
+                    return Ok(_accepted(plan, token))
+                case _:
+                    # The next round reports a conflict if the other commit changed one
+                    # of these records, and writes again if it didn't.
+                    continue
+        detail = "other commits came first too often"
+        return Err(refuse("platform_unavailable", detail, self.limits.retry_after_s))
+
+    async def read_base(self) -> Result[_Base, Refusal]:
+        """Bring this process to the table's generation and return that."""
+        for _ in range(self.limits.commit_attempts):
+            match await self.platform.read(CONFIG_TABLE, GENERATION_KEY):
+                case Err(error):
+                    return Err(self.unavailable(error.detail))
+                case Ok(row):
+                    generation = read_generation(row)
+            if generation is None:
+                return Err(self.unavailable("the generation row is malformed"))
+            if not self.sync.ready or self.sync.generation < generation:
+                match await self.sync.poll():
+                    case Err(error):
+                        return Err(self.unavailable(error.detail))
+                    case _:
+                        pass
+            if self.sync.ready and self.sync.generation == generation:
+                return Ok(_Base(generation, _row_revision(row)))
+        detail = "the table does not agree with the generation in force"
+        return Err(self.unavailable(detail))
+
+    def unavailable(self, detail: str) -> Refusal:
+        return refuse("platform_unavailable", detail, self.limits.retry_after_s)
+
+    async def write(
+        self, base: _Base, plan: Plan, operator: str, token: str
+    ) -> Result[_Fate, Refusal]:
+        checks = [Check(CONFIG_TABLE, GENERATION_KEY, base.row_revision)]
+        match await self.read_revisions([str(key) for key in plan.touched]):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(row_checks):
+                checks += row_checks
+        transaction = Transaction(checks, self.writes(plan, operator, token))
+        generation = plan.change.generation
+        match await self.commit(transaction, generation, token):
+            case _Fate.UNKNOWN:
+                detail = f"generation {generation} with token {token} is not settled"
+                return Err(refuse("platform_unknown", detail))
+            case _Fate.UNAVAILABLE:
+                return Err(self.unavailable("the commit was not accepted"))
+            case fate:
+                return Ok(fate)
+
+    async def read_revisions(self, keys: list[str]) -> Result[list[Check], Refusal]:
+        slots = asyncio.Semaphore(self.limits.parallel_reads)
+
+        async def read(key: str) -> Result[Check, PlatformError]:
+            async with slots:
+                answer = await self.platform.read(CONFIG_TABLE, key)
+            return answer.map(lambda row: Check(CONFIG_TABLE, key, _row_revision(row)))
+
+        checks = []
+        for answer in await asyncio.gather(*(read(key) for key in keys)):
+            match answer:
+                case Err(error):
+                    return Err(self.unavailable(error.detail))
+                case Ok(check):
+                    checks.append(check)
+        return Ok(checks)
+
+    def writes(self, plan: Plan, operator: str, token: str) -> list[Write]:
+        change = plan.change
+        entry = LogEntry(
+            generation=change.generation,
+            operator=operator,
+            time=self.wall_clock(),
+            token=token,
+            changes=plan.diffs,
+        )
+        head = {"generation": change.generation, "token": token}
+        writes = [Write(CONFIG_TABLE, GENERATION_KEY, head)]
+        for envelope in change.changed:
+            key = f"record/{envelope.type}/{envelope.name}/{envelope.schema}"
+            writes.append(Write(CONFIG_TABLE, key, to_plain(envelope)))
+        for row_key in change.deleted:
+            writes.append(Write(CONFIG_TABLE, str(row_key), None))
+        writes.append(Write(CONFIG_TABLE, log_key(change.generation), to_plain(entry)))
+        expired = change.generation - self.limits.history_kept
+        if expired > 0:
+            writes.append(Write(CONFIG_TABLE, log_key(expired), None))
+        return writes
+
+    async def commit(
+        self, transaction: Transaction, generation: int, token: str
+    ) -> _Fate:
+        match await self.platform.commit(transaction):
+            case Ok():
+                return _Fate.COMMITTED
+            case Err(Conflict()):
+                return _Fate.LOST_RACE
+            case Err(PlatformError(fault=PlatformFault.UNAVAILABLE)):
+                return _Fate.UNAVAILABLE
+            case _:
+                return await self.settle(transaction, generation, token)
+
+    async def settle(
+        self, transaction: Transaction, generation: int, token: str
+    ) -> _Fate:
+        """Find out what became of a commit whose answer was lost.
+
+        A missing history row doesn't prove that the commit failed, since the request
+        may still be on its way. Sending the same transaction again settles this: its
+        checks let at most one of the two take effect.
+        """
+        for _ in range(self.limits.settle_attempts):
+            match await self.platform.read(CONFIG_TABLE, log_key(generation)):
+                case Ok(None):
+                    match await self.platform.commit(transaction):
+                        case Ok():
+                            return _Fate.COMMITTED
+                        case Err(Conflict()):
+                            return await self.read_fate(generation, token)
+                case Ok(row):
+                    return _fate_of(row, token)
+                case _:
+                    pass
+            await asyncio.sleep(self.limits.settle_pause_s)
+        return _Fate.UNKNOWN
+
+    async def read_fate(self, generation: int, token: str) -> _Fate:
+        """Read the history row after a conflict, when it can no longer change."""
+        for _ in range(self.limits.settle_attempts):
+            match await self.platform.read(CONFIG_TABLE, log_key(generation)):
+                case Ok(row):
+                    return _fate_of(row, token)
+                case _:
+                    await asyncio.sleep(self.limits.settle_pause_s)
+        return _Fate.UNKNOWN
+
+    async def earlier_commit(
+        self, refusal: RecordRefusal, request: ApplyRequest, token: str
+    ) -> Result[ApplyAnswer, Refusal]:
+        """Answer a repeated request with the commit that its first copy made."""
+        if not request.token or not refusal.conflicts:
+            return Err(refusal)
+        match await self.history(self.limits.tokens_searched):
+            case Ok(entries):
+                for entry in entries:
+                    if entry.token == token:
+                        return Ok(_repeated(entry))
+            case _:
+                pass
+        return Err(refusal)
+
+    async def history(
+        self, limit: int, before: int | None = None
+    ) -> Result[list[LogEntry], Refusal]:
+        """Read up to ``limit`` commits below a generation, newest first."""
+        match await self.platform.read(CONFIG_TABLE, GENERATION_KEY):
+            case Err(error):
+                return Err(self.unavailable(error.detail))
+            case Ok(row):
+                newest = read_generation(row) or 0
+        top = newest if before is None else min(newest, before - 1)
+        generations = range(top, max(0, top - limit), -1)
+        slots = asyncio.Semaphore(self.limits.parallel_reads)
+
+        async def read(generation: int) -> Result[Row | None, PlatformError]:
+            async with slots:
+                return await self.platform.read(CONFIG_TABLE, log_key(generation))
+
+        entries = []
+        for answer in await asyncio.gather(*(read(number) for number in generations)):
+            match answer:
+                case Err(error):
+                    return Err(self.unavailable(error.detail))
+                case Ok(Row(deleted=False) as row):
+                    entries.append(read_as(LogEntry, row.value))
+        return Ok(entries)
+
+    def publish(self, change: ChangeSet) -> None:
+        """Put a committed change in force here and push it to all peers."""
+        self.sync.offer(change)
+        for peer in self.sync.peers:
+            task = asyncio.ensure_future(self.push(peer, change))
+            self.pushes.add(task)
+            task.add_done_callback(self.pushes.discard)
+
+    async def push(self, peer: Peer, change: ChangeSet) -> None:
+        async with self.push_slots:
+            match await peer.push(change):
+                case Err(error):
+                    eliot.log_message("config:push_failed", detail=error.detail)
+                case Ok(generation) if generation < change.generation:
+                    # The peer lacks the base of this change, and may be unable to
+                    # reach the table.
+                    await peer.push(whole_change(self.sync.snapshot))
+
+    async def close(self) -> None:
+        """Wait for pushes that are under way; each is bounded by its timeout."""
+        if self.pushes:
+            await asyncio.wait(self.pushes)
+
+
+def _accepted(plan: Plan, token: str) -> ApplyAnswer:
+    return ApplyAnswer(
+        generation=plan.change.generation,
+        token=token,
+        committed=True,
+        changes=plan.diffs,
+    )
+
+
+def _repeated(entry: LogEntry) -> ApplyAnswer:
+    return ApplyAnswer(
+        generation=entry.generation,
+        token=entry.token,
+        committed=True,
+        changes=entry.changes,
+    )
+
+
+def _fate_of(row: Row | None, token: str) -> _Fate:
+    if row is None or row.deleted:
+        return _Fate.LOST_RACE
+    try:
+        entry = read_as(LogEntry, row.value)
+    except ValueError:
+        return _Fate.LOST_RACE
+    return _Fate.COMMITTED if entry.token == token else _Fate.LOST_RACE
--- /dev/null
+++ b/src/acaciarelay/protocol/admin_api.py
@@ -0,0 +1,232 @@
+"""Typed requests and answers of the administration API.
+
+Paths, all below ``/admin/v1`` and all with the operator key as bearer:
+
+- ``GET /records[/TYPE[/NAME]]`` answers the stored envelopes.
+- ``POST /apply`` commits a list of record changes; with ``dry_run`` only the diff.
+- ``DELETE /records/TYPE/NAME?revision=N[&schema=N]`` deletes a record or one form.
+- ``GET /history?limit=N&before=GENERATION`` answers commits, newest first.
+- ``GET /generation`` answers the generations of this and all known processes.
+- ``GET /status`` answers the state of the fleet.
+- ``POST /endpoints/NAME/drain`` and ``/activate`` write the endpoint's record.
+
+A change carries the revision that its writer read, which is the generation that last
+wrote the record. The header ``Acaciarelay-Token`` identifies a commit, so that a
+request repeated with the same token is not applied twice. The header
+``Acaciarelay-Operator`` is the name kept in the history.
+"""
+
+import re
+from typing import Any, Protocol, TypeVar
+
+import attrs
+import cattrs
+import orjson
+from result import Err, Ok, Result
+
+from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.state.records import Envelope
+
+__all__ = [
+    "ApplyAnswer",
+    "ApplyRequest",
+    "Diff",
+    "GenerationAnswer",
+    "HistoryAnswer",
+    "LogEntry",
+    "ProcessStatus",
+    "RecordChange",
+    "RecordRefusal",
+    "RecordsAnswer",
+    "StatusAnswer",
+    "StatusSource",
+    "TierStatus",
+    "VersionConflict",
+    "read_apply",
+    "read_as",
+    "to_plain",
+]
+
+# Names are used in row keys and paths without escaping.
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+
+Typed = TypeVar("Typed")
+
+
+@attrs.frozen(kw_only=True)
+class RecordChange:
+    """Replace or delete one record.
+
+    ``revision`` is the revision of the record that the writer read; 0 means that the
+    record must not exist. Without ``schema`` a write uses the newest schema and a
+    deletion removes all stored forms.
+    """
+
+    type: str
+    name: str
+    revision: int = 0
+    schema: int | None = None
+    body: dict[str, Any] = attrs.field(factory=dict)
+    delete: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ApplyRequest:
+    """Ask for changes that take effect together or not at all."""
+
+    changes: list[RecordChange]
+    dry_run: bool = False
+    operator: str = ""
+    token: str = ""
+
+
+@attrs.frozen
+class Diff:
+    """Hold one stored form before and after a commit; ``None`` where there is none."""
+
+    before: Envelope | None
+    after: Envelope | None
+
+
+@attrs.frozen(kw_only=True)
+class ApplyAnswer:
+    """Say which generation holds the changes; ``committed`` is false for a dry run."""
+
+    generation: int
+    token: str
+    committed: bool
+    changes: list[Diff]
+
+
+@attrs.frozen
+class RecordsAnswer:
+    """Hold stored envelopes under the generation that they belong to."""
+
+    generation: int
+    records: list[Envelope]
+
+
+@attrs.frozen(kw_only=True)
+class LogEntry:
+    """Hold one commit; ``time`` is in seconds since the epoch."""
+
+    generation: int
+    operator: str
+    time: float
+    token: str
+    changes: list[Diff]
+
+
+@attrs.frozen
+class HistoryAnswer:
+    """Hold commits, newest first."""
+
+    entries: list[LogEntry]
+
+
+@attrs.frozen
+class TierStatus:
+    """Count the requests of one tier in a process."""
+
+    tier: int
+    waiting: int
+    running: int
+
+
+@attrs.frozen(kw_only=True)
+class ProcessStatus:
+    """Describe an entry or an agent, as last reported.
+
+    ``kind`` is ``entry`` or ``agent``. ``schemas`` holds the newest schema understood
+    by record type; it is empty when the process has not reported it.
+    """
+
+    kind: str
+    id: str
+    address: str = ""
+    pool: str = ""
+    zone: str = ""
+    region: str = ""
+    connected: bool = True
+    draining: bool = False
+    generation: int = 0
+    token_limit: int = 0
+    tiers: list[TierStatus] = attrs.field(factory=list)
+    schemas: dict[str, int] = attrs.field(factory=dict)
+
+
+class StatusSource(Protocol):
+    """Give access to what an entry knows of the fleet."""
+
+    def processes(self) -> list[ProcessStatus]:
+        """Return all known entries and agents, this entry among them."""
+
+
+@attrs.frozen
+class GenerationAnswer:
+    """Hold the generation in force here and in each known process."""
+
+    generation: int
+    set_aside: int
+    processes: list[ProcessStatus]
+
+
+@attrs.frozen
+class StatusAnswer:
+    """Hold the state of the fleet."""
+
+    generation: int
+    processes: list[ProcessStatus]
+
+
+@attrs.frozen
+class VersionConflict:
+    """Hold the version expected by the writer and the one that is stored."""
+
+    type: str
+    name: str
+    expected_revision: int
+    stored_revision: int
+    expected: list[Envelope]
+    stored: list[Envelope]
+
+
+@attrs.frozen
+class RecordRefusal(Refusal):
+    """Hold every problem of a refused change, and both versions of each conflict."""
+
+    problems: list[str] = attrs.field(factory=list)
+    conflicts: list[VersionConflict] = attrs.field(factory=list)
+
+
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+# Answers may hold fields that an older reader doesn't know.
+_LENIENT = cattrs.Converter()
+
+
+def to_plain(value: object) -> Any:
+    """Turn a typed answer into plain data for JSON."""
+    return _LENIENT.unstructure(value)
+
+
+def read_as(type_read: type[Typed], value: Any) -> Typed:
+    """Read plain data as a typed answer; raises ``ValueError`` for another form."""
+    try:
+        return _LENIENT.structure(value, type_read)
+    except (KeyError, TypeError, cattrs.BaseValidationError) as error:
+        raise ValueError(f"not a {type_read.__name__}") from error
+
+
+def read_apply(data: bytes) -> Result[ApplyRequest, Refusal]:
+    """Read the body of ``POST /apply``: an object, or a bare list of changes."""
+    try:
+        body = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        return Err(refuse("invalid_json", str(error)))
+    if isinstance(body, list):
+        body = {"changes": body}
+    try:
+        return Ok(_CONVERTER.structure(body, ApplyRequest))
+    except Exception as error:
+        detail = "; ".join(cattrs.transform_error(error))
+        return Err(refuse("record_invalid", detail))
