Free the key of a started call that was never sent

Cause: an agent that started a claim and then could not connect to the service had no start id to release it with, so repeats of the key heard 'unsettled'. Ruled out: releasing any started claim by token alone, since two agents can hold one token. After: the store that started a claim can release it; a test covers it.

--- a/src/acaciarelay/transport/claim_store.py
+++ b/src/acaciarelay/transport/claim_store.py
@@ -43,8 +43,8 @@
 
 TABLE = "claims"
 RETRY_AFTER_S = 1.0
-# Bounds the memory for starts that an outage left unconfirmed.
-MAX_UNCONFIRMED = 10_000
+# Bounds the memory for starts that were neither finished nor released.
+MAX_STARTS = 10_000
 
 REFUSALS = {
     DeniedReason.OTHER_BODY: "key_conflict",
@@ -100,7 +100,7 @@
         self.take_over_s = take_over_s
         self.inline_limit_bytes = inline_limit_bytes
         self.clock = clock
-        self.unconfirmed: collections.OrderedDict[str, str] = collections.OrderedDict()
+        self.starts: collections.OrderedDict[str, str] = collections.OrderedDict()
 
     async def claim(
         self, key: str, body_hash: str, token: str
@@ -134,12 +134,12 @@
         """
         # Two agents with the same token must not both see a start as their own.
         start_id = secrets.token_hex(16)
+        self.remember_start(token, start_id)
         match await self.apply(key, lambda now: start_step(now, token, start_id)):
             case Err(PlatformError() as error):
-                if error.fault is PlatformFault.UNKNOWN:
-                    self.remember_unconfirmed(token, start_id)
                 return Err(_unavailable(error))
             case Err(Denied() as denied):
+                self.starts.pop(token, None)
                 return Err(_denied(denied))
         return Ok(None)
 
@@ -158,17 +158,21 @@
             case Err(Denied() as denied):
                 detail = f"the result can't be stored: {denied.reason}"
                 return Err(refuse("key_unsettled", detail))
+        self.starts.pop(token, None)
         return Ok(None)
 
     async def release(self, key: str, token: str) -> Result[None, Refusal]:
-        """Give up a claim whose call was not sent."""
-        start_id = self.unconfirmed.get(token, "")
+        """Give up a claim whose call was not sent.
+
+        A started claim is released only by the store that started it.
+        """
+        start_id = self.starts.get(token, "")
         match await self.apply(key, lambda now: release_step(now, token, start_id)):
             case Err(PlatformError() as error):
                 return Err(_unavailable(error))
             case Err(Denied() as denied):
                 return Err(_denied(denied))
-        self.unconfirmed.pop(token, None)
+        self.starts.pop(token, None)
         return Ok(None)
 
     async def apply(
@@ -198,10 +202,10 @@
                 return Ok(_read_claim(row))
         raise AssertionError("an update has one of the ends above")
 
-    def remember_unconfirmed(self, token: str, start_id: str) -> None:
-        self.unconfirmed[token] = start_id
-        while len(self.unconfirmed) > MAX_UNCONFIRMED:
-            self.unconfirmed.popitem(last=False)
+    def remember_start(self, token: str, start_id: str) -> None:
+        self.starts[token] = start_id
+        while len(self.starts) > MAX_STARTS:
+            self.starts.popitem(last=False)
 
     async def store(
         self, key: str, token: str, result: StoredResult
--- a/tests/unit/test_claim_store.py
+++ b/tests/unit/test_claim_store.py
@@ -110,6 +110,15 @@
     assert await store.claim(KEY, "h", "b") == Ok(Claimed())
 
 
+async def test_a_started_call_that_was_not_sent_frees_its_key() -> None:
+    """A service that can't be reached must not leave the key unsettled for good."""
+    store = new_store(ScriptedPlatform())
+    await store.claim(KEY, "h", "a")
+    assert await store.start(KEY, "a") == Ok(None)
+    assert await store.release(KEY, "a") == Ok(None)
+    assert await store.claim(KEY, "h", "b") == Ok(Claimed())
+
+
 async def test_an_outage_refuses_the_claim_as_not_run() -> None:
     platform = ScriptedPlatform([Step.REFUSED])
     answer = await new_store(platform).claim(KEY, "h", "a")
