--- a/src/acaciarelay_standins/fleet.py
+++ b/src/acaciarelay_standins/fleet.py
@@ -17,7 +17,7 @@
 
 from acaciarelay.transport.http_client import FetchedAnswer, HttpError, fetch
 
-__all__ = ["Fleet", "Member", "Process", "free_port"]
+__all__ = ["Fleet", "Member", "Process", "ProxyAddress", "free_port"]
 
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
@@ -72,6 +72,14 @@
         return self.log_path.read_text(errors="replace")
 
 
+@attrs.frozen
+class ProxyAddress:
+    """Hold the address that a proxy serves and that of its control port."""
+
+    listen: str
+    control: str
+
+
 @attrs.define(kw_only=True)
 class Member:
     """Hold an entry or agent of the fleet with its addresses."""
@@ -139,7 +147,7 @@
             line = (await child.stdout.readline()).decode()
         if not line.startswith("listening on "):
             raise RuntimeError(f"{name} did not start: {line} {process.log()}")
-        return process, line.split()[2]
+        return process, line.removeprefix("listening on ").strip()
 
     async def start_platform(self, *flags: str) -> str:
         """Start the platform stand-in."""
@@ -157,6 +165,13 @@
         words = ["acaciarelay_standins.service", *flags]
         return (await self.spawn(name, words, ready_line=True))[1]
 
+    async def start_proxy(self, name: str, upstream: str, *flags: str) -> ProxyAddress:
+        """Start a fault-injecting TCP proxy before an address."""
+        words = ["acaciarelay_standins.proxy", "--upstream", upstream, *flags]
+        _, line = await self.spawn(name, words, ready_line=True)
+        address, _, control = line.partition(" control ")
+        return ProxyAddress(address, control)
+
     async def start_entry(
         self, name: str, zone: str = "zone-a", region: str = "region-a", *flags: str
     ) -> Member:
@@ -186,9 +201,10 @@
         region: str = "region-a",
         *flags: str,
         advertise: str | None = None,
+        listen: str | None = None,
     ) -> Member:
         """Start an agent; ``advertise`` is the address of a proxy before it."""
-        http, grpc = f"{HOST}:{free_port()}", f"{HOST}:{free_port()}"
+        http, grpc = f"{HOST}:{free_port()}", listen or f"{HOST}:{free_port()}"
         words = [
             *("--id", name, "--zone", zone, "--region", region),
             *("--listen", grpc, "--http-listen", http, "--platform", self.platform),
