Write the reference pages from the tables in the code

Cause: result codes and settings are read by callers and operators, and pages kept by hand drift from the code. `make check` now fails when a page differs.

Ruled out: writing the pages during the check, which would hide the difference from a reviewer.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: demo test check install proto
+.PHONY: demo test check docs install proto
 
 install: $(VENV)/.installed
 
@@ -21,6 +21,10 @@
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
+	$(PYTHON) tools/make_docs.py --check
+
+docs: install
+	$(PYTHON) tools/make_docs.py
 
 proto: install
 	$(PYTHON) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src \
