--- a/src/acaciarelay/programs/config_writer.py
+++ b/src/acaciarelay/programs/config_writer.py
@@ -55,6 +55,7 @@
     retry_after_s: float = 2.0
     parallel_reads: int = 16
     parallel_pushes: int = 32
+    gap_pause_s: float = 5.0
     history_kept: int = 2_000
     tokens_searched: int = 32
 
@@ -100,6 +101,8 @@
         self.wall_clock = wall_clock
         self.pushes: set[asyncio.Task] = set()
         self.push_slots = asyncio.Semaphore(self.limits.parallel_pushes)
+        # A snapshot is megabytes, so only one is encoded and sent at a time.
+        self.snapshot_slot = asyncio.Semaphore(1)
 
     async def apply(self, request: ApplyRequest) -> Result[ApplyAnswer, Refusal]:
         """Commit all changes in one transaction, or none of them.
@@ -309,9 +312,9 @@
             match answer:
                 case Err(error):
                     return Err(self.unavailable(error.detail))
-                case Ok(Row(deleted=False) as row):
-                    entries.append(read_as(LogEntry, row.value))
-        return Ok(entries)
+                case Ok(row):
+                    entries.append(_read_entry(row))
+        return Ok([entry for entry in entries if entry is not None])
 
     def publish(self, change: ChangeSet) -> None:
         """Put a committed change in force here and push it to all peers."""
@@ -323,18 +326,31 @@
 
     async def push(self, peer: Peer, change: ChangeSet) -> None:
         async with self.push_slots:
-            match await peer.push(change):
-                case Err(error):
-                    eliot.log_message("config:push_failed", detail=error.detail)
-                case Ok(generation) if generation < change.generation:
-                    # The peer lacks the base of this change, and may be unable to
-                    # reach the table.
-                    await peer.push(whole_change(self.sync.snapshot))
-
-    async def close(self) -> None:
-        """Wait for pushes that are under way; each is bounded by its timeout."""
+            answer = await peer.push(change)
+        match answer:
+            case Err(error):
+                eliot.log_message("config:push_failed", detail=error.detail)
+            case Ok(generation) if generation < change.generation:
+                await self.fill_gap(peer, change.generation)
+
+    async def fill_gap(self, peer: Peer, generation: int) -> None:
+        """Send the snapshot to a peer that lacks the base of a change.
+
+        The peer polls the table at once, so this is only for one that can't reach it.
+        """
+        await asyncio.sleep(self.limits.gap_pause_s)
+        async with self.snapshot_slot:
+            match await peer.generation():
+                case Ok(reached) if reached >= generation:
+                    return
+            await peer.push(whole_change(self.sync.snapshot))
+
+    async def close(self, grace_s: float = 5.0) -> None:
+        """Wait up to ``grace_s`` seconds for pushes that are under way."""
         if self.pushes:
-            await asyncio.wait(self.pushes)
+            _, late = await asyncio.wait(self.pushes, timeout=grace_s)
+            for task in late:
+                task.cancel()
 
 
 def _accepted(plan: Plan, token: str) -> ApplyAnswer:
@@ -355,11 +371,18 @@
     )
 
 
-def _fate_of(row: Row | None, token: str) -> _Fate:
+def _read_entry(row: Row | None) -> LogEntry | None:
     if row is None or row.deleted:
-        return _Fate.LOST_RACE
+        return None
     try:
-        entry = read_as(LogEntry, row.value)
+        return read_as(LogEntry, row.value)
     except ValueError:
+        eliot.log_message("config:row_malformed", key=row.key)
+        return None
+
+
+def _fate_of(row: Row | None, token: str) -> _Fate:
+    entry = _read_entry(row)
+    if entry is None or entry.token != token:
         return _Fate.LOST_RACE
-    return _Fate.COMMITTED if entry.token == token else _Fate.LOST_RACE
+    return _Fate.COMMITTED
--- a/tests/unit/test_config_writer.py
+++ b/tests/unit/test_config_writer.py
@@ -21,7 +21,7 @@
 from acaciarelay.state.records import Envelope
 
 POLICY = {"tiers": {"default": "a"}}
-LIMITS = WriterLimits(settle_attempts=3, settle_pause_s=0.0)
+LIMITS = WriterLimits(settle_attempts=3, settle_pause_s=0.0, gap_pause_s=0.0)
 
 
 def new_writer(
