--- /dev/null
+++ b/src/acaciarelay_bench/farm.py
@@ -0,0 +1,153 @@
+"""Many light peers in one process, to load one real entry or agent.
+
+- ``agents`` serves sessions as so many agents that report an idle endpoint.
+- ``entries`` keeps sessions with one agent as so many entries without requests.
+"""
+
+import argparse
+import asyncio
+import functools
+import random
+
+import attrs
+
+from acaciarelay.programs.membership import MEMBERS_TABLE
+from acaciarelay.protocol import relay_pb2 as pb
+from acaciarelay.protocol.platform_api import Transaction, Write
+from acaciarelay.protocol.wire import NO_FLOOR
+from acaciarelay.state.directory import AgentMember, member_key
+from acaciarelay.transport.platform_client import PlatformClient
+from acaciarelay.transport.relay_client import AgentSession, SessionTiming
+from acaciarelay.transport.relay_server import (
+    EntryLink,
+    RelayServer,
+    start_grpc_server,
+)
+from acaciarelay_standins.fleet import free_port
+
+__all__ = ["main"]
+
+HEARTBEAT_S = 1.0
+SILENCE_S = 10.0
+
+
+class IdleAgent:
+    """Answer one session with a welcome and a load each second."""
+
+    def __init__(self, name: str, pool: str) -> None:
+        self.name = name
+        self.pool = pool
+        self.links: set[EntryLink] = set()
+        self.generation = 0
+
+    def on_attach(self, link: EntryLink) -> None:
+        self.links.add(link)
+        welcome = pb.Welcome(
+            agent_id=self.name,
+            incarnation=1,
+            pool=self.pool,
+            zone="zone-a",
+            region="region-a",
+            token_limit=16_000,
+        )
+        link.send(pb.AgentMessage(welcome=welcome))
+
+    def on_message(self, link: EntryLink, message: pb.EntryMessage) -> None:
+        if message.HasField("config_update"):
+            self.generation = message.config_update.generation
+
+    def on_detach(self, link: EntryLink) -> None:
+        self.links.discard(link)
+
+    async def report(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            tiers = [
+                pb.TierLoad(tier=t, waiting=3, waiting_tokens=900, running=2)
+                for t in range(4)
+            ]
+            load = pb.Load(
+                tiers=tiers,
+                token_limit=16_000,
+                tier_floor=NO_FLOOR,
+                generation=self.generation,
+                endpoint_up=True,
+                tokens_per_second=4_000.0,
+            )
+            for link in self.links:
+                link.send(pb.AgentMessage(load=load))
+
+
+async def run_agents(platform: str, count: int, pool: str) -> None:
+    """Serve as ``count`` agents and register them."""
+    client = PlatformClient(platform, 10.0)
+    writes = []
+    servers = []
+    tasks = []
+    for number in range(count):
+        agent = IdleAgent(f"farm-{number}", pool)
+        address = f"127.0.0.1:{free_port()}"
+        relay = RelayServer(agent, SILENCE_S)
+        servers.append(await start_grpc_server(address, relay.add_to))
+        tasks.append(asyncio.create_task(agent.report()))
+        member = AgentMember(agent.name, address, 1, pool, "zone-a", "region-a")
+        row = Write(MEMBERS_TABLE, member_key(member), attrs.asdict(member))
+        writes.append(row)
+    (await client.commit(Transaction([], writes))).unwrap()
+    print("listening on all", flush=True)
+    await asyncio.gather(*tasks)
+
+
+class IdleEntry:
+    """Take the messages of one session and do nothing."""
+
+    def on_welcome(self, session: AgentSession, welcome: pb.Welcome) -> None:
+        """Ignore the event."""
+
+    def on_message(self, session: AgentSession, message: pb.AgentMessage) -> None:
+        """Ignore the event."""
+
+    def on_lost(self, session: AgentSession) -> None:
+        """Ignore the event."""
+
+
+async def run_entries(address: str, count: int) -> None:
+    """Keep sessions with one agent as ``count`` entries."""
+    rng = random.Random(1)
+    tasks = []
+    for number in range(count):
+        hello = functools.partial(
+            pb.Hello, entry_id=f"farm-{number}", incarnation=1, generation=1
+        )
+        session = AgentSession(
+            "agent",
+            address,
+            hello,
+            IdleEntry(),
+            rng,
+            SessionTiming(silence_s=SILENCE_S),
+        )
+        tasks.append(asyncio.create_task(session.run()))
+        # Spread the heartbeats over the second, as independent entries do.
+        await asyncio.sleep(HEARTBEAT_S / count)
+    print("listening on all", flush=True)
+    await asyncio.gather(*tasks)
+
+
+def main() -> None:
+    """Run the farm until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("kind", choices=["agents", "entries"])
+    parser.add_argument("--count", type=int, required=True)
+    parser.add_argument("--platform", default="")
+    parser.add_argument("--agent", default="")
+    parser.add_argument("--pool", default="assistants")
+    words = parser.parse_args()
+    if words.kind == "agents":
+        asyncio.run(run_agents(words.platform, words.count, words.pool))
+    else:
+        asyncio.run(run_entries(words.agent, words.count))
+
+
+if __name__ == "__main__":
+    main()
