--- a/src/acaciarelay/programs/config_sync.py
+++ b/src/acaciarelay/programs/config_sync.py
@@ -216,8 +216,7 @@
             # Keeping the cursor makes the next poll read these rows again, together
             # with their generation.
             return
-        outcome = self.offer(change)
-        if outcome is ApplyOutcome.GAP or change.generation < self.generation:
+        if self.offer(change) is ApplyOutcome.GAP:
             return
         self.cursor = changes.revision
         self.cursor_generation = change.generation
