Stop logging a planned server stop as an error

HttpServer.close cancels the handlers that outlast the grace time. asyncio 3.11 reads the exception of a cancelled connection handler and logs a traceback, so each stop with a request in service looked like a fault. The handler now ends quietly when the server is closing; a cancellation from elsewhere still passes.

Silencing asyncio's logger was ruled out, since it would hide real faults.

--- a/src/acaciarelay/transport/http_server.py
+++ b/src/acaciarelay/transport/http_server.py
@@ -336,6 +336,11 @@
             await self.serve(connection, task)
         except CallerGone:
             pass
+        except asyncio.CancelledError:
+            # asyncio logs a cancelled connection handler as an error, but `close`
+            # cancels handlers as a part of a planned stop.
+            if not self.closing:
+                raise
         finally:
             self.busy.discard(task)
             await connection.close()
