Send heartbeats less often on sessions that carry no request

Ruled out: fewer agents alone (24 pools with 20 agents each are 480 sessions), and a longer interval for all sessions, which would delay the resumption of answers. Also: a repeat of a key whose call runs is told to repeat later, not only to ask the operator.

--- a/src/acaciarelay/coordination/fair_queue.py
+++ b/src/acaciarelay/coordination/fair_queue.py
@@ -125,6 +125,10 @@
                 removed.append(reservation)
         return removed
 
+    def has_entry(self, entry_id: str) -> bool:
+        """Tell whether a reservation of an entry waits."""
+        return bool(self._entries.get(entry_id))
+
     def load(self) -> dict[int, TierCount]:
         """Return copies of the waiting counts of the tiers that have waiting work."""
         return {
--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -18,7 +18,7 @@
 
 __all__ = ["AgentCore", "AgentIdentityConfig"]
 
-HEARTBEAT_S = 1.0
+HEARTBEAT_CHECK_S = 0.5
 TICK_S = 0.05
 # A pull whose answer is lost must not hold room for long.
 PULL_TIMEOUT_S = 3.0
@@ -180,7 +180,10 @@
             self.settle_last_resort(reservation)
 
     def raise_floor(self, tier: int, now: float) -> None:
+        old = self.floor.current(now)
         self.floor.set(tier, now)
+        if old is None or tier < old:
+            self.send_load()
         for evicted in self.queue.evict_below(tier):
             self.drop(evicted, pb.EVICTED)
 
@@ -301,13 +304,24 @@
             await asyncio.sleep(TICK_S)
             self.tick()
             if time.monotonic() >= next_heartbeat:
-                next_heartbeat = time.monotonic() + HEARTBEAT_S
-                self.send_load()
+                next_heartbeat = time.monotonic() + HEARTBEAT_CHECK_S
+                self.send_heartbeats()
 
-    def send_load(self) -> None:
-        """Send the load to every entry."""
+    def send_heartbeats(self) -> None:
+        """Send the load to the entries whose heartbeat is due."""
         self.metrics.set("token_limit", self.limit.limit)
         self.metrics.set("tokens_in_service", self.limit.in_use)
+        now = time.monotonic()
+        running = self.runs.entry_ids()
+        message = pb.AgentMessage(load=self.load())
+        for link in self.links.values():
+            active = link.entry_id in running or self.queue.has_entry(link.entry_id)
+            link.liveness.set_active(active, now)
+            if link.liveness.heartbeat_due(now):
+                link.send(message)
+
+    def send_load(self) -> None:
+        """Send a change that every entry must know at once."""
         message = pb.AgentMessage(load=self.load())
         for link in self.links.values():
             link.send(message)
--- a/src/acaciarelay/programs/agent_service.py
+++ b/src/acaciarelay/programs/agent_service.py
@@ -61,6 +61,10 @@
         """List the runs whose call has not ended."""
         return [run for run in self.runs.values() if not run.output.dispatch.ended]
 
+    def entry_ids(self) -> set[str]:
+        """Return the entries that wait for an answer from here."""
+        return {run.output.dispatch.entry_id for run in self.runs.values()}
+
     @property
     def idle(self) -> bool:
         return not self.runs and not self.background
--- a/src/acaciarelay/programs/entry_call.py
+++ b/src/acaciarelay/programs/entry_call.py
@@ -97,6 +97,7 @@
     shed_check: ShedCheck | None = None
     hopeless: bool = False
     session: AgentSession | None = None
+    reserved_at: set[AgentSession] = attrs.field(factory=set)
     body_task: asyncio.Task[None] | None = None
     body_credit: int = 0
     credit_given: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -126,6 +127,8 @@
         """Send a reservation; a repeated one replaces the first."""
         now = time.monotonic()
         self.state.reserve(session.agent_id)
+        session.outstanding.add(self.request_id)
+        self.reserved_at.add(session)
         message = pb.Reserve(
             request_id=self.request_id,
             pool=self.pool.name,
@@ -248,7 +251,9 @@
         return True
 
     def close(self) -> None:
-        """Release timers and tasks."""
+        """Release timers, tasks and sessions."""
+        for session in self.reserved_at:
+            session.outstanding.discard(self.request_id)
         self.state.end()
         self.stop_body()
         if self.resume_timer is not None:
--- a/src/acaciarelay/programs/entry_core.py
+++ b/src/acaciarelay/programs/entry_core.py
@@ -157,6 +157,7 @@
                 call.events.put_nowait(HolderLost("The agent was restarted"))
                 continue
             call.session = session
+            session.outstanding.add(call.request_id)
             query = pb.Query(
                 request_id=call.request_id, next_seq=call.state.answer.next_seq
             )
@@ -224,6 +225,7 @@
             call.state.drop(agent_id)
             session = self.sessions.get(agent_id)
             if session is not None:
+                session.outstanding.discard(call.request_id)
                 withdraw = pb.Withdraw(request_id=call.request_id)
                 session.send(pb.EntryMessage(withdraw=withdraw))
 
@@ -234,6 +236,7 @@
         if call.shed_check is not None:
             call.shed_check.answered(session.agent_id)
             call.wake.set()
+        session.outstanding.discard(call.request_id)
         if call.state.drop(session.agent_id):
             reason = pb.DropReason.Name(drop.reason).lower()
             self.note_drop(call, session.agent_id, reason)
--- a/src/acaciarelay/protocol/codes.py
+++ b/src/acaciarelay/protocol/codes.py
@@ -81,7 +81,14 @@
     (400, "key_required", 400, _N, "Send an Idempotency-Key with this call.", False),
     (401, "key_conflict", 409, _N, "Use a new key for a different body.", False),
     (402, "key_in_progress", 409, _N, "Wait, then repeat with the same key.", True),
-    (403, "key_unsettled", 409, _U, "Ask the operator to settle this key.", False),
+    (
+        403,
+        "key_unsettled",
+        409,
+        _U,
+        "Repeat later; if it stays, ask the operator.",
+        True,
+    ),
     # 5xx: endpoints and outcome.
     (500, "outcome_unknown", 502, _U, "Check the effect before repeating.", False),
     (501, "endpoint_stalled", 504, _R, "The answer is incomplete; retry.", True),
--- a/src/acaciarelay/transport/claim_store.py
+++ b/src/acaciarelay/transport/claim_store.py
@@ -10,7 +10,7 @@
 import cattrs
 from result import Err, Ok, Result
 
-from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.codes import CODES, Refusal, refuse
 from acaciarelay.protocol.platform_api import (
     Platform,
     PlatformError,
@@ -249,7 +249,7 @@
 
 def _denied(denied: Denied) -> Refusal:
     name = REFUSALS[denied.reason]
-    retry_after_s = RETRY_AFTER_S if name == "key_in_progress" else None
+    retry_after_s = RETRY_AFTER_S if CODES[name].retryable else None
     return refuse(name, f"the claim of this key is {denied.reason}", retry_after_s)
 
 
--- a/src/acaciarelay/transport/http_server.py
+++ b/src/acaciarelay/transport/http_server.py
@@ -322,6 +322,11 @@
             pass
         except (OSError, h11.ProtocolError) as error:
             eliot.log_message(message_type="connection_failed", detail=str(error))
+        except asyncio.CancelledError:
+            # asyncio logs a cancelled connection handler as an error, but `close`
+            # cancels handlers as a part of a planned stop.
+            if not self.closing:
+                raise
         finally:
             self.busy.discard(task)
             await connection.close()
--- a/src/acaciarelay/transport/relay_client.py
+++ b/src/acaciarelay/transport/relay_client.py
@@ -15,6 +15,7 @@
 import grpc
 
 from acaciarelay.protocol import relay_pb2 as pb, relay_pb2_grpc
+from acaciarelay.state.liveness import Liveness
 from acaciarelay.transport.outgoing import OutgoingQueue, SessionClosed
 
 __all__ = ["AgentSession", "SessionHandler", "SessionTiming"]
@@ -74,7 +75,9 @@
         self.outgoing.close()
         self.connected = False
         self.incarnation = 0
-        self.last_heard = 0.0
+        self.liveness = Liveness(timing.heartbeat_s, timing.silence_s, 0.0)
+        # Requests that the agent may be working for; they make the session active.
+        self.outstanding: set[str] = set()
         self.sent_bytes = 0
         self.received_bytes = 0
         self.failures = 0
@@ -113,7 +116,10 @@
             if first is grpc.aio.EOF or not first.HasField("welcome"):
                 return
             self.incarnation = first.welcome.incarnation
-            self.last_heard = time.monotonic()
+            self.outstanding.clear()
+            self.liveness = Liveness(
+                self.timing.heartbeat_s, self.timing.silence_s, time.monotonic()
+            )
             self.connected = True
             self.failures = 0
             self.handler.on_welcome(self, first.welcome)
@@ -151,7 +157,7 @@
             message = await call.read()
             if message is grpc.aio.EOF:
                 return
-            self.last_heard = time.monotonic()
+            self.liveness.heard(time.monotonic())
             self.received_bytes += message.ByteSize()
             self.handler.on_message(self, message)
 
@@ -163,8 +169,12 @@
 
     async def watch(self) -> None:
         while True:
-            await asyncio.sleep(self.timing.heartbeat_s)
-            if time.monotonic() - self.last_heard > self.timing.silence_s:
+            await asyncio.sleep(self.timing.heartbeat_s / 2)
+            now = time.monotonic()
+            self.liveness.set_active(bool(self.outstanding), now)
+            if self.liveness.silent(now):
                 return
+            if not self.liveness.heartbeat_due(now):
+                continue
             generation = self.hello().generation
             self.send(pb.EntryMessage(heartbeat=pb.Heartbeat(generation=generation)))
--- a/src/acaciarelay/transport/relay_server.py
+++ b/src/acaciarelay/transport/relay_server.py
@@ -9,6 +9,7 @@
 import grpc
 
 from acaciarelay.protocol import relay_pb2 as pb, relay_pb2_grpc
+from acaciarelay.state.liveness import Liveness
 from acaciarelay.transport.outgoing import OutgoingQueue, SessionClosed
 
 __all__ = ["EntryLink", "LinkHandler", "RelayServer", "start_grpc_server"]
@@ -19,19 +20,20 @@
     ("grpc.max_send_message_length", 8_388_608),
 ]
 HELLO_TIMEOUT_S = 3.0
+HEARTBEAT_S = 1.0
 
 
 class EntryLink:
     """Hold one open session with an entry."""
 
-    def __init__(self, hello: pb.Hello) -> None:
+    def __init__(self, hello: pb.Hello, silence_s: float) -> None:
         self.entry_id = hello.entry_id
         self.incarnation = hello.incarnation
         self.zone = hello.zone
         self.region = hello.region
         self.generation = hello.generation
         self.outgoing: OutgoingQueue[pb.AgentMessage] = OutgoingQueue()
-        self.last_heard = time.monotonic()
+        self.liveness = Liveness(HEARTBEAT_S, silence_s, time.monotonic())
 
     def send(self, message: pb.AgentMessage) -> None:
         """Send a control message; it is dropped when the session has ended."""
@@ -76,7 +78,7 @@
             first = await anext(request_iterator)
         if not first.HasField("hello"):
             return
-        link = EntryLink(first.hello)
+        link = EntryLink(first.hello, self.silence_s)
         self.handler.on_attach(link)
         reader = asyncio.create_task(self.read(link, request_iterator))
         watcher = asyncio.create_task(self.watch(link))
@@ -97,7 +99,7 @@
             async for message in messages:
                 if link.outgoing.closed:
                     return
-                link.last_heard = time.monotonic()
+                link.liveness.heard(time.monotonic())
                 self.handler.on_message(link, message)
         except grpc.RpcError:
             pass
@@ -107,7 +109,7 @@
     async def watch(self, link: EntryLink) -> None:
         while True:
             await asyncio.sleep(self.silence_s / 3)
-            if time.monotonic() - link.last_heard > self.silence_s:
+            if link.liveness.silent(time.monotonic()):
                 link.close()
                 return
 
