Abandon runs that a returning entry no longer asks about

Cause: when an entry opened a new session before the agent noticed that the old one was silent, the agent replaced the link without starting the resume window of the entry's runs. A run whose cancellation was lost with the old session was then never abandoned: it held its tokens and, with a full answer buffer, its connection to the engine for good.

Ruled out: the lost session noticed by the agent first, which starts the window in on_detach (the same test passes with a short silence-s at the agent).

Now each attach starts the window; the entry's Query resets it for the runs that it still wants.

Before: test_a_caller_that_left_during_a_fault_frees_the_endpoint reported the run still running 10 s after the fault (502 tokens sent). After: it passes.

--- a/src/acaciarelay/programs/agent_service.py
+++ b/src/acaciarelay/programs/agent_service.py
@@ -174,21 +174,30 @@
     # Entries.
 
     def entry_attached(self, entry_id: str, incarnation: int) -> None:
-        """Stop what an earlier incarnation of an entry left behind."""
-        if self.incarnations.get(entry_id, incarnation) != incarnation:
-            for run in list(self.runs.values()):
-                dispatch = run.output.dispatch
-                if dispatch.entry_id != entry_id:
-                    continue
-                if dispatch.entry_incarnation != incarnation:
-                    self.abandon(run)
+        """Stop what an earlier incarnation of an entry left behind.
+
+        The resume window starts for the other runs of the entry. It asks about those
+        that it still wants; its cancellation of the others may have been lost.
+        """
+        known = self.incarnations.get(entry_id, incarnation)
         self.incarnations[entry_id] = incarnation
+        self.entry_detached(entry_id)
+        if known == incarnation:
+            return
+        for run in list(self.runs.values()):
+            dispatch = run.output.dispatch
+            if dispatch.entry_id != entry_id:
+                continue
+            if dispatch.entry_incarnation != incarnation:
+                self.abandon(run)
 
     def entry_detached(self, entry_id: str) -> None:
         """Start the resume window of an entry's runs."""
         now = time.monotonic()
         for run in self.runs.values():
-            if run.output.dispatch.entry_id == entry_id:
+            if run.output.dispatch.entry_id != entry_id:
+                continue
+            if run.orphaned_at is None:
                 run.orphaned_at = now
 
     def abandon(self, run: Run) -> None:
