Keep a caller's connection usable after an answer

Cause: after an answer the task that watches for the caller's departure was cancelled but still waited on the stream when the server read the next request. asyncio then raised RuntimeError (read() called while another coroutine is already waiting), and the connection broke with a traceback in the log. Every connection kept open for a second request was affected. The handler now waits for the end of the watcher.

Ruled out: a fault of the HTTP server alone; administration requests, which have no watcher, were served on a kept connection.

Before: the new test reported IncompleteReadError for the second request, as it does with the wait switched off in a scratch copy. After: it passes.

--- a/src/acaciarelay/programs/entry_requests.py
+++ b/src/acaciarelay/programs/entry_requests.py
@@ -333,9 +333,12 @@
                         call.shed_check = None
                         call.hopeless = False
         finally:
-            watcher.cancel()
             call.close()
             self.core.calls.pop(call.request_id, None)
+            # The next request of the connection is read by another task, and two
+            # tasks can't wait for one stream.
+            watcher.cancel()
+            await asyncio.wait([watcher])
 
     async def watch_caller(self, exchange: HttpExchange, call: Call) -> None:
         await exchange.wait_closed()
--- /dev/null
+++ b/tests/integration/cluster.py
@@ -0,0 +1,296 @@
+"""Clusters of engines behind agents, their links, and the verdict over records."""
+
+import asyncio
+import contextlib
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+from integration.support import (
+    CHAT_PATH,
+    KEY,
+    Answer,
+    apply,
+    chat_body,
+    read_answer,
+    record,
+    standard_records,
+)
+from result import Err, Ok
+
+from acaciarelay.transport.http_client import (
+    ClientLimits,
+    HttpError,
+    HttpFault,
+    open_exchange,
+)
+from acaciarelay_standins.answers import expected_chat_answer
+from acaciarelay_standins.fleet import Fleet, Member, ProxyAddress, free_port
+
+# Short, so that a silent session is replaced early; heartbeats come every second.
+SILENCE_S = 2.0
+POLL_S = 0.02
+WAIT_S = 15.0
+
+
+async def until(condition: Callable[[], bool], what: str, limit_s: float = WAIT_S):
+    """Wait for a condition; raises ``AssertionError`` when it stays false."""
+    deadline = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not seen in {limit_s:g} s: {what}")
+        await asyncio.sleep(POLL_S)
+
+
+@attrs.define(eq=False)
+class Pending:
+    """Hold a request under way: the body sent, the answer so far and its reader."""
+
+    body: bytes
+    answer: Answer
+    task: asyncio.Task[None]
+
+    async def started(self) -> None:
+        """Wait for the first byte of the answer."""
+        await until(lambda: self.answer.first_byte_at is not None, "a first byte")
+
+    async def leave(self) -> None:
+        """Close the caller's connection before the answer is whole."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        self.answer.error = HttpError(HttpFault.SENT, "the caller left")
+
+    async def end(self, limit_s: float = 40.0) -> Answer:
+        """Wait for the end of the answer."""
+        async with asyncio.timeout(limit_s):
+            await asyncio.wait([self.task])
+        return self.answer
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether the caller has every byte of its own answer."""
+        return self.answer.whole and self.answer.body == expected_chat_answer(self.body)
+
+
+async def run_call(
+    address: str, body: bytes, headers: Sequence[tuple[str, str]], answer: Answer
+) -> None:
+    limits = ClientLimits(head_timeout_s=60.0, read_timeout_s=60.0)
+    match await open_exchange(address, limits):
+        case Err(error):
+            answer.error = error
+            return
+        case Ok(exchange):
+            pass
+    fields = [
+        ("host", address),
+        *headers,
+        ("content-length", str(len(body))),
+    ]
+    try:
+        await exchange.send_request("POST", CHAT_PATH, fields, body)
+        await read_answer(exchange, answer)
+    finally:
+        answer.ended_at = time.monotonic()
+        await exchange.close()
+
+
+@attrs.define(eq=False)
+class Cluster:
+    """Hold a fleet of chat engines with one agent each, by the agents' names."""
+
+    fleet: Fleet
+    engines: dict[str, str] = attrs.field(factory=dict)
+    proxies: dict[str, ProxyAddress] = attrs.field(factory=dict)
+    pending: list[Pending] = attrs.field(factory=list)
+
+    def begin(
+        self,
+        text: str,
+        max_tokens: int = 8,
+        entry: str = "entry-1",
+        stream: bool = True,
+        timeout_ms: int | None = None,
+        request_class: str = "default",
+        body: bytes | None = None,
+    ) -> Pending:
+        """Send one chat request without waiting for its answer."""
+        headers = [
+            ("authorization", f"Bearer {KEY}"),
+            ("acaciarelay-class", request_class),
+        ]
+        if timeout_ms is not None:
+            headers.append(("acaciarelay-timeout-ms", str(timeout_ms)))
+        body = body or chat_body(text, max_tokens, stream)
+        answer = Answer()
+        address = self.fleet.entries[entry].http
+        task = asyncio.create_task(run_call(address, body, headers, answer))
+        call = Pending(body, answer, task)
+        self.pending.append(call)
+        return call
+
+    async def start_agent(self, name: str, *flags: str, proxied: bool = True) -> None:
+        """Start an engine and its agent, whose link passes through a proxy."""
+        if name not in self.engines:
+            self.engines[name] = await self.fleet.start_engine(f"engine-{name}")
+        listen = f"127.0.0.1:{free_port()}"
+        advertise = None
+        if proxied:
+            proxy = await self.fleet.start_proxy(f"proxy-{name}", listen)
+            self.proxies[name] = proxy
+            advertise = proxy.listen
+        await self.fleet.start_agent(
+            name,
+            "assistants",
+            "chat",
+            self.engines[name],
+            "zone-a",
+            "region-a",
+            *("--silence-s", str(SILENCE_S)),
+            *flags,
+            advertise=advertise,
+            listen=listen,
+        )
+
+    async def restart(self, member: Member, module: str) -> None:
+        """Start a killed member again with the same flags."""
+        words = [f"acaciarelay.programs.{module}", *member.flags]
+        member.process, _ = await self.fleet.spawn(member.name, words)
+        await self.fleet.wait_http(member.http, "/healthz", member.process)
+
+    async def restart_agent(self, name: str) -> None:
+        await self.restart(self.fleet.agents[name], "agent_main")
+
+    async def restart_entry(self, name: str) -> None:
+        await self.restart(self.fleet.entries[name], "entry_main")
+
+    async def link(self, agent: str, **faults: Any) -> None:
+        """Set the faults of the link between the entries and one agent."""
+        await self.fleet.set_faults(self.proxies[agent].control, **faults)
+
+    async def engine(self, agent: str, **faults: Any) -> None:
+        """Set the faults of one engine."""
+        await self.fleet.set_faults(self.engines[agent], **faults)
+
+    async def records(self, agent: str | None = None) -> list[dict[str, Any]]:
+        """Read the requests that one engine, or all of them, received."""
+        found: list[dict[str, Any]] = []
+        for name, address in self.engines.items():
+            if agent in (None, name):
+                found += (await self.fleet.record(address))["requests"]
+        return found
+
+    async def until_recorded(self, number: int, agent: str | None = None) -> None:
+        """Wait until the engines have received so many requests."""
+        deadline = time.monotonic() + WAIT_S
+        while len(await self.records(agent)) < number:
+            assert time.monotonic() < deadline, f"no {number} requests at the engines"
+            await asyncio.sleep(POLL_S)
+
+    async def until_settled(self, limit_s: float = WAIT_S) -> None:
+        """Wait until no engine runs a request."""
+        deadline = time.monotonic() + limit_s
+        while True:
+            running = [r for r in await self.records() if r["end"] is None]
+            if not running:
+                return
+            assert time.monotonic() < deadline, f"still running: {running}"
+            await asyncio.sleep(POLL_S)
+
+    def events(self, member: Member, name: str) -> list[dict[str, Any]]:
+        """Read the log events of one name of a process, oldest first."""
+        found = []
+        for line in member.process.log().splitlines():
+            if f'"{name}"' not in line:
+                continue
+            with contextlib.suppress(orjson.JSONDecodeError):
+                found.append(orjson.loads(line))
+        return found
+
+    async def handed_off(self, number: int, entry: str = "entry-1") -> dict[str, Any]:
+        """Wait until an entry has handed off so many requests; return the last."""
+        member = self.fleet.entries[entry]
+        found: list[dict[str, Any]] = []
+
+        def seen() -> bool:
+            found[:] = self.events(member, "request_handed_off")
+            return len(found) >= number
+
+        await until(seen, f"{number} requests handed off")
+        return found[number - 1]
+
+    async def ended(self) -> list[Answer]:
+        """Wait for the end of all requests."""
+        return [await call.end() for call in self.pending]
+
+    async def judge(self) -> None:
+        """Check I1, I3 and I4 over all callers and all engines' records."""
+        await self.ended()
+        await self.until_settled()
+        counts = Counter(record["request_id"] for record in await self.records())
+        repeated = sorted(name for name, count in counts.items() if count > 1)
+        assert not repeated, f"dispatched more than once: {repeated}"
+        for call in self.pending:
+            answer = call.answer
+            name = answer.request_id
+            if answer.whole:
+                assert call.whole, f"wrong bytes in the answer to {name}"
+                assert counts[name] == 1, f"{name} was answered but not dispatched"
+            if told(answer) == "not_run":
+                assert counts[name] == 0, f"{name} ran though its caller heard not_run"
+
+
+def told(answer: Answer) -> str:
+    """Say what the caller knows of the run: the stated outcome, whole or broken."""
+    if answer.whole and not answer.code:
+        return "whole"
+    return answer.outcome if answer.code else "broken"
+
+
+def patient_records() -> list[dict[str, Any]]:
+    """Return the standard records with times that outlast a fault under test."""
+    times = {"timeout_ms": 40_000, "wait_budget_ms": 20_000}
+    records = [item for item in standard_records() if item["type"] != "tier"]
+    for rank, name in enumerate(("urgent", "normal", "batch")):
+        records.append(record("tier", name, rank=rank, **times))
+    return records
+
+
+@contextlib.asynccontextmanager
+async def cluster_of(
+    directory: Path,
+    agents: int = 1,
+    entries: int = 1,
+    engine_flags: Sequence[str] = (),
+    agent_flags: Sequence[str] = (),
+    entry_flags: Sequence[str] = (),
+    proxied: bool = True,
+) -> AsyncIterator[Cluster]:
+    """Start entries and agents ``entry-1``, ``agent-1`` and so on."""
+    async with Fleet(directory) as fleet:
+        cluster = Cluster(fleet)
+        await fleet.start_platform()
+
+        async def start_pair(name: str) -> None:
+            address = await fleet.start_engine(f"engine-{name}", *engine_flags)
+            cluster.engines[name] = address
+            await cluster.start_agent(name, *agent_flags, proxied=proxied)
+
+        async def start_entry(name: str) -> None:
+            silence = ("--silence-s", str(SILENCE_S))
+            await fleet.start_entry(name, "zone-a", "region-a", *silence, *entry_flags)
+
+        starts = [start_entry(f"entry-{n + 1}") for n in range(entries)]
+        starts += [start_pair(f"agent-{n + 1}") for n in range(agents)]
+        await asyncio.gather(*starts)
+        await apply(fleet, patient_records())
+        await fleet.wait_ready()
+        try:
+            yield cluster
+        finally:
+            for call in cluster.pending:
+                call.task.cancel()
--- /dev/null
+++ b/tests/integration/test_kept_connections.py
@@ -0,0 +1,25 @@
+"""Guard against connections that break between two requests of a caller."""
+
+from pathlib import Path
+
+from integration.cluster import cluster_of
+from integration.raw_caller import RawCaller
+from integration.support import chat_body
+
+from acaciarelay_standins.answers import expected_chat_answer
+
+
+async def test_a_kept_connection_serves_one_request_after_another(
+    tmp_path: Path,
+) -> None:
+    """Guard against an answer that leaves its connection unusable."""
+    async with cluster_of(tmp_path, proxied=False) as cluster:
+        address = cluster.fleet.entries["entry-1"].http
+        async with RawCaller(address) as caller:
+            for number in range(3):
+                body = chat_body(f"request {number}", 8, stream=False)
+                await caller.send_request(body)
+                status, answer = await caller.read_answer()
+                assert status == 200
+                assert answer == expected_chat_answer(body)
+        assert "Traceback" not in cluster.fleet.entries["entry-1"].process.log()
