Do not ask an agent again for a request that it returned

Cause: an agent that tombstoned a request, or returned it as not dispatched, drops every later reservation of it as expired. The entry asked it again every 0.5 s, and each try was charged to the pool's retry budget. Where no other agent could take the request, it used up the whole budget of the pool.

Ruled out: drops for another reason; before the fix the counters of the test were 1 for 'tombstoned' and 9 for 'expired'.

Before (and with the rule switched off in a scratch copy): test_a_returned_request_does_not_spend_the_retry_budget reported 10 retries.

--- a/src/acaciarelay/programs/entry_call.py
+++ b/src/acaciarelay/programs/entry_call.py
@@ -1,6 +1,7 @@
 """One request at the entry that owns it: its state, its events and its body."""
 
 import asyncio
+import math
 import time
 
 import attrs
@@ -238,6 +239,9 @@
         self.stop_body()
         self.session = None
         self.retry_reason = reason
+        # The agent's marker outlives every deadline, so asking it again would only
+        # spend the retry budget of the pool.
+        self.avoid_until[identity.agent_id] = math.inf
         self.events.put_nowait(Returned(reason))
         return True
 
