Limit the time for the whole body of a request

Cause: the entry limited only the pause between two pieces of a body. A caller that sent one byte within each pause held its place and its body bytes for good. The body now has to arrive within the time that the request may take; else the caller is told body_too_slow (103).

Ruled out: the limit on pauses itself, which test_slow_callers_are_told_so shows to act.

Before: test_a_body_in_drops_ends_at_its_deadline had no answer after 8 s with a timeout of 1.5 s. After: it has 103.

--- a/src/acaciarelay/programs/entry_requests.py
+++ b/src/acaciarelay/programs/entry_requests.py
@@ -196,6 +196,17 @@
 
     async def read_body(
         self, exchange: HttpExchange, progress: Progress, head: CallHead
+    ) -> Result[list[bytes], Refusal]:
+        """Read the body within the time that the request may take."""
+        # The limit on pauses alone would let a body arrive byte by byte for ever.
+        try:
+            async with asyncio.timeout(head.timeout_s):
+                return await self.read_pieces(exchange, progress, head)
+        except TimeoutError:
+            return Err(refuse("body_too_slow"))
+
+    async def read_pieces(
+        self, exchange: HttpExchange, progress: Progress, head: CallHead
     ) -> Result[list[bytes], Refusal]:
         """Read the body into pieces that go to the agent as they are."""
         pieces: list[bytes] = []
