--- a/src/acaciarelay/programs/entry_requests.py
+++ b/src/acaciarelay/programs/entry_requests.py
@@ -196,6 +196,17 @@
 
     async def read_body(
         self, exchange: HttpExchange, progress: Progress, head: CallHead
+    ) -> Result[list[bytes], Refusal]:
+        """Read the body within the time that the request may take."""
+        # The limit on pauses alone would let a body arrive byte by byte for ever.
+        try:
+            async with asyncio.timeout(head.timeout_s):
+                return await self.read_pieces(exchange, progress, head)
+        except TimeoutError:
+            return Err(refuse("body_too_slow"))
+
+    async def read_pieces(
+        self, exchange: HttpExchange, progress: Progress, head: CallHead
     ) -> Result[list[bytes], Refusal]:
         """Read the body into pieces that go to the agent as they are."""
         pieces: list[bytes] = []
@@ -333,11 +344,12 @@
                         call.shed_check = None
                         call.hopeless = False
         finally:
-            watcher.cancel()
-            # The connection can't be read again before the watcher has let go of it.
-            await asyncio.wait({watcher})
             call.close()
             self.core.calls.pop(call.request_id, None)
+            # The next request of the connection is read by another task, and two
+            # tasks can't wait for one stream.
+            watcher.cancel()
+            await asyncio.wait([watcher])
 
     async def watch_caller(self, exchange: HttpExchange, call: Call) -> None:
         await exchange.wait_closed()
--- a/src/acaciarelay_bench/farm.py
+++ b/src/acaciarelay_bench/farm.py
@@ -1,6 +1,6 @@
 """Many light peers in one process, to load one real entry or agent.
 
-- ``agents`` serves sessions as so many agents that report an idle endpoint.
+- ``agents`` serves sessions as so many agents with some load.
 - ``entries`` keeps sessions with one agent as so many entries without requests.
 """
 
@@ -8,6 +8,7 @@
 import asyncio
 import functools
 import random
+import time
 
 import attrs
 
@@ -27,12 +28,14 @@
 
 __all__ = ["main"]
 
-HEARTBEAT_S = 1.0
-SILENCE_S = 10.0
+CHECK_S = 0.5
+# Independent entries send their heartbeats at independent times.
+SPREAD_S = 5.0
+SILENCE_S = 3.0
 
 
 class IdleAgent:
-    """Answer one session with a welcome and a load each second."""
+    """Answer sessions with a welcome and with heartbeats."""
 
     def __init__(self, name: str, pool: str) -> None:
         self.name = name
@@ -61,7 +64,7 @@
 
     async def report(self) -> None:
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(CHECK_S)
             tiers = [
                 pb.TierLoad(tier=t, waiting=3, waiting_tokens=900, running=2)
                 for t in range(4)
@@ -74,8 +77,10 @@
                 endpoint_up=True,
                 tokens_per_second=4_000.0,
             )
+            now = time.monotonic()
             for link in self.links:
-                link.send(pb.AgentMessage(load=load))
+                if link.liveness.heartbeat_due(now):
+                    link.send(pb.AgentMessage(load=load))
 
 
 async def run_agents(platform: str, count: int, pool: str) -> None:
@@ -128,8 +133,7 @@
             SessionTiming(silence_s=SILENCE_S),
         )
         tasks.append(asyncio.create_task(session.run()))
-        # Spread the heartbeats over the second, as independent entries do.
-        await asyncio.sleep(HEARTBEAT_S / count)
+        await asyncio.sleep(SPREAD_S / count)
     print("listening on all", flush=True)
     await asyncio.gather(*tasks)
 
