--- a/src/acaciarelay_standins/service.py
+++ b/src/acaciarelay_standins/service.py
@@ -35,18 +35,20 @@
 
     ``fail_before_effect`` is ``status`` (500) or ``close``. With
     ``close_after_effect`` the effect happens and the connection closes without an
-    answer. ``count`` limits these two to that many calls.
+    answer. ``count`` limits these two to that many calls. ``answer_bytes`` is the
+    least size of the answer of a call with an effect.
     """
 
     slow_s: float = 0.0
     fail_before_effect: str = ""
     close_after_effect: bool = False
     count: int | None = None
+    answer_bytes: int = 0
 
     def take(self) -> "Faults":
         """Return the faults of one call and count it."""
         if self.count == 0:
-            return Faults(slow_s=self.slow_s)
+            return Faults(slow_s=self.slow_s, answer_bytes=self.answer_bytes)
         if self.count is not None:
             self.count -= 1
         return attrs.evolve(self)
@@ -184,7 +186,8 @@
             answer_lost=faults.close_after_effect,
         )
         self.effects.append(effect)
-        return b'{"number":%d}' % effect.number
+        answer = b'{"number":%d}' % effect.number
+        return answer.ljust(faults.answer_bytes)
 
     async def set_faults(self, exchange: HttpExchange) -> None:
         body = await read_json(exchange)
