Give the key of a refused start back, also after an outage

Cause: when the platform failed between the write of a start and its read back, the agent answered not_run with code 600 and left the claim as started. Each repeat then heard key_unsettled (403) for good although nothing had run. A release that failed during an outage was not tried again, and a grant whose pull had expired left its claim as it was until it was stale.

Ruled out: a fault in the claim store, whose release by the same store frees a started claim in the unit tests; the agent did not call it.

Before: test_an_unconfirmed_start_gives_its_key_back got 403 from every repeat for 15 s.

--- a/src/acaciarelay/programs/agent_service.py
+++ b/src/acaciarelay/programs/agent_service.py
@@ -82,7 +82,9 @@
         output = RunOutput(dispatch, self.transmit)
         if reservation is None:
             output.end(CODES["no_endpoint"].number, Outcome.NOT_RUN, None)
-            self.runs[grant.request_id] = self.ended_run(grant, output, entry_id)
+            ended = self.ended_run(grant, output, entry_id)
+            self.runs[grant.request_id] = ended
+            self.in_background(self.release_claim(ended))
             return
         body = BodyFeed(
             grant.body_length, lambda seq: self.send_status(entry_id, grant, seq)
@@ -237,6 +239,8 @@
             refusal_code = await self.start_claim(run)
             if refusal_code:
                 code = refusal_code
+                # The start may have been written although it could not be confirmed.
+                self.in_background(self.release_claim(run))
             else:
                 result = await run.call(self.adapter)
                 code, outcome = self.judge(run, result)
@@ -287,8 +291,23 @@
         task.add_done_callback(self.background.discard)
 
     async def release_claim(self, run: Run) -> None:
-        if run.grant.claim_key:
-            await self.claims.release(run.grant.claim_key, run.grant.claim_token)
+        """Free the key of a call that was not sent; during an outage, later."""
+        key, token = run.grant.claim_key, run.grant.claim_token
+        if key and not await self.try_release(key, token):
+            self.in_background(self.release_later(key, token))
+
+    async def release_later(self, key: str, token: str) -> None:
+        for _ in range(STORE_RETRIES):
+            await asyncio.sleep(STORE_RETRY_S)
+            if await self.try_release(key, token):
+                return
+        log_event("claim_not_released", claim=key)
+
+    async def try_release(self, key: str, token: str) -> bool:
+        """Release a claim once; false when a later attempt may do better."""
+        released = await self.claims.release(key, token)
+        unavailable = CODES["platform_unavailable"]
+        return released.is_ok() or released.unwrap_err().code is not unavailable
 
     async def store_later(self, key: str, token: str, result: StoredResult) -> None:
         for _ in range(STORE_RETRIES):
