Keep the connection limit above the request places of a small entry

Cause: an entry closed each connection above twice max-requests before it read the head, so with a small max-requests callers of every tier were cut off without a code, also while most connections belonged to running requests, which hold no place.

Before: 36 callers at an entry with max-requests 8 had their connections closed without an answer. After: each has an answer or a numbered code.

--- a/src/acaciarelay/programs/entry_main.py
+++ b/src/acaciarelay/programs/entry_main.py
@@ -35,6 +35,11 @@
 
 __all__ = ["main"]
 
+# A connection beyond the limit is closed before its tier is known. Running and idle
+# callers hold a connection but no request place, so the limit must stay well above
+# the number of places.
+MIN_CONNECTIONS = 2_000
+
 
 class EntryProgram:
     """Wire the parts of an entry together and run them."""
@@ -87,7 +92,7 @@
         limits = ServerLimits(
             read_timeout_s=settings.read_timeout_s,
             write_timeout_s=settings.read_timeout_s,
-            max_connections=settings.max_requests * 2,
+            max_connections=max(MIN_CONNECTIONS, settings.max_requests * 2),
         )
         server = HttpServer(self.serve, limits)
         await server.listen(*split_address(settings.listen))
