Apply the engine stand-in's slowdown to running requests too

A request copied the factor when it arrived, so streams begun during a slowdown stayed slow after it was cleared, and the end of a trigger could not be measured.

--- a/src/acaciarelay_standins/engine.py
+++ b/src/acaciarelay_standins/engine.py
@@ -52,7 +52,8 @@
 
     ``stall_after`` stops a stream for good after this many tokens, ``die_after`` cuts
     its connection. ``count`` limits these two and ``refuse`` to that many requests.
-    ``refuse`` is ``status`` (503) or ``close``. ``slow_factor`` multiplies all times.
+    ``refuse`` is ``status`` (503) or ``close``. ``slow_factor`` multiplies all
+    times, also those of requests that run when it is set or cleared.
     """
 
     stall_after: int | None = None
@@ -209,7 +210,7 @@
         faults: Faults,
     ) -> str:
         async with self.place(request):
-            await self.prefill(request, record, faults)
+            await self.prefill(request, record)
             if request.stream:
                 await exchange.start(200, [("content-type", "text/event-stream")])
             events = stream_events(request, self.tokens_per_event)
@@ -222,7 +223,7 @@
                 )
                 interval = self.speed.token_interval_s(self.batch.running)
                 # Due times keep the mean rate when the machine wakes the task late.
-                due += interval * step * faults.slow_factor
+                due += interval * step * self.faults.slow_factor
                 await asyncio.sleep(max(0.0, due - time.monotonic()))
                 if request.stream:
                     await exchange.write(next(events))
@@ -257,9 +258,7 @@
         report = LoadReport(self.batch.running, self.batch.waiting, self.tokens_held)
         self.load.note(report)
 
-    async def prefill(
-        self, request: ChatRequest, record: RecordedRequest, faults: Faults
-    ) -> None:
+    async def prefill(self, request: ChatRequest, record: RecordedRequest) -> None:
         hashes = block_hashes(request.model, request.text)
         cached = min(self.cache.cached_tokens(hashes), request.prompt_tokens)
         record.prompt_tokens = request.prompt_tokens
@@ -270,7 +269,7 @@
             # The lock is fair, so the chunks of several prompts take turns.
             async with self.batch.prefill:
                 rate = self.speed.prefill_tokens_per_s
-                await asyncio.sleep(step / rate * faults.slow_factor)
+                await asyncio.sleep(step / rate * self.faults.slow_factor)
             left -= step
             record.prefill_tokens += step
         self.cache.store(hashes)
