--- /dev/null
+++ b/src/acaciarelay_bench/__main__.py
@@ -0,0 +1,420 @@
+"""Measure a case on real processes on loopback and print its tables."""
+
+import argparse
+import asyncio
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+import cattrs
+import orjson
+
+from acaciarelay.transport.http_client import fetch
+from acaciarelay_bench import cases, report
+from acaciarelay_bench.load import Job, LoadResult, Outcome, Window
+from acaciarelay_bench.variant_agent import VARIANT_VARIABLE
+from acaciarelay_standins.fleet import Fleet
+
+START_DELAY_S = 2.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@attrs.define(kw_only=True)
+class Sample:
+    """Hold counters at the start of a phase; CPU seconds are by kind of process."""
+
+    at: float
+    cpu_s: dict[str, float]
+    wan_bytes: float
+
+
+@attrs.define
+class Rig:
+    """Hold a started fleet and what the run changes and reads in it."""
+
+    deployment: cases.Deployment
+    fleet: Fleet
+    engines: list[str] = attrs.field(factory=list)
+    lost: set[int] = attrs.field(factory=set)
+    runs: list[report.EngineRun] = attrs.field(factory=list)
+
+    async def start(self, variant: cases.Variant) -> None:
+        """Start all processes and wait until each entry has all sessions."""
+        fleet, deployment = self.fleet, self.deployment
+        await fleet.start_platform()
+        if variant.agent:
+            fleet.agent_module = "acaciarelay_bench.variant_agent"
+            fleet.environment[VARIANT_VARIABLE] = variant.agent
+        for number, region in enumerate(deployment.entries):
+            await fleet.start_entry(f"entry-{number}", f"{region}-a", region)
+        for number, (region, decode) in enumerate(deployment.engines):
+            await self.start_engine(number, region, decode)
+        for number, region in enumerate(deployment.services):
+            service = await fleet.start_service(f"service-{number}")
+            name = f"agent-service-{number}"
+            await fleet.start_agent(
+                name, "orders", "service", service, f"{region}-a", region
+            )
+        records = deployment.records(variant.placement, variant.retry_ratio)
+        changes = {"changes": records}
+        await fleet.admin("entry-0", "POST", "/admin/v1/apply", changes)
+        await fleet.wait_ready()
+
+    async def start_engine(self, number: int, region: str, decode: float) -> None:
+        engine = await self.fleet.start_engine(
+            f"engine-{number}",
+            *("--decode-tokens-per-s", str(decode), "--load-lag-s", "1"),
+            *("--prefill-tokens-per-s", str(cases.ENGINE_PREFILL_TOKENS_PER_S)),
+            *("--max-batch", str(cases.ENGINE_BATCH), "--tokens-per-event", "4"),
+            *("--slowdown", str(cases.ENGINE_SLOWDOWN)),
+        )
+        self.engines.append(engine)
+        await self.fleet.start_agent(
+            f"agent-{number}",
+            "assistants",
+            "chat",
+            engine,
+            f"{region}-a",
+            region,
+            *("--token-limit", "4000", "--token-limit-min", "1000"),
+            *("--token-limit-max", "16000"),
+        )
+
+    async def enter(self, phase: cases.Phase) -> None:
+        """Bring about the disturbance of a phase."""
+        slow = round(len(self.engines) * phase.slow_share)
+        for number, engine in enumerate(self.engines):
+            if number in self.lost:
+                continue
+            # Every second engine is slowed first, so that half of a pool is mixed.
+            order = number // 2 + (number % 2) * (len(self.engines) // 2)
+            factor = phase.slow_factor if order < slow else 1.0
+            await self.fleet.set_faults(engine, slow_factor=factor)
+        if phase.lose_region:
+            await self.lose_region()
+
+    async def lose_region(self) -> None:
+        """Kill every process of the last region."""
+        region = self.deployment.entries[-1]
+        names = set()
+        for number, name in enumerate(self.deployment.entries):
+            if name == region:
+                names.add(f"entry-{number}")
+        for number, (name, _) in enumerate(self.deployment.engines):
+            if name == region:
+                await self.read_runs(self.engines[number])
+                self.lost.add(number)
+                names |= {f"engine-{number}", f"agent-{number}"}
+        for number, name in enumerate(self.deployment.services):
+            if name == region:
+                names |= {f"service-{number}", f"agent-service-{number}"}
+        for process in self.fleet.processes:
+            if process.name in names:
+                process.kill()
+
+    async def read_runs(self, engine: str) -> None:
+        for item in (await self.fleet.record(engine))["requests"]:
+            run = report.EngineRun(
+                request_id=item["request_id"],
+                tier=item["tier"],
+                start=item["start"],
+                prefill_tokens=item["prefill_tokens"],
+            )
+            self.runs.append(run)
+
+    async def finish(self) -> None:
+        """Read the records of the engines that still run."""
+        for number, engine in enumerate(self.engines):
+            if number not in self.lost:
+                await self.read_runs(engine)
+
+    async def sample(self) -> Sample:
+        """Read processor time and bytes between regions."""
+        cpu_s: dict[str, float] = {}
+        for process in self.fleet.processes:
+            kind = process.name.partition("-")[0]
+            used = cpu_seconds(process.process.pid)
+            cpu_s[kind] = cpu_s.get(kind, 0.0) + used
+        wan_bytes = 0.0
+        for entry in self.fleet.entries.values():
+            answer = await fetch(entry.http, "GET", "/metrics")
+            if answer.is_err():
+                continue
+            for line in answer.unwrap().body.decode().splitlines():
+                if line.startswith("acaciarelay_link_bytes_total") and "wan" in line:
+                    wan_bytes += float(line.rpartition(" ")[2])
+        return Sample(at=time.monotonic(), cpu_s=cpu_s, wan_bytes=wan_bytes)
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the CPU time of a process of this run, 0 when it has ended."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return 0.0
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+async def run_load(job: Job) -> LoadResult:
+    """Run a job in a process of its own, so that load is not short of CPU."""
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+    child = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "acaciarelay_bench.load"),
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+        env=environment,
+    )
+    try:
+        data, _ = await child.communicate(orjson.dumps(cattrs.unstructure(job)))
+    finally:
+        if child.returncode is None:
+            child.kill()
+    return cattrs.structure(orjson.loads(data), LoadResult)
+
+
+def build_jobs(
+    deployment: cases.Deployment, case: cases.Case, entries: list[str], seed: int
+) -> list[Job]:
+    """Build a job for the callers of each entry, with common start times."""
+    jobs = []
+    begin = time.monotonic() + START_DELAY_S
+    for index in range(len(entries)):
+        windows = []
+        start = begin
+        for phase in case.phases:
+            callers = [
+                caller
+                for caller in cases.phase_callers(deployment, phase)
+                if caller.entry == index
+            ]
+            window = Window(
+                phase=phase.name, start=start, seconds=phase.seconds, callers=callers
+            )
+            windows.append(window)
+            start += phase.seconds
+        jobs.append(Job(seed=seed, model=cases.MODEL, entries=entries, windows=windows))
+    return jobs
+
+
+@attrs.define(kw_only=True)
+class Measured:
+    """Hold all that a run brought."""
+
+    case: cases.Case
+    deployment: cases.Deployment
+    windows: list[Window]
+    outcomes: list[Outcome]
+    samples: list[Sample]
+    runs: list[report.EngineRun]
+    load_cores: float
+
+
+async def measure(
+    deployment: cases.Deployment, case: cases.Case, variant: cases.Variant, seed: int
+) -> Measured:
+    """Run a case on a new fleet."""
+    with tempfile.TemporaryDirectory() as directory:
+        async with Fleet(Path(directory)) as fleet:
+            rig = Rig(deployment, fleet)
+            await rig.start(variant)
+            addresses = [member.http for member in fleet.entries.values()]
+            jobs = build_jobs(deployment, case, addresses, seed)
+            loads = [asyncio.create_task(run_load(job)) for job in jobs]
+            samples = []
+            for phase, window in zip(case.phases, jobs[0].windows, strict=True):
+                await asyncio.sleep(max(0.0, window.start - time.monotonic()))
+                await rig.enter(phase)
+                samples.append(await rig.sample())
+            last = jobs[0].windows[-1]
+            end = last.start + last.seconds
+            await asyncio.sleep(max(0.0, end - time.monotonic()))
+            samples.append(await rig.sample())
+            results = await asyncio.gather(*loads)
+            await rig.finish()
+    outcomes = [item for result in results for item in result.outcomes]
+    return Measured(
+        case=case,
+        deployment=deployment,
+        windows=jobs[0].windows,
+        outcomes=outcomes,
+        samples=samples,
+        runs=rig.runs,
+        load_cores=max(result.cpu_s / result.elapsed_s for result in results),
+    )
+
+
+def is_flood(outcome: Outcome) -> bool:
+    return outcome.caller.startswith("flood")
+
+
+def groups(measured: Measured) -> dict[str, list[Outcome]]:
+    """Return the groups of outcomes that are reported, in order."""
+    chosen: dict[str, list[Outcome]] = {}
+    usual = [o for o in measured.outcomes if not is_flood(o) and not o.lookup]
+    mixed = [o for o in usual if not o.caller.startswith("plate")]
+    for tier in measured.deployment.tiers:
+        chosen[f"tier {tier.name}"] = [o for o in mixed if o.request_class == tier.name]
+    for organisation in measured.deployment.organisations:
+        name = f"{organisation.size_class} {organisation.name}"
+        chosen[name] = [o for o in mixed if o.organisation == organisation.name]
+    small = {
+        o.name for o in measured.deployment.organisations if o.size_class == "small"
+    }
+    chosen["all small"] = [o for o in mixed if o.organisation in small]
+    chosen["all large"] = [o for o in mixed if o.organisation not in small]
+    chosen["plates-40"] = [o for o in usual if o.caller == "plates-40"]
+    chosen["plate-1"] = [o for o in usual if o.caller == "plate-1"]
+    chosen["lookups"] = [o for o in measured.outcomes if o.lookup]
+    chosen["flood"] = [o for o in measured.outcomes if is_flood(o)]
+    return chosen
+
+
+def build_tables(measured: Measured) -> dict[str, Any]:
+    """Compute all rows of the report."""
+    base: dict[str, report.GroupRow] = {}
+    rows: list[dict[str, Any]] = []
+    chosen = groups(measured)
+    for window in measured.windows:
+        if window.phase in ("warm", "settle"):
+            continue
+        for name, outcomes in chosen.items():
+            due = [o for o in outcomes if o.phase == window.phase]
+            if not due:
+                continue
+            row = report.group_row(name, due, window.seconds)
+            if window.phase == "base":
+                base[name] = row
+            kept = report.kept(base[name], row) if name in base else None
+            rows.append({"phase": window.phase, "kept": kept, **attrs.asdict(row)})
+    return {
+        "rows": rows,
+        "prefill": prefill_rows(measured),
+        "resources": resource_rows(measured),
+        "series": series(measured),
+        "late_start_p99_s": report.percentile(
+            [o.late_s for o in measured.outcomes], 0.99
+        ),
+        "load_cores_max": measured.load_cores,
+    }
+
+
+def prefill_rows(measured: Measured) -> list[list[object]]:
+    rows: list[list[object]] = []
+    whole_ids = set()
+    for outcome in measured.outcomes:
+        if outcome.whole:
+            whole_ids.add(outcome.request_ids[-1])
+    for window in measured.windows:
+        end = window.start + window.seconds
+        totals = report.wasted_prefill(measured.runs, whole_ids, window.start, end)
+        for tier, (wasted, total) in sorted(totals.items()):
+            if tier:
+                rows.append(
+                    [window.phase, tier, wasted, total, report.ratio(wasted, total)]
+                )
+    return rows
+
+
+def resource_rows(measured: Measured) -> list[list[object]]:
+    rows: list[list[object]] = []
+    for number, window in enumerate(measured.windows):
+        before, after = measured.samples[number : number + 2]
+        elapsed = after.at - before.at
+        cores = {
+            kind: round((used - before.cpu_s.get(kind, 0.0)) / elapsed, 2)
+            for kind, used in after.cpu_s.items()
+        }
+        rows.append([window.phase, after.wan_bytes - before.wan_bytes, cores])
+    return rows
+
+
+def series(measured: Measured) -> dict[str, Any] | None:
+    if not measured.case.series:
+        return None
+    # Lookups run in another pool, which the trigger does not touch.
+    outcomes = [o for o in measured.outcomes if not o.lookup]
+    steps = {}
+    for window in measured.windows:
+        steps[window.phase] = report.goodput_steps(
+            outcomes, window.start, window.seconds
+        )
+    base = steps["base"]
+    before = sum(base) / len(base)
+    return {
+        "steps": steps,
+        "recovery_s": report.recovery_s(before, steps["after"]),
+    }
+
+
+def print_report(tables: dict[str, Any]) -> None:
+    """Print the tables as text."""
+    headings = ["phase", "group", "offered", "good", "share", "kept", "tokens/s"]
+    headings += ["p50 s", "p95 s", "attempts", "refusals by code"]
+    rows = []
+    for row in tables["rows"]:
+        cells = [row["phase"], row["name"], row["offered"], row["good"]]
+        cells += [row["good_share"], row["kept"], row["good_tokens_per_s"]]
+        cells += [row["first_token_p50_s"], row["first_token_p95_s"]]
+        rows.append([*cells, row["attempts"], row["refusals"]])
+    print(report.render_table(headings, rows), end="\n\n")
+    headings = ["phase", "tier", "wasted prefill", "prefill", "share"]
+    print(report.render_table(headings, tables["prefill"]), end="\n\n")
+    headings = ["phase", "bytes between regions", "cores by kind of process"]
+    print(report.render_table(headings, tables["resources"]), end="\n\n")
+    if tables["series"] is not None:
+        for phase, steps in tables["series"]["steps"].items():
+            print(f"answers in time by 2 s steps, {phase}: {steps}")
+        print(f"recovery_s: {tables['series']['recovery_s']}")
+    late = report.render_cell(tables["late_start_p99_s"])
+    cores = report.render_cell(tables["load_cores_max"])
+    print(f"load: p99 start delay {late} s, busiest process {cores} cores")
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(prog="acaciarelay_bench", description=__doc__)
+    parser.add_argument("case", choices=list(cases.CASES))
+    parser.add_argument(
+        "--deployment", choices=list(cases.DEPLOYMENTS), default="wanjiru"
+    )
+    parser.add_argument("--variant", choices=list(cases.VARIANTS), default="design")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--seconds", type=float, help="length of the base and the disturbed phase"
+    )
+    parser.add_argument("--json", type=Path, help="also write the results to a file")
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Run the case and print its report."""
+    arguments = parse_arguments()
+    case = cases.CASES[arguments.case]
+    if arguments.seconds is not None:
+        phases = []
+        for phase in case.phases:
+            if phase.name in ("base", case.compared):
+                phase = attrs.evolve(phase, seconds=arguments.seconds)
+            phases.append(phase)
+        case = attrs.evolve(case, phases=phases)
+    deployment = cases.DEPLOYMENTS[arguments.deployment]
+    variant = cases.VARIANTS[arguments.variant]
+    measured = asyncio.run(measure(deployment, case, variant, arguments.seed))
+    tables = build_tables(measured)
+    print(
+        f"{case.name} {deployment.name} {arguments.variant} seed {arguments.seed}, "
+        f"capacity {deployment.capacity(cases.MIXED):.1f} requests/s",
+        end="\n\n",
+    )
+    print_report(tables)
+    if arguments.json is not None:
+        arguments.json.write_bytes(orjson.dumps(tables, option=orjson.OPT_INDENT_2))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/acaciarelay_standins/fleet.py
+++ b/src/acaciarelay_standins/fleet.py
@@ -104,6 +104,7 @@
     agents: dict[str, Member] = attrs.field(factory=dict)
     platform: str = ""
     environment: dict[str, str] = attrs.field(factory=dict)
+    agent_module: str = "acaciarelay.programs.agent_main"
 
     async def __aenter__(self) -> "Fleet":
         self.directory.mkdir(parents=True, exist_ok=True)
@@ -213,8 +214,7 @@
         ]
         if advertise is not None:
             words += ["--advertise", advertise]
-        module = "acaciarelay.programs.agent_main"
-        process, _ = await self.spawn(name, [module, *words])
+        process, _ = await self.spawn(name, [self.agent_module, *words])
         member = Member(name=name, process=process, http=http, grpc=grpc, flags=words)
         self.agents[name] = member
         await self.wait_http(http, "/healthz", process)
