--- a/src/acaciarelay_bench/__main__.py
+++ b/src/acaciarelay_bench/__main__.py
@@ -12,6 +12,7 @@
 import attrs
 import cattrs
 import orjson
+from result import Ok
 
 from acaciarelay.transport.http_client import fetch
 from acaciarelay_bench import cases, report
@@ -30,6 +31,9 @@
     at: float
     cpu_s: dict[str, float]
     wan_bytes: float
+    token_limits: list[int]
+    preemptions: float
+    drops: dict[str, float]
 
 
 @attrs.define
@@ -139,15 +143,44 @@
             kind = process.name.partition("-")[0]
             used = cpu_seconds(process.process.pid)
             cpu_s[kind] = cpu_s.get(kind, 0.0) + used
-        wan_bytes = 0.0
+        sample = Sample(
+            at=time.monotonic(),
+            cpu_s=cpu_s,
+            wan_bytes=0.0,
+            token_limits=[],
+            preemptions=0.0,
+            drops={},
+        )
         for entry in self.fleet.entries.values():
-            answer = await fetch(entry.http, "GET", "/metrics")
-            if answer.is_err():
-                continue
-            for line in answer.unwrap().body.decode().splitlines():
+            for line in await read_metrics(entry.http):
                 if line.startswith("acaciarelay_link_bytes_total") and "wan" in line:
-                    wan_bytes += float(line.rpartition(" ")[2])
-        return Sample(at=time.monotonic(), cpu_s=cpu_s, wan_bytes=wan_bytes)
+                    sample.wan_bytes += float(line.rpartition(" ")[2])
+        for name, agent in self.fleet.agents.items():
+            if not name.startswith("agent-service"):
+                take_agent_metrics(sample, await read_metrics(agent.http))
+        return sample
+
+
+async def read_metrics(address: str) -> list[str]:
+    """Return the lines of a process's metrics, none when it does not answer."""
+    match await fetch(address, "GET", "/metrics"):
+        case Ok(answer):
+            return answer.body.decode().splitlines()
+        case _:
+            return []
+
+
+def take_agent_metrics(sample: Sample, lines: list[str]) -> None:
+    """Add the metrics of one agent to a sample."""
+    for line in lines:
+        name, _, text = line.rpartition(" ")
+        if name.startswith("acaciarelay_token_limit"):
+            sample.token_limits.append(int(float(text)))
+        elif name.startswith("acaciarelay_preemptions_total"):
+            sample.preemptions += float(text)
+        elif name.startswith("acaciarelay_drops_total"):
+            reason = name.partition('reason="')[2].partition('"')[0]
+            sample.drops[reason] = sample.drops.get(reason, 0.0) + float(text)
 
 
 def cpu_seconds(pid: int) -> float:
@@ -329,7 +362,13 @@
             kind: round((used - before.cpu_s.get(kind, 0.0)) / elapsed, 2)
             for kind, used in after.cpu_s.items()
         }
-        rows.append([window.phase, after.wan_bytes - before.wan_bytes, cores])
+        drops = {
+            reason: round(count - before.drops.get(reason, 0.0))
+            for reason, count in after.drops.items()
+        }
+        row = [window.phase, round(after.wan_bytes - before.wan_bytes), cores]
+        limits = " ".join(str(limit) for limit in after.token_limits)
+        rows.append([*row, limits, after.preemptions - before.preemptions, drops])
     return rows
 
 
@@ -365,6 +404,7 @@
     headings = ["phase", "tier", "wasted prefill", "prefill", "share"]
     print(report.render_table(headings, tables["prefill"]), end="\n\n")
     headings = ["phase", "bytes between regions", "cores by kind of process"]
+    headings += ["token limits at the end", "preemptions", "drops by reason"]
     print(report.render_table(headings, tables["resources"]), end="\n\n")
     if tables["series"] is not None:
         for phase, steps in tables["series"]["steps"].items():
