Count one request for at most a quarter of an agent's token limit

A forty-photograph assessment was estimated at more than the whole limit. It waited until the endpoint was idle, kept the room of everything behind it, and had lower-tier streams preempted one by one.

--- a/src/acaciarelay/coordination/concurrency.py
+++ b/src/acaciarelay/coordination/concurrency.py
@@ -32,6 +32,10 @@
 MAX_SAMPLE_RATIO = 4.0
 # The limit counts as the bottleneck when this share of it was in use.
 PRESSED_SHARE = 0.8
+# A prompt of a hundred times the usual length takes one place of the engine's batch and
+# is prefilled in turns with others. Counted in full it would wait until the endpoint
+# is idle, and would have every lower-tier stream preempted one after the other.
+LARGEST_SHARE = 0.25
 # Time constant of the measured rate at which running work frees tokens.
 RATE_WINDOW_S = 10.0
 
@@ -118,6 +122,11 @@
             return sys.maxsize
         return max(0, self.limit - self.in_use)
 
+    @property
+    def largest(self) -> int:
+        """Return the most tokens that one request counts for."""
+        return max(1, int(self.limit * LARGEST_SHARE))
+
     @property
     def tokens_per_second(self) -> float:
         """Return the rate at which running work frees tokens, 0 when unknown."""
--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -152,6 +152,7 @@
     def on_reserve(self, link: EntryLink, message: pb.Reserve) -> None:
         now = time.monotonic()
         reservation = read_reservation(link.entry_id, message, now)
+        reservation.tokens = min(reservation.tokens, self.limit.largest)
         request_id = reservation.request_id
         if request_id in self.pulls:
             return
--- a/tests/unit/coordination/test_concurrency.py
+++ b/tests/unit/coordination/test_concurrency.py
@@ -153,3 +153,12 @@
     limit.acquire("late", 100)
     limit.release("late", 1_000.0)
     assert limit.tokens_per_second == pytest.approx(100)
+
+
+def test_one_request_counts_for_a_share_of_the_limit_only() -> None:
+    """Guards against a long prompt that waits until the endpoint is idle."""
+    limit = new_limit(10_000)
+    assert limit.acquire("long", limit.largest)
+    assert limit.acquire("other", limit.largest)
+    assert limit.room >= 10_000 // 4
+    assert TokenLimit(1, 1, 1).largest == 1
