--- a/src/acaciarelay/coordination/concurrency.py
+++ b/src/acaciarelay/coordination/concurrency.py
@@ -95,7 +95,9 @@
         maximum: int,
         target_inter_token_s: float = TARGET_INTER_TOKEN_S,
         target_first_token_s: float = TARGET_FIRST_TOKEN_S,
+        largest_share: float = LARGEST_SHARE,
     ) -> None:
+        self.largest_share = largest_share
         self.minimum = max(1, minimum)
         self.maximum = max(self.minimum, maximum)
         self.limit = self._clamp(initial)
@@ -125,7 +127,7 @@
     @property
     def largest(self) -> int:
         """Return the most tokens that one request counts for."""
-        return max(1, int(self.limit * LARGEST_SHARE))
+        return max(1, int(self.limit * self.largest_share))
 
     @property
     def tokens_per_second(self) -> float:
--- a/src/acaciarelay/programs/agent_main.py
+++ b/src/acaciarelay/programs/agent_main.py
@@ -51,7 +51,10 @@
         limits = EndpointLimits(stall_s=settings.stall_s)
         self.adapter = ENDPOINT_KINDS[settings.kind](settings.endpoint, limits)
         self.limit = TokenLimit(
-            settings.token_limit, settings.token_limit_min, settings.token_limit_max
+            settings.token_limit,
+            settings.token_limit_min,
+            settings.token_limit_max,
+            largest_share=settings.largest_share,
         )
         self.config = AgentIdentityConfig(
             agent_id=settings.id,
--- a/src/acaciarelay/programs/entry_call.py
+++ b/src/acaciarelay/programs/entry_call.py
@@ -106,6 +106,7 @@
     unacked_bytes: int = 0
     unacked_messages: int = 0
     answered_tokens: int = 0
+    end_received: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.state = RequestState(self.request_id)
@@ -218,6 +219,7 @@
         """Take an answer message in any order."""
         identity = AgentIdentity(session.agent_id, session.incarnation)
         for ready in self.state.receive(identity, seq, message):
+            self.end_received = self.end_received or isinstance(ready, pb.End)
             self.events.put_nowait(AnswerPart(ready))
 
     def acknowledge(self, size_bytes: int, last: bool = False) -> None:
@@ -255,9 +257,14 @@
         return True
 
     def close(self) -> None:
-        """Release timers, tasks and sessions."""
+        """Release timers, tasks and sessions.
+
+        A holder that has not reported the end may not have got the cancellation, so
+        its session stays active until it does.
+        """
         for session in self.reserved_at:
-            session.outstanding.discard(self.request_id)
+            if session is not self.session or self.end_received:
+                session.outstanding.discard(self.request_id)
         self.state.end()
         self.stop_body()
         if self.resume_timer is not None:
--- a/src/acaciarelay/programs/entry_core.py
+++ b/src/acaciarelay/programs/entry_core.py
@@ -256,6 +256,7 @@
             call.on_answer(session, message.seq, message)
             return
         if isinstance(message, pb.End):
+            session.outstanding.discard(message.request_id)
             # Nobody waits for this answer; without this the agent would keep it.
             ack = pb.Ack(request_id=message.request_id, next_seq=message.seq + 1)
             session.send(pb.EntryMessage(ack=ack))
--- a/src/acaciarelay/programs/settings.py
+++ b/src/acaciarelay/programs/settings.py
@@ -149,6 +149,12 @@
         "Highest value of the adaptive token limit.",
         "tokens",
     ),
+    Option(
+        "largest-share",
+        read_float(0.01, 1),
+        "0.25",
+        "Share of the token limit that one request counts for at most.",
+    ),
     Option(
         "max-waiting",
         read_int(1, 1_000_000),
--- a/tests/integration/test_link_failures.py
+++ b/tests/integration/test_link_failures.py
@@ -14,7 +14,7 @@
 LONG_PROMPT = "four" * 150
 SMALL_LIMIT = [
     *("--token-limit", "400", "--token-limit-min", "400"),
-    *("--token-limit-max", "400"),
+    *("--token-limit-max", "400", "--largest-share", "1"),
 ]
 
 # About 500 KB/s for each answer.
--- a/tests/unit/coordination/test_concurrency.py
+++ b/tests/unit/coordination/test_concurrency.py
@@ -114,7 +114,7 @@
 
 def test_one_request_counts_for_a_share_of_the_limit_only() -> None:
     """Guards against a long prompt that waits until the endpoint is idle."""
-    limit = new_limit(10_000)
+    limit = new_limit()
     assert limit.acquire("long", limit.largest)
     assert limit.acquire("other", limit.largest)
     assert limit.room >= 10_000 // 4
