Reopen a session whatever error ended it

Cause: grpc.aio raises asyncio.InvalidStateError when a message is written to a call that has ended, and the loop that reopens sessions didn't catch it. When an agent died while its entry had a message to send, that entry's loop could end without a log line and the entry never reached the agent again. The error now counts as the end of the session, and any other error is logged and followed by a new try.

Ruled out: the agent (alive, other entry had reconnected), its port and the proxy.

--- a/src/acaciarelay/transport/relay_client.py
+++ b/src/acaciarelay/transport/relay_client.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 import attrs
+import eliot
 import grpc
 
 from acaciarelay.protocol import relay_pb2 as pb, relay_pb2_grpc
@@ -94,6 +95,9 @@
                 await self.run_once()
             except (grpc.RpcError, SessionClosed, TimeoutError, OSError):
                 pass
+            except Exception:
+                # Without this task the agent would stay out of reach for good.
+                eliot.write_traceback()
             self.failures += 1
             limit_s = min(
                 self.timing.reconnect_max_s,
@@ -159,7 +163,11 @@
         while True:
             message = await self.outgoing.get()
             self.sent_bytes += message.ByteSize()
-            await call.write(message)
+            try:
+                await call.write(message)
+            except asyncio.InvalidStateError as error:
+                # The call ended before this task got its turn.
+                raise SessionClosed from error
 
     async def watch(self) -> None:
         while True:
--- /dev/null
+++ b/tests/unit/test_relay_client.py
@@ -0,0 +1,73 @@
+"""Guard against sessions with agents that end and never come back."""
+
+import asyncio
+import random
+
+import grpc
+import pytest
+
+from acaciarelay.protocol import relay_pb2 as pb
+from acaciarelay.transport.outgoing import OutgoingQueue, SessionClosed
+from acaciarelay.transport.relay_client import AgentSession, SessionTiming
+
+
+class EndedCall:
+    """Act as a call that has ended while its end is not read yet."""
+
+    async def read(self) -> pb.AgentMessage:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    async def write(self, message: pb.EntryMessage) -> None:
+        raise asyncio.InvalidStateError("RPC already finished.")
+
+    def cancel(self) -> None:
+        pass
+
+
+class SilentHandler:
+    def on_welcome(self, session: AgentSession, welcome: pb.Welcome) -> None:
+        pass
+
+    def on_message(self, session: AgentSession, message: pb.AgentMessage) -> None:
+        pass
+
+    def on_lost(self, session: AgentSession) -> None:
+        pass
+
+
+def make_session(address: str = "127.0.0.1:9") -> AgentSession:
+    timing = SessionTiming(reconnect_min_s=0.001, reconnect_max_s=0.002)
+    return AgentSession(
+        "agent-1", address, pb.Hello, SilentHandler(), random.Random(1), timing
+    )
+
+
+async def test_a_write_to_an_ended_call_ends_the_session_only() -> None:
+    """Guard against an error of the call that the reconnecting loop doesn't know."""
+    session = make_session()
+    session.outgoing = OutgoingQueue()
+    session.send(pb.EntryMessage(heartbeat=pb.Heartbeat()))
+    with pytest.raises(SessionClosed):
+        async with asyncio.timeout(5):
+            await session.exchange(EndedCall())
+
+
+@pytest.mark.parametrize(
+    "error", [RuntimeError("fault"), SessionClosed(), grpc.RpcError(), OSError()]
+)
+async def test_an_error_does_not_end_the_reconnecting_loop(error: Exception) -> None:
+    """Guard against an agent that stays out of reach after one error."""
+    session = make_session()
+    tries = asyncio.Semaphore(0)
+
+    async def fail() -> None:
+        tries.release()
+        raise error
+
+    session.run_once = fail  # type: ignore[method-assign]
+    task = asyncio.create_task(session.run())
+    async with asyncio.timeout(5):
+        for _ in range(3):
+            await tries.acquire()
+    task.cancel()
