Take test ports from below the range of outgoing connections

A fleet chose free ports from the range that the kernel also uses for outgoing connections, so that another connection could take one before its process bound it. Seen once in a start of eight processes at a time: 'Address already in use'.

--- a/src/acaciarelay_standins/fleet.py
+++ b/src/acaciarelay_standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import socket
 import sys
@@ -24,13 +25,28 @@
 STOP_TIMEOUT_S = 20.0
 OPERATOR_KEY = "operator-key-for-tests"
 POLL_S = 0.05
+PORT_RANGE = (15_000, 32_000)
+
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that was free a moment ago.
+
+    The kernel gives outgoing connections ports from 32768 up. A port from that range
+    can be taken by one of them before its process binds it, or while it restarts.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 @attrs.define(eq=False)
