Pause an agent with a request handed off and unanswered

With a request given back 0.1 s after the loss of its session (scratch copy), the test used to pass, since the only request handed off had a part of its answer. It now reports 'whole' where the outcome is unknown.

--- a/tests/integration/test_agent_failures.py
+++ b/tests/integration/test_agent_failures.py
@@ -77,10 +77,12 @@
     """Guard against work that a paused agent does after others were given it."""
     flags = [*SMALL_LIMIT, "--resume-window-s", "3"]
     async with cluster_of(
-        tmp_path, agents=1, agent_flags=flags, proxied=False
+        tmp_path, engine_flags=SLOW_PREFILL, agent_flags=flags, proxied=False
     ) as cluster:
-        streaming = cluster.begin("a", 300)
+        streaming = cluster.begin("a", 150)
         await streaming.started()
+        handed_off = cluster.begin(LONG_PROMPT, 20)
+        await cluster.until_recorded(2)
         waiting = cluster.begin("b", 300)
         expiring = cluster.begin("c", 300, timeout_ms=800)
         await asyncio.sleep(0.3)
@@ -90,10 +92,11 @@
         await cluster.start_agent("agent-2", proxied=False)
         assert told(await waiting.end()) == "whole"
         assert told(await streaming.end()) == "outcome_unknown"
+        assert told(await handed_off.end()) == "outcome_unknown"
         agent.resume()
         await cluster.fleet.wait_ready()
         await cluster.judge()
-        assert len(await cluster.records("agent-1")) == 1
+        assert len(await cluster.records("agent-1")) == 2
 
 
 async def test_a_short_pause_of_an_agent_cuts_no_answer(tmp_path: Path) -> None:
