--- /dev/null
+++ b/tests/integration/test_progress_limits.py
@@ -0,0 +1,164 @@
+"""Guard against endpoints and callers that hold resources without progress."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest_asyncio
+from integration.cluster import Cluster, Pending, cluster_of, told
+from integration.raw_caller import RawCaller, request_head
+from integration.support import chat_body
+
+# The limits under test; all other requests must stay within them.
+READ_TIMEOUT_S = 1.0
+STALL_S = 1.0
+LARGE_TOKENS = 4_000_000
+
+
+@pytest_asyncio.fixture
+async def cluster(tmp_path: Path) -> AsyncIterator[Cluster]:
+    async with cluster_of(
+        tmp_path,
+        engine_flags=["--prefill-tokens-per-s", "100000"],
+        agent_flags=["--stall-s", str(STALL_S)],
+        entry_flags=["--read-timeout-s", str(READ_TIMEOUT_S)],
+        proxied=False,
+    ) as cluster:
+        yield cluster
+
+
+def address_of(cluster: Cluster) -> str:
+    return cluster.fleet.entries["entry-1"].http
+
+
+@contextlib.asynccontextmanager
+async def undisturbed(cluster: Cluster) -> AsyncIterator[None]:
+    """Check that a stream and a short request pass during and after a fault."""
+    stream = cluster.begin("undisturbed", 80)
+    await stream.started()
+    yield
+    short = cluster.begin("after", 8)
+    await cluster.judge()
+    assert stream.whole and short.whole
+
+
+async def begin_faulty(cluster: Cluster, **faults: int) -> Pending:
+    """Send a request that alone meets the faults of the engine."""
+    await cluster.engine("agent-1", count=1, **faults)
+    seen = len(await cluster.records())
+    call = cluster.begin("faulty", 100)
+    await cluster.until_recorded(seen + 1)
+    await cluster.engine("agent-1")
+    return call
+
+
+async def test_a_stalled_engine_ends_one_stream(cluster: Cluster) -> None:
+    """Guard against a stream that waits for ever for a stalled engine."""
+    async with undisturbed(cluster):
+        call = await begin_faulty(cluster, stall_after=5)
+        answer = await call.end(STALL_S + 5.0)
+        assert answer.code == 501
+        assert told(answer) == "ran"
+        assert answer.error is not None, "a cut answer looks whole"
+
+
+async def test_a_dying_engine_ends_one_stream(cluster: Cluster) -> None:
+    """Guard against a cut answer that looks whole."""
+    async with undisturbed(cluster):
+        call = await begin_faulty(cluster, die_after=5)
+        answer = await call.end(5.0)
+        assert answer.code == 503
+        assert told(answer) == "ran"
+        assert answer.error is not None, "a cut answer looks whole"
+
+
+async def test_a_caller_that_stops_reading_is_dropped(tmp_path: Path) -> None:
+    """Guard against callers that hold an answer and its run by not reading."""
+    fast = ["--decode-tokens-per-s", "4000000", "--tokens-per-event", "20000"]
+    async with cluster_of(
+        tmp_path,
+        engine_flags=fast,
+        entry_flags=["--read-timeout-s", str(READ_TIMEOUT_S)],
+        proxied=False,
+    ) as cluster:
+        async with RawCaller(address_of(cluster)) as caller:
+            await caller.send_request(chat_body("unread", LARGE_TOKENS))
+            await cluster.until_recorded(1)
+            await cluster.until_settled(READ_TIMEOUT_S + 6.0)
+            assert [r["state"] for r in await cluster.records()] == ["cancelled"]
+            events = cluster.events(cluster.fleet.entries["entry-1"], "request_ended")
+            assert [event["code"] for event in events] == [505]
+        other = cluster.begin("other", 8)
+        assert told(await other.end()) == "whole"
+
+
+async def test_slow_callers_are_told_so(cluster: Cluster) -> None:
+    """Guard against connections held by callers that send their request slowly."""
+
+    async def answer_to(data: bytes) -> tuple[int, str]:
+        async with RawCaller(address_of(cluster)) as caller:
+            await caller.send(data)
+            status, headers = await caller.read_head()
+            assert headers["acaciarelay-outcome"] == "not_run"
+            return status, headers["acaciarelay-code"]
+
+    async with undisturbed(cluster):
+        body = chat_body("slow", 8)
+        slow_head, slow_body = await asyncio.gather(
+            answer_to(request_head(len(body))[:-20]),
+            answer_to(request_head(len(body)) + body[:20]),
+        )
+        assert slow_head == (408, "109")
+        assert slow_body == (408, "103")
+
+
+async def test_a_body_in_drops_ends_at_its_deadline(cluster: Cluster) -> None:
+    """Guard against bodies that hold memory by arriving a byte at a time."""
+    async with undisturbed(cluster), RawCaller(address_of(cluster)) as caller:
+        body = chat_body("x" * 200, 8)
+        await caller.send(request_head(len(body), "Acaciarelay-Timeout-Ms: 1500"))
+
+        async def drip() -> None:
+            for byte in body:
+                await caller.send(bytes([byte]))
+                await asyncio.sleep(READ_TIMEOUT_S / 4)
+
+        task = asyncio.create_task(drip())
+        try:
+            status, headers = await caller.read_head(8.0)
+        finally:
+            task.cancel()
+        assert (status, headers["acaciarelay-code"]) == (408, "103")
+
+
+MALFORMED = {
+    "100": b"POST chat HTTP/9.9\r\nno colon here\r\n\r\n",
+    "101": b"GET / HTTP/1.1\r\nHost: entry\r\nX: " + b"x" * 40_000,
+    "102": request_head(1 << 40),
+    "108": request_head(0).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked"),
+}
+
+
+async def test_malformed_and_oversized_requests_are_refused(cluster: Cluster) -> None:
+    """Guard against input that ends a connection without a code, or the server."""
+    async with undisturbed(cluster):
+        for code, data in MALFORMED.items():
+            async with RawCaller(address_of(cluster)) as caller:
+                await caller.send(data)
+                _, headers = await caller.read_head()
+                assert headers["acaciarelay-code"] == code
+                assert headers["acaciarelay-outcome"] == "not_run"
+    assert "Traceback" not in cluster.fleet.entries["entry-1"].process.log()
+
+
+async def test_a_caller_gone_mid_body_leaves_nothing_behind(cluster: Cluster) -> None:
+    """Guard against a request that runs on half of its body."""
+    async with undisturbed(cluster):
+        before = len(await cluster.records())
+        body = chat_body("half", 8)
+        async with RawCaller(address_of(cluster)) as caller:
+            await caller.send(request_head(len(body)) + body[:-5])
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(0.5)
+        assert len(await cluster.records()) == before
