Wait for the room of stopped runs before a last resort is dropped

Cause: the agent stopped lower runs for a last-resort reservation, but counted a run that was just ending as no lower work. In the same tick it dropped the reservation as no_lower_work, so that the entry shed the request for which the runs had been stopped.

Ruled out: the estimate of the request, which fits the limit once all lower runs have ended.

Before: an urgent request that needs the room of 15 lower runs was refused with code 300 after 10 or more of them had been stopped. After: it runs. Shown by test_a_large_urgent_request_runs_in_the_room_made_for_it, which fails again with the earlier rule.

--- a/src/acaciarelay/programs/agent_service.py
+++ b/src/acaciarelay/programs/agent_service.py
@@ -213,8 +213,12 @@
     # Preemption.
 
     def has_lower_cancellable(self, tier: int) -> bool:
-        """Tell whether a run of a lower tier could be cancelled."""
-        return choose_victim(self.stoppable(), tier) is not None
+        """Tell whether a run of a lower tier could be cancelled, or is just ending.
+
+        The room of a cancelled run is free only after its end.
+        """
+        running = [run.work() for run in self.active()]
+        return choose_victim(running, tier) is not None
 
     def preempt(self, tier: int) -> int | None:
         """Cancel one run of a lower tier and return its tier."""
