Never shed for a full queue or a tier floor while lower work runs

Cause: the entry took every drop of a last resort as the reply that no lower work remains. An agent with a more urgent tier floor or a full queue drops it as evicted or full while lower runs go on, so a middle tier was shed above them.

Ruled out: the tier floor, which kept lower work from starting in the same run; the work in service had started before it.

The agent now replies evicted or full to a last resort only while it has lower work, else no_lower_work. The entry repeats a declined last resort every 250 ms until the deadline of the request.

--- a/src/acaciarelay/coordination/shedding.py
+++ b/src/acaciarelay/coordination/shedding.py
@@ -78,6 +78,7 @@
     def __init__(self) -> None:
         self._pending: set[str] = set()
         self._started_at: float | None = None
+        self.declined = False
 
     @property
     def pending(self) -> list[str]:
@@ -93,12 +94,16 @@
         """Record that an agent replied that it has no lower work."""
         self._pending.discard(agent_id)
 
+    def decline(self) -> None:
+        """Record that an agent has lower work but no place for the request now."""
+        self.declined = True
+
     def lost(self, agent_id: str) -> None:
         """Record that the session with an agent ended."""
         self._pending.discard(agent_id)
 
     def complete(self, now: float) -> bool:
-        """Tell whether the request may be shed; never before a round has started."""
-        if self._started_at is None:
+        """Tell whether the request may be shed; never after a decline."""
+        if self._started_at is None or self.declined:
             return False
         return not self._pending or now - self._started_at >= SHED_CHECK_S
--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -166,13 +166,13 @@
             return
         floor = self.floor.current(now)
         if floor is not None and reservation.tier > floor:
-            self.drop(reservation, pb.EVICTED)
+            self.evict(reservation, pb.EVICTED)
             return
         if reservation.last_resort:
             self.raise_floor(reservation.tier, now)
         for evicted in self.queue.add(reservation):
             newcomer = evicted.request_id == request_id
-            self.drop(evicted, pb.FULL if newcomer else pb.EVICTED)
+            self.evict(evicted, pb.FULL if newcomer else pb.EVICTED)
         self.preempt_for_head(now)
         self.pump()
         if reservation.last_resort:
@@ -182,7 +182,13 @@
     def raise_floor(self, tier: int, now: float) -> None:
         self.floor.set(tier, now)
         for evicted in self.queue.evict_below(tier):
-            self.drop(evicted, pb.EVICTED)
+            self.evict(evicted, pb.EVICTED)
+
+    def evict(self, reservation: Reservation, reason: pb.DropReason) -> None:
+        """Drop a reservation; a last resort hears whether lower work remains."""
+        if reservation.last_resort and not self.lower_work(reservation.tier):
+            reason = pb.NO_LOWER_WORK
+        self.drop(reservation, reason)
 
     def settle_last_resort(self, reservation: Reservation) -> None:
         """Drop a last-resort reservation once no lower work can make room for it."""
--- a/src/acaciarelay/programs/entry_call.py
+++ b/src/acaciarelay/programs/entry_call.py
@@ -89,6 +89,7 @@
     caller_left: bool = False
     forced_refusal: Refusal | None = None
     shed_check: ShedCheck | None = None
+    last_resort_after: float = 0.0
     hopeless: bool = False
     session: AgentSession | None = None
     body_task: asyncio.Task[None] | None = None
--- a/src/acaciarelay/programs/entry_core.py
+++ b/src/acaciarelay/programs/entry_core.py
@@ -27,6 +27,8 @@
 # An agent that dropped a reservation is not asked again for so long.
 AVOID_S = 0.5
 RETRY_RESERVE = 10.0
+# With these reasons an agent drops a last resort while it still has lower work.
+PLACE_LACKING = (pb.EVICTED, pb.FULL)
 DEFAULT_SUBSET = 20
 DEFAULT_RETRY_RATIO = 0.1
 
@@ -232,6 +234,8 @@
         if call is None:
             return
         if call.shed_check is not None:
+            if drop.reason in PLACE_LACKING:
+                call.shed_check.decline()
             call.shed_check.answered(session.agent_id)
             call.wake.set()
         if call.state.drop(session.agent_id):
--- a/src/acaciarelay/programs/entry_place.py
+++ b/src/acaciarelay/programs/entry_place.py
@@ -21,6 +21,8 @@
 # A tier whose floor was confirmed at every agent may be shed again for this long; the
 # agents keep the floor for 2 s.
 FLOOR_VALID_S = 1.0
+# A declined last resort is repeated after this time; a tier floor lasts 2 s.
+LAST_RESORT_PAUSE_S = 0.25
 
 
 class Placer:
@@ -41,7 +43,7 @@
                 call.state.end()
                 self.core.withdraw(call)
                 return refusal
-            if call.shed_check is None:
+            if call.shed_check is None and now >= call.last_resort_after:
                 self.reserve_more(call, now)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(STEP_S, max(0.0, call.deadline - now))):
@@ -64,7 +66,7 @@
         if self.may_shed_now(call, now):
             return self.shed(call)
         # An estimate alone is no reason to stop lower work for this call.
-        if over_budget:
+        if over_budget and now >= call.last_resort_after:
             self.start_last_resort(call, now)
         return None
 
@@ -89,6 +91,11 @@
 
     def check_last_resort(self, call: Call, now: float) -> Refusal | None:
         check = call.shed_check
+        if check is not None and check.declined:
+            # Lower work still runs at an agent that keeps its room for others.
+            call.shed_check = None
+            call.last_resort_after = now + LAST_RESORT_PAUSE_S
+            return None
         if check is None or not check.complete(now):
             return None
         self.floor_until[(call.pool.name, call.rank)] = now + FLOOR_VALID_S
--- a/tests/unit/coordination/test_shedding.py
+++ b/tests/unit/coordination/test_shedding.py
@@ -75,6 +75,17 @@
     assert check.complete(0.5)
 
 
+def test_a_declined_round_never_allows_a_shed() -> None:
+    """Guards against a shed while an agent keeps its room but runs lower work."""
+    check = ShedCheck()
+    check.start(["a", "b"], 0.0)
+    check.decline()
+    check.answered("a")
+    check.answered("b")
+    assert not check.complete(0.1)
+    assert not check.complete(SHED_CHECK_S + 1.0)
+
+
 def test_silent_agents_delay_the_round_by_a_bounded_time() -> None:
     """Guards against a request that waits for ever on a silent link."""
     check = ShedCheck()
