Test that orders have one effect, and the order of tiers

Orders (I5), judged by the services' own effects per key: repeats through both entries, deaths and pauses of entries and agents, lost answers and outages of the platform, failing services, callers that leave, other bodies, large results.

Seen to fail in a scratch copy: - agent ignores the answer of the start: 2 effects of taken-over and late-start, and an order ran while the platform was down - start without checks of token and phase: 2 effects of taken-over and late-start - claim always granted: 6 effects of at-once-0, and another answer on a repeat - no start at all: a key whose agent died ran again - runs stopped when their caller leaves: fails in the repeats - no read back after a lost answer: 600 in place of 200 - large results not stored: 601 in place of 200

--- /dev/null
+++ b/tests/integration/generations.py
@@ -0,0 +1,135 @@
+"""Reading the generations of a fleet's processes, and committing changes."""
+
+import asyncio
+import contextlib
+import re
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+import orjson
+from integration.support import Answer, record, send
+from result import Ok
+
+from acaciarelay.transport.http_client import fetch
+from acaciarelay_standins.fleet import OPERATOR_KEY, Fleet
+
+# The requirement on a change: in force everywhere within 10 s.
+IN_FORCE_S = 10.0
+POLL_S = 0.1
+AGENT_METRIC = re.compile(rb"^acaciarelay_config_generation(?:\{\})? ([0-9.e+]+)", re.M)
+
+
+async def admin_call(
+    fleet: Fleet,
+    entry: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    key: str = OPERATOR_KEY,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Answer:
+    """Call the administration API; returns refusals as they are."""
+    return await send(fleet.entries[entry].http, method, path, body, key, headers)
+
+
+async def commit(
+    fleet: Fleet, entry: str, *changes: dict[str, Any], **fields: Any
+) -> Answer:
+    """Apply changes through one entry."""
+    body = orjson.dumps({"changes": list(changes), **fields})
+    return await admin_call(fleet, entry, "POST", "/admin/v1/apply", body)
+
+
+def pool_change(name: str, revision: int = 0, subset: int = 20) -> dict[str, Any]:
+    body = {"kind": "service", "service": name, "subset": subset}
+    return {**record("pool", name, **body), "revision": revision}
+
+
+async def entry_generation(fleet: Fleet, name: str) -> int | None:
+    """Read the generation in force at an entry; ``None`` without an answer."""
+    headers = [("authorization", f"Bearer {OPERATOR_KEY}")]
+    address = fleet.entries[name].http
+    answer = await fetch(address, "GET", "/admin/v1/generation", headers)
+    match answer:
+        case Ok(found) if found.status == 200:
+            return orjson.loads(found.body)["generation"]
+    return None
+
+
+async def agent_generation(fleet: Fleet, name: str) -> int | None:
+    """Read the generation in force at an agent from its metrics."""
+    match await fetch(fleet.agents[name].http, "GET", "/metrics"):
+        case Ok(found):
+            value = AGENT_METRIC.search(found.body)
+            return int(float(value.group(1))) if value else 0
+    return None
+
+
+@attrs.define
+class Watch:
+    """Follow the generations of all processes that answer, by name and process."""
+
+    fleet: Fleet
+    seen: dict[str, list[tuple[float, int]]] = attrs.field(factory=dict)
+    # A process that was started again may begin below its predecessor.
+    lives: dict[str, int] = attrs.field(factory=dict)
+
+    async def look(self) -> dict[str, int]:
+        """Read all generations once; paused and dead processes are left out."""
+        names = [*self.fleet.entries, *self.fleet.agents]
+        found = await asyncio.gather(*(self.read(name) for name in names))
+        now = time.monotonic()
+        generations = {}
+        for name, generation in zip(names, found, strict=True):
+            if generation is None:
+                continue
+            generations[name] = generation
+            life = f"{name}/{self.lives.get(name, 0)}"
+            self.seen.setdefault(life, []).append((now, generation))
+        return generations
+
+    async def read(self, name: str) -> int | None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                if name in self.fleet.entries:
+                    return await entry_generation(self.fleet, name)
+                return await agent_generation(self.fleet, name)
+        return None
+
+    def check(self) -> None:
+        """Fail when the generation of any process ever fell."""
+        for life, readings in self.seen.items():
+            generations = [generation for _, generation in readings]
+            assert generations == sorted(generations), f"{life}: {generations}"
+
+    async def wait_in_force(self, generation: int, *names: str) -> float:
+        """Wait until the named processes, or all, have a generation; returns when."""
+        wanted = set(names) or {*self.fleet.entries, *self.fleet.agents}
+        started = time.monotonic()
+        last: dict[str, int] = {}
+        while time.monotonic() < started + IN_FORCE_S:
+            last = await self.look()
+            if all(last.get(name, -1) >= generation for name in wanted):
+                return time.monotonic() - started
+            await asyncio.sleep(POLL_S)
+        raise AssertionError(f"generation {generation} not in force: {last}")
+
+
+@contextlib.asynccontextmanager
+async def watching(fleet: Fleet) -> AsyncIterator[Watch]:
+    """Follow generations in the background, and check at the end that none fell."""
+    watch = Watch(fleet)
+
+    async def poll() -> None:
+        while True:
+            await watch.look()
+            await asyncio.sleep(POLL_S)
+
+    task = asyncio.create_task(poll())
+    try:
+        yield watch
+    finally:
+        task.cancel()
+    watch.check()
--- /dev/null
+++ b/tests/integration/test_effects_of_platform_faults.py
@@ -0,0 +1,145 @@
+"""Guard against a second effect, or a lost key, when the platform fails (I5)."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from integration.effects import (
+    AGENT_FLAGS,
+    ONE_AT_A_TIME,
+    Caller,
+    Shop,
+    describe,
+    judge,
+    start_shop,
+)
+
+from acaciarelay_standins.fleet import Fleet
+
+ENTRIES = ["entry-1", "entry-2"]
+SLOW_S = 0.8
+SHORT_TIMEOUT = ("--platform-timeout-s", "0.3")
+
+
+async def occupy(shop: Shop, key: str) -> asyncio.Task:
+    """Fill the only place of the agent, so that the next order waits."""
+    await shop.set_faults(slow_s=SLOW_S)
+    task = asyncio.create_task(Caller(shop.fleet, key).persist(["entry-2"]))
+    await shop.wait_phase(key, "started")
+    return task
+
+
+async def test_lost_answers_of_the_platform(tmp_path: Path) -> None:
+    """Guards against a second run after a write whose answer was lost."""
+    async with Fleet(tmp_path) as fleet:
+        flags = (*AGENT_FLAGS, *ONE_AT_A_TIME)
+        shop = await start_shop(fleet, agents=1, agent_flags=flags)
+
+        await fleet.set_faults(fleet.platform, lose_answers=1, lose_table="claims")
+        at_claim = Caller(fleet, "at-claim")
+        assert (await at_claim.attempt("entry-1")).status == 200
+
+        blocker = await occupy(shop, "blocker-1")
+        at_start = Caller(fleet, "at-start")
+        task = asyncio.create_task(at_start.attempt("entry-1"))
+        await shop.wait_phase("at-start", "claimed")
+        await blocker
+        await fleet.set_faults(fleet.platform, lose_answers=1, lose_table="claims")
+        assert (await task).status == 200
+
+        at_finish = Caller(fleet, "at-finish")
+        task = asyncio.create_task(at_finish.attempt("entry-1"))
+        await shop.wait_phase("at-finish", "started")
+        await fleet.set_faults(fleet.platform, lose_answers=1, lose_table="claims")
+        assert (await task).status == 200
+
+        # Half of all answers are lost, at every step and with repeats at both entries.
+        await shop.set_faults()
+        await fleet.set_faults(
+            fleet.platform, lose_probability=0.5, lose_table="claims", seed=11
+        )
+        callers = [Caller(fleet, f"lossy-{number // 2}") for number in range(16)]
+        await asyncio.gather(
+            *(
+                caller.persist(ENTRIES if index % 2 else ENTRIES[::-1])
+                for index, caller in enumerate(callers)
+            )
+        )
+        callers += [at_claim, at_start, at_finish]
+        for caller in callers:
+            again = await caller.attempt("entry-2")
+            assert again.status == 200, describe(caller.answers)
+        await judge(shop, callers)
+        writes = (await fleet.record(fleet.platform))["writes"]
+        assert sum(write["answer_lost"] for write in writes) >= 10
+
+
+@pytest.mark.parametrize("down", ["status", "close"])
+async def test_orders_while_the_platform_is_down(tmp_path: Path, down: str) -> None:
+    """Guards against runs without a claim, and against keys lost by an outage."""
+    async with Fleet(tmp_path) as fleet:
+        flags = (*AGENT_FLAGS, *ONE_AT_A_TIME)
+        shop = await start_shop(fleet, agents=1, agent_flags=flags)
+
+        # Down before the claim.
+        await fleet.set_faults(fleet.platform, down=down)
+        before = Caller(fleet, "before")
+        refused = await before.attempt("entry-1")
+        assert (refused.code, refused.outcome) == (600, "not_run")
+        assert refused.headers["retry-after"]
+        assert await shop.effects() == []
+        await fleet.set_faults(fleet.platform)
+        assert (await before.persist(ENTRIES)).status == 200
+
+        # Down between the claim and the start.
+        blocker = await occupy(shop, "blocker")
+        during = Caller(fleet, "during")
+        task = asyncio.create_task(during.attempt("entry-1"))
+        await shop.wait_phase("during", "claimed")
+        await fleet.set_faults(fleet.platform, down=down)
+        refused = await task
+        assert (refused.code, refused.outcome) == (600, "not_run")
+        assert (await blocker).status == 200
+        assert await shop.effects("during") == []
+        await fleet.set_faults(fleet.platform)
+        assert (await during.persist(ENTRIES)).status == 200
+
+        # Down during the run, so that the result can't be stored at once.
+        after = Caller(fleet, "after")
+        task = asyncio.create_task(after.attempt("entry-1"))
+        await shop.wait_phase("after", "started")
+        await fleet.set_faults(fleet.platform, down=down)
+        answer = await task
+        await fleet.set_faults(fleet.platform)
+        again = await after.persist(ENTRIES)
+        assert answer.status == again.status == 200
+        assert answer.body == again.body
+        await judge(shop, [before, during, after])
+
+
+async def test_an_unconfirmed_start_gives_its_key_back(tmp_path: Path) -> None:
+    """Guards against a key that stays started although its call was never sent."""
+    async with Fleet(tmp_path) as fleet:
+        shop = await start_shop(
+            fleet,
+            agents=1,
+            agent_flags=(*SHORT_TIMEOUT, *ONE_AT_A_TIME),
+        )
+        blocker = await occupy(shop, "blocker")
+        caller = Caller(fleet, "unconfirmed")
+        task = asyncio.create_task(caller.attempt("entry-1"))
+        await shop.wait_phase("unconfirmed", "claimed")
+        # The answers of the blocker's finish and of the start are lost. The delay
+        # leaves time to end the service before the start can be read back.
+        await fleet.set_faults(
+            fleet.platform, slow_s=0.2, lose_answers=2, lose_table="claims"
+        )
+        await shop.wait_phase("unconfirmed", "started")
+        await fleet.set_faults(fleet.platform, down="status")
+        refused = await task
+        assert (refused.code, refused.outcome) == (600, "not_run")
+        assert (await blocker).status == 200
+        await fleet.set_faults(fleet.platform)
+        answer = await caller.persist(ENTRIES, timeout_s=15)
+        assert answer.status == 200
+        await judge(shop, [caller])
--- /dev/null
+++ b/tests/integration/test_effects_of_repeats.py
@@ -0,0 +1,151 @@
+"""Guard against a second effect of an order that callers repeat (I5)."""
+
+import asyncio
+from pathlib import Path
+
+from integration.effects import (
+    Caller,
+    Shop,
+    judge,
+    order_at,
+    start_shop,
+    wait_until,
+)
+
+from acaciarelay_standins.fleet import Fleet
+
+ENTRIES = ["entry-1", "entry-2"]
+# Above the 64 KiB that are stored in the claim itself.
+LARGE_ANSWER_BYTES = 200_000
+
+
+async def test_repeats_through_both_entries_have_one_effect(tmp_path: Path) -> None:
+    """Guards against two entries that both run a key, and other faults of repeats."""
+    async with Fleet(tmp_path) as fleet:
+        shop = await start_shop(fleet)
+        await repeats_at_once(shop)
+        await another_body(shop)
+        await caller_that_leaves(shop)
+        await large_result(shop)
+
+
+async def repeats_at_once(shop: Shop) -> None:
+    await shop.set_faults(slow_s=0.2)
+    callers = []
+    for number in range(6):
+        callers += [Caller(shop.fleet, f"at-once-{number}") for _ in range(6)]
+    await asyncio.gather(
+        *(
+            caller.persist(ENTRIES if index % 2 else ENTRIES[::-1])
+            for index, caller in enumerate(callers)
+        )
+    )
+    await judge(shop, callers)
+    for caller in callers:
+        assert caller.final is not None and caller.final.status == 200
+        assert len(await shop.effects(caller.key)) == 1
+
+
+async def another_body(shop: Shop) -> None:
+    """The key names one body, while the call runs and afterwards."""
+    first = Caller(shop.fleet, "other-body", b"oak")
+    task = asyncio.create_task(first.persist(["entry-1"]))
+    await shop.wait_phase("other-body", "started")
+    during = await order_at(shop.fleet, "entry-2", "other-body", b"ash")
+    await task
+    after = await order_at(shop.fleet, "entry-2", "other-body", b"ash")
+    assert (during.code, during.outcome) == (401, "not_run")
+    assert (after.code, after.outcome) == (401, "not_run")
+    effects = await shop.effects("other-body")
+    assert [effect["body"] for effect in effects] == ["oak"]
+
+
+async def caller_that_leaves(shop: Shop) -> None:
+    """A run goes on without its caller, who finds the result by a repeat."""
+    await shop.set_faults(slow_s=0.8)
+    caller = Caller(shop.fleet, "leaves")
+    left = await caller.attempt("entry-1", read_timeout_s=0.3)
+    assert left.error is not None
+    answer = await caller.persist(["entry-2", "entry-1"])
+    assert answer.status == 200
+    await judge(shop, [caller])
+    assert len(await shop.effects("leaves")) == 1
+
+
+async def large_result(shop: Shop) -> None:
+    """A result above the inline limit is replayed byte for byte."""
+    await shop.set_faults(answer_bytes=LARGE_ANSWER_BYTES)
+    caller = Caller(shop.fleet, "large")
+    first = await caller.attempt("entry-1")
+    again = await caller.attempt("entry-2")
+    assert first.status == again.status == 200
+    assert len(first.body) == LARGE_ANSWER_BYTES
+    assert again.body == first.body
+    assert again.headers["content-type"] == first.headers["content-type"]
+    assert again.headers["idempotency-replayed"] == "true"
+    await judge(shop, [caller])
+
+
+async def test_a_failing_service_is_not_called_again(tmp_path: Path) -> None:
+    """Guards against a second call after a failure whose effect is not known."""
+    async with Fleet(tmp_path) as fleet:
+        shop = await start_shop(fleet)
+
+        # A whole answer of any status is the result of the call.
+        await shop.set_faults(fail_before_effect="status")
+        failed = Caller(fleet, "status")
+        first = await failed.attempt("entry-1")
+        await shop.set_faults()
+        again = await failed.attempt("entry-2")
+        assert first.status == again.status == 500
+        assert first.code == again.code == 0
+        assert again.body == first.body
+        assert await shop.effects("status") == []
+
+        callers = [failed]
+        for key, faults in (
+            ("closed-before", {"fail_before_effect": "close"}),
+            ("closed-after", {"close_after_effect": True}),
+        ):
+            await shop.set_faults(**faults)
+            caller = Caller(fleet, key)
+            callers.append(caller)
+            first = await caller.attempt("entry-1")
+            assert first.outcome == "outcome_unknown"
+            await shop.set_faults()
+            # Also past the age from which an unstarted claim may be taken over.
+            await asyncio.sleep(1.2)
+            for entry in ENTRIES:
+                again = await caller.attempt(entry)
+                assert (again.code, again.outcome) == (403, "outcome_unknown")
+        assert await shop.effects("closed-before") == []
+        assert len(await shop.effects("closed-after")) == 1
+        await judge(shop, callers)
+
+
+async def test_no_effect_after_a_refusal_for_a_caller_that_left_early(
+    tmp_path: Path,
+) -> None:
+    """Guards against a run for a caller that left while its order waited."""
+    async with Fleet(tmp_path) as fleet:
+        shop = await start_shop(
+            fleet,
+            agents=1,
+            agent_flags=("--token-limit", "100", "--token-limit-min", "100"),
+        )
+        await shop.set_faults(slow_s=1.0)
+        blocker = Caller(fleet, "blocker")
+        running = asyncio.create_task(blocker.persist(["entry-1"]))
+        await shop.wait_phase("blocker", "started")
+        waiting = Caller(fleet, "waiting")
+        await waiting.attempt("entry-1", read_timeout_s=0.2)
+        await running
+
+        async def given_back() -> bool:
+            writes = await shop.claim_writes("waiting")
+            return bool(writes) and writes[-1]["value"] is None
+
+        await wait_until(given_back)
+        await asyncio.sleep(0.3)
+        assert await shop.effects("waiting") == []
+        await judge(shop, [blocker, waiting])
--- /dev/null
+++ b/tests/integration/test_small_callers.py
@@ -0,0 +1,51 @@
+"""Guard against head-of-line blocking by an organisation with many requests."""
+
+import asyncio
+from pathlib import Path
+
+from integration.support import SMALL_KEY, Answer, chat
+from integration.tiers import NARROW, engine_requests, start_assistants
+
+from acaciarelay_standins.fleet import Fleet
+
+LARGE_REQUESTS = 40
+SMALL_REQUESTS = 3
+# One round of the large organisation is at most two of its requests; a third may have
+# been pulled already when the small one arrives.
+MAX_PASSED = 4
+
+
+async def test_a_single_request_passes_a_queue_of_forty(tmp_path: Path) -> None:
+    """Guards against a small caller that waits behind all of a large one's queue."""
+    async with Fleet(tmp_path) as fleet:
+        engines = await start_assistants(
+            fleet,
+            1,
+            1,
+            (*NARROW, "--quantum-tokens", "150"),
+            wait_budget_ms=6_000,
+        )
+        large = [
+            asyncio.create_task(chat(fleet, "entry-1", f"large {number}", 80))
+            for number in range(LARGE_REQUESTS)
+        ]
+        await asyncio.sleep(0.6)
+        small: list[Answer] = []
+        for number in range(SMALL_REQUESTS):
+            text = f"small {number}"
+            answer = await chat(fleet, "entry-1", text, 20, key=SMALL_KEY)
+            assert answer.whole, answer
+            small.append(answer)
+        assert not all(task.done() for task in large)
+        await asyncio.gather(*large)
+        requests = await engine_requests(fleet, engines)
+        starts = {request["request_id"]: request["start"] for request in requests}
+        for answer in small:
+            started = starts[answer.request_id]
+            passed = [
+                request
+                for request in requests
+                if request["organisation"] == "dealer"
+                and answer.started_at < request["start"] < started
+            ]
+            assert len(passed) <= MAX_PASSED, f"{len(passed)} started before"
--- /dev/null
+++ b/tests/integration/tiers.py
@@ -0,0 +1,167 @@
+"""Fleets of engines, floods of callers, and the judge of tier order."""
+
+import asyncio
+import time
+from typing import Any
+
+import attrs
+from integration.effects import wait_generation
+from integration.support import Answer, apply, chat, record, standard_records
+
+from acaciarelay_standins.fleet import Fleet
+
+RANKS = {"urgent": 0, "normal": 1, "batch": 2}
+TIERS = {"0": "urgent", "1": "normal", "2": "batch"}
+CLASSES = {"urgent": "urgent", "normal": "default", "batch": "batch"}
+SHED_CODES = (300, 302, 303, 306)
+# Longest time from a caller's first byte to its admission, and from a refusal to the
+# caller, on a busy machine.
+ENTRY_DELAY_S = 0.25
+# Agents hold a tier floor for 2 s, of which a last-resort round takes up to 1 s.
+QUIET_AFTER_SHED_S = 0.5
+# Room for about five requests of 60 tokens at each agent.
+NARROW = (
+    "--token-limit",
+    "400",
+    "--token-limit-min",
+    "400",
+    "--token-limit-max",
+    "400",
+)
+# Room for many more requests than an agent stops within one wait budget.
+WIDE = (
+    *("--token-limit", "4000", "--token-limit-min", "4000"),
+    *("--token-limit-max", "4000"),
+)
+ENGINE_FLAGS = ("--max-batch", "64", "--decode-tokens-per-s", "100", "--slowdown", "0")
+
+
+@attrs.frozen
+class Told:
+    """Hold a caller's answer with the tier of its request."""
+
+    tier: str
+    answer: Answer
+
+    @property
+    def shed(self) -> bool:
+        return self.answer.error is None and self.answer.code in SHED_CODES
+
+
+def sort_of_records(wait_budget_ms: int = 800) -> list[dict[str, Any]]:
+    """The standard records with short wait budgets, so that floods are shed soon."""
+    records = [item for item in standard_records() if item["type"] != "tier"]
+    for name, rank in RANKS.items():
+        body = {"rank": rank, "timeout_ms": 8_000, "wait_budget_ms": wait_budget_ms}
+        records.append(record("tier", name, **body))
+    return records
+
+
+async def start_assistants(
+    fleet: Fleet,
+    entries: int = 2,
+    agents: int = 2,
+    agent_flags: tuple[str, ...] = NARROW,
+    entry_flags: tuple[str, ...] = (),
+    wait_budget_ms: int = 800,
+) -> list[str]:
+    """Start the fleet and return the addresses of its engines."""
+    await fleet.start_platform()
+    numbers = range(1, agents + 1)
+    engines = await asyncio.gather(
+        *(fleet.start_engine(f"engine-{n}", *ENGINE_FLAGS) for n in numbers)
+    )
+    starts = [
+        fleet.start_entry(f"entry-{n}", "zone-a", "region-a", *entry_flags)
+        for n in range(1, entries + 1)
+    ]
+    for number, engine in zip(numbers, engines, strict=True):
+        place = ("assistants", "chat", engine, "zone-a", "region-a")
+        starts.append(fleet.start_agent(f"agent-{number}", *place, *agent_flags))
+    await asyncio.gather(*starts)
+    generation = await apply(fleet, sort_of_records(wait_budget_ms))
+    await wait_generation(fleet, generation)
+    await fleet.wait_ready()
+    return list(engines)
+
+
+async def send_one(
+    fleet: Fleet, entry: str, tier: str, tokens: int, told: list[Told], size: int = 0
+) -> None:
+    text = f"{tier} {len(told)} {time.monotonic()}".ljust(size, ".")
+    answer = await chat(fleet, entry, text, tokens, CLASSES[tier])
+    told.append(Told(tier, answer))
+
+
+async def flood(
+    fleet: Fleet,
+    tier: str,
+    callers: int,
+    seconds: float,
+    tokens: int,
+    told: list[Told],
+    pause_s: float = 0.1,
+    size: int = 0,
+) -> None:
+    """Keep a number of callers sending, each again soon after its answer."""
+    until = time.monotonic() + seconds
+    names = sorted(fleet.entries)
+
+    async def caller(number: int) -> None:
+        while time.monotonic() < until:
+            entry = names[number % len(names)]
+            await send_one(fleet, entry, tier, tokens, told, size)
+            await asyncio.sleep(pause_s)
+
+    await asyncio.gather(*(caller(number) for number in range(callers)))
+
+
+async def engine_requests(fleet: Fleet, engines: list[str]) -> list[dict[str, Any]]:
+    found = []
+    for engine in engines:
+        found += (await fleet.record(engine))["requests"]
+    return found
+
+
+def check_tier_order(told: list[Told], requests: list[dict[str, Any]]) -> int:
+    """Fail on each shed with lower work in service; return how many were judged."""
+    judged = 0
+    for item in told:
+        if not item.shed or item.tier == "batch":
+            continue
+        judged += 1
+        at = item.answer.ended_at or 0.0
+        for request in requests:
+            if int(request["tier"]) <= RANKS[item.tier]:
+                continue
+            in_service = request["start"] <= at and (request["end"] or 1e18) > at
+            assert not in_service, (
+                f"{item.tier} was shed with code {item.answer.code} at {at} "
+                f"while {request} was in service"
+            )
+            started_s = request["start"] - at
+            lower = TIERS[request["tier"]]
+            assert not 0 < started_s < QUIET_AFTER_SHED_S, (
+                f"{lower} started {started_s:.3f} s after {item.tier} was shed"
+            )
+    return judged
+
+
+def check_entry_order(told: list[Told], requests: list[dict[str, Any]]) -> int:
+    """Fail when an entry refused a request while lower ones waited there."""
+    starts = {request["request_id"]: request["start"] for request in requests}
+    judged = 0
+    for item in told:
+        if item.answer.code != 302:
+            continue
+        judged += 1
+        at = item.answer.ended_at or 0.0
+        for lower in told:
+            if RANKS[lower.tier] <= RANKS[item.tier]:
+                continue
+            answer = lower.answer
+            left_at = starts.get(answer.request_id, answer.ended_at or 0.0)
+            arrived = answer.started_at < at - ENTRY_DELAY_S
+            waited = arrived and left_at > at + ENTRY_DELAY_S
+            assert not waited, f"{item.tier} was refused while {lower} waited"
+    return judged
