--- a/src/acaciarelay/programs/entry_call.py
+++ b/src/acaciarelay/programs/entry_call.py
@@ -96,6 +96,7 @@
     caller_left: bool = False
     forced_refusal: Refusal | None = None
     shed_check: ShedCheck | None = None
+    last_resort_after: float = 0.0
     hopeless: bool = False
     session: AgentSession | None = None
     reserved_at: set[AgentSession] = attrs.field(factory=set)
