Lower the token limit when the endpoint reports a queue of its own

An endpoint queues in order of arrival, so what waits there is out of reach of tier order and fairness. The limit had grown to 40 requests for a batch of 8 while long prompts pressed it.

--- a/src/acaciarelay/coordination/concurrency.py
+++ b/src/acaciarelay/coordination/concurrency.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-__all__ = ["TokenLimit"]
+__all__ = ["TokenLimit", "largest_request"]
 
 TARGET_INTER_TOKEN_S = 0.053
 TARGET_FIRST_TOKEN_S = 0.94
@@ -30,6 +30,9 @@
 MIN_SAMPLES = 4
 # One prompt of a hundred times the usual length must not outweigh all other samples.
 MAX_SAMPLE_RATIO = 4.0
+# The endpoint may queue this share of what it runs, which keeps its batch full between
+# two reports.
+QUEUE_SLACK = 0.25
 # The limit counts as the bottleneck when this share of it was in use.
 PRESSED_SHARE = 0.8
 # A prompt of a hundred times the usual length takes one place of the engine's batch and
@@ -40,6 +43,11 @@
 RATE_WINDOW_S = 10.0
 
 
+def largest_request(limit: int) -> int:
+    """Return the most tokens that one request counts for under a limit."""
+    return max(1, int(limit * LARGEST_SHARE))
+
+
 @attrs.define
 class _Mean:
     """Average latency samples as ratios of their target."""
@@ -106,6 +114,7 @@
         self._first_token = _Mean(target_first_token_s)
         self._freed = _FreedRate()
         self._pressed = False
+        self._queued = False
         self._peak_running = 0
         self._window_start: float | None = None
         self._last_decrease = -math.inf
@@ -125,7 +134,7 @@
     @property
     def largest(self) -> int:
         """Return the most tokens that one request counts for."""
-        return max(1, int(self.limit * LARGEST_SHARE))
+        return largest_request(self.limit)
 
     @property
     def tokens_per_second(self) -> float:
@@ -186,6 +195,20 @@
             return
         self._decrease(SHRINK_FACTOR, now)
 
+    def reported(self, running: int, waiting: int) -> None:
+        """Take the endpoint's own report of running and queued requests.
+
+        The endpoint queues in order of arrival, so what waits there is out of reach of
+        tier order and fairness. The limit falls to the tokens of what runs, with some
+        slack; as the queue drains, the tokens in use fall with it.
+        """
+        self._queued = waiting > QUEUE_SLACK * running
+        if not self._queued or running < 1:
+            return
+        fitting = self.in_use * running / (running + waiting) * (1 + QUEUE_SLACK)
+        lowered = max(int(fitting), int(self.limit * SHRINK_FACTOR))
+        self.limit = self._clamp(min(self.limit, lowered))
+
     def _adjust(self, elapsed_s: float, now: float) -> None:
         means = (self._inter_token, self._first_token)
         worst = max(mean.ratio() for mean in means)
@@ -198,7 +221,7 @@
         if excess > 1 and waited and self._peak_running > 1:
             self._decrease(max(SHRINK_FACTOR, min(DECREASE_FACTOR, 1 / excess)), now)
             return
-        if worst <= GROW_BELOW and self._pressed:
+        if worst <= GROW_BELOW and self._pressed and not self._queued:
             step = self._increase_per_second * min(elapsed_s, MAX_INCREASE_S)
             self.limit = self._clamp(self.limit + max(1, int(step)))
         self._start_window(now)
--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -218,7 +218,7 @@
             reservation.organisation,
             reservation.tier,
             reservation.tokens,
-            actual_tokens,
+            min(actual_tokens, self.limit.largest),
         )
         self.pump()
 
--- a/src/acaciarelay/programs/agent_main.py
+++ b/src/acaciarelay/programs/agent_main.py
@@ -166,8 +166,9 @@
         failures = 0
         while True:
             match await self.adapter.probe():
-                case Ok():
+                case Ok(load):
                     failures = 0
+                    self.limit.reported(load.running, load.waiting)
                 case Err():
                     failures += 1
             self.core.set_endpoint_up(failures < PROBE_FAILURES)
--- a/tests/unit/coordination/test_concurrency.py
+++ b/tests/unit/coordination/test_concurrency.py
@@ -162,3 +162,29 @@
     assert limit.acquire("other", limit.largest)
     assert limit.room >= 10_000 // 4
     assert TokenLimit(1, 1, 1).largest == 1
+
+
+def test_a_queue_at_the_endpoint_lowers_the_limit_to_what_runs() -> None:
+    """Guards against requests that wait in the endpoint's own queue, out of order."""
+    limit = new_limit(10_000)
+    for index in range(32):
+        assert limit.acquire(f"r{index}", 250)
+    limit.reported(8, 24)
+    assert limit.limit == 5_000
+    limit.reported(8, 24)
+    assert limit.limit == 2_500
+    limit.reported(8, 24)
+    assert limit.limit == 2_500
+    limit.reported(8, 0)
+    assert limit.limit == 2_500
+
+
+def test_the_limit_does_not_grow_while_the_endpoint_queues() -> None:
+    """Guards against a limit that grows on the latency of a few lucky requests."""
+    queued, free = new_limit(), new_limit()
+    queued.reported(8, 8)
+    before = queued.limit
+    simulate(queued, 0.0, 3.0, 1_000_000)
+    simulate(free, 0.0, 3.0, 1_000_000)
+    assert queued.limit == before
+    assert free.limit > 10_000
