Judge a request's wait by what fair queueing serves before it

The estimate took the whole backlog of the tier as ahead of every request, so a small caller was refused for the backlog of a flood.

--- a/src/acaciarelay/coordination/admission.py
+++ b/src/acaciarelay/coordination/admission.py
@@ -8,7 +8,13 @@
 from .largest import LargestKey
 from .placement import AgentView, agent_wait_s, is_usable
 
-__all__ = ["Admission", "AdmissionDecision", "estimated_wait_s", "retry_after_s"]
+__all__ = [
+    "Admission",
+    "AdmissionDecision",
+    "Backlog",
+    "estimated_wait_s",
+    "retry_after_s",
+]
 
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
@@ -221,6 +227,39 @@
             self._tiers[held.tier].remove(held)
 
 
+class Backlog:
+    """Sum up the waiting tokens of one pool and tier by organisation."""
+
+    def __init__(self) -> None:
+        self.tokens: dict[str, int] = {}
+        self.total = 0
+
+    def add(self, organisation: str, tokens: int) -> None:
+        """Count a request that begins to wait."""
+        self.tokens[organisation] = self.tokens.get(organisation, 0) + tokens
+        self.total += tokens
+
+    def remove(self, organisation: str, tokens: int) -> None:
+        """Count a request that no longer waits."""
+        self.total -= tokens
+        left = self.tokens[organisation] - tokens
+        if left > 0:
+            self.tokens[organisation] = left
+            return
+        del self.tokens[organisation]
+
+    def share_ahead(self, organisation: str) -> float:
+        """Return the share of the backlog that fair queueing serves first.
+
+        The organisations that wait take turns, so that one with little waiting is
+        served before most of what a large backlog holds.
+        """
+        if self.total <= 0:
+            return 1.0
+        active = len(self.tokens) + (organisation not in self.tokens)
+        return min(1.0, active * self.tokens.get(organisation, 0) / self.total)
+
+
 def estimated_wait_s(agents: list[AgentView], tier: int, tokens: int) -> float | None:
     """Estimate the shortest wait at any agent that serves the tier.
 
--- a/src/acaciarelay/programs/entry_core.py
+++ b/src/acaciarelay/programs/entry_core.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from acaciarelay.coordination.admission import Backlog
 from acaciarelay.coordination.load import TierCount
 from acaciarelay.coordination.placement import AgentView, choose_subset
 from acaciarelay.coordination.retry_budget import RetryBudget
@@ -57,6 +58,7 @@
         self.timing = timing
         self.snapshot = Snapshot()
         self.calls: dict[str, Call] = {}
+        self.backlogs: dict[tuple[str, int], Backlog] = {}
         self.sessions: dict[str, AgentSession] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.views: dict[str, AgentView] = {}
@@ -318,6 +320,11 @@
         session.sent_bytes = 0
         session.received_bytes = 0
 
+    def backlog(self, call: Call) -> Backlog:
+        """Return what waits here in the pool and tier of a call."""
+        key = (call.pool.name, call.rank)
+        return self.backlogs.setdefault(key, Backlog())
+
     # Configuration and budgets.
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
--- a/src/acaciarelay/programs/entry_place.py
+++ b/src/acaciarelay/programs/entry_place.py
@@ -5,6 +5,7 @@
 import time
 
 from acaciarelay.coordination.admission import estimated_wait_s, retry_after_s
+from acaciarelay.coordination.concurrency import largest_request
 from acaciarelay.coordination.placement import (
     PLACEMENT_POLICIES,
     AgentView,
@@ -33,6 +34,22 @@
 
     async def place(self, call: Call) -> Refusal | None:
         """Wait until an agent has the call; returns a refusal if none takes it."""
+        backlog = self.core.backlog(call)
+        organisation = call.head.caller.organisation
+        tokens = self.counted_tokens(call)
+        backlog.add(organisation, tokens)
+        try:
+            return await self.wait_for_agent(call)
+        finally:
+            backlog.remove(organisation, tokens)
+
+    def counted_tokens(self, call: Call) -> int:
+        """Return the most tokens that an agent counts the call for."""
+        views = self.core.pool_views(call.pool.name)
+        largest = max((largest_request(v.token_limit) for v in views), default=0)
+        return min(call.tokens, largest) if largest > 1 else call.tokens
+
+    async def wait_for_agent(self, call: Call) -> Refusal | None:
         while call.waiting:
             call.wake.clear()
             now = time.monotonic()
@@ -121,8 +138,16 @@
     def judge_wait(self, call: Call) -> None:
         """Mark a call that can't start within its wait budget."""
         views = self.core.pool_views(call.pool.name)
-        wait_s = estimated_wait_s(views, call.rank, call.tokens)
-        call.hopeless = wait_s is not None and wait_s > call.head.wait_budget_s
+        tokens = self.counted_tokens(call)
+        wait_s = estimated_wait_s(views, call.rank, tokens)
+        if wait_s is None or wait_s <= call.head.wait_budget_s:
+            call.hopeless = False
+            return
+        # Of its own tier, only what fair queueing serves first is ahead of it.
+        higher_s = estimated_wait_s(views, call.rank - 1, tokens) or 0.0
+        share = self.core.backlog(call).share_ahead(call.head.caller.organisation)
+        fair_s = higher_s + max(0.0, wait_s - higher_s) * share
+        call.hopeless = fair_s > call.head.wait_budget_s
 
     def reserve_more(self, call: Call, now: float) -> None:
         """Send further reservations as the placement policy advises."""
--- a/tests/unit/coordination/test_admission.py
+++ b/tests/unit/coordination/test_admission.py
@@ -7,6 +7,7 @@
 
 from acaciarelay.coordination.admission import (
     Admission,
+    Backlog,
     estimated_wait_s,
     retry_after_s,
 )
@@ -132,3 +133,18 @@
     assert sum(retry_after_s(pressure + 5, random) for _ in range(50)) > sum(
         values
     ) or (pressure > 4)
+
+
+def test_a_small_backlog_is_ahead_of_a_large_one() -> None:
+    """Guards against refusing a small caller for the backlog of a flood."""
+    backlog = Backlog()
+    assert backlog.share_ahead("small") == 1.0
+    backlog.add("flood", 9_900)
+    assert backlog.share_ahead("flood") == 1.0
+    assert backlog.share_ahead("small") == 0.0
+    backlog.add("small", 100)
+    assert backlog.share_ahead("small") == 0.02
+    assert backlog.share_ahead("flood") == 1.0
+    backlog.remove("flood", 9_900)
+    backlog.remove("small", 100)
+    assert (backlog.total, backlog.tokens) == (0, {})
