--- a/src/acaciarelay/coordination/shedding.py
+++ b/src/acaciarelay/coordination/shedding.py
@@ -1,5 +1,7 @@
 """The tier floor, preemption, and the check before a request is shed."""
 
+import collections
+
 import attrs
 
 from .fair_queue import Reservation
@@ -23,6 +25,7 @@
     prompt_tokens: int
     tokens_done: int
     first_token_sent: bool
+    organisation: str = ""
 
 
 class TierFloor:
@@ -52,14 +55,22 @@
     """Return the request to cancel for one of the given tier, or ``None``.
 
     Only idempotent work of a strictly lower tier is cancelled: the lowest tier first,
-    and in it the request that loses least prefill.
+    in it the organisation that runs most, so that a flood does not cost others their
+    streams, and of that the request that loses least prefill.
     """
     candidates = [work for work in running if work.tier > tier and work.repeatable]
     if not candidates:
         return None
+    lowest = max(work.tier for work in candidates)
+    candidates = [work for work in candidates if work.tier == lowest]
+    counts = collections.Counter(work.organisation for work in candidates)
     victim = min(
         candidates,
-        key=lambda work: (-work.tier, _prefill_done(work), work.tokens_done),
+        key=lambda work: (
+            -counts[work.organisation],
+            _prefill_done(work),
+            work.tokens_done,
+        ),
     )
     return victim.request_id
 
--- a/src/acaciarelay/programs/agent_runs.py
+++ b/src/acaciarelay/programs/agent_runs.py
@@ -163,6 +163,7 @@
     def work(self) -> RunningWork:
         """Describe the run for the choice of a victim."""
         return RunningWork(
+            organisation=self.reservation.organisation,
             request_id=self.request_id,
             tier=self.reservation.tier,
             repeatable=self.cancellable,
--- a/src/acaciarelay_bench/__main__.py
+++ b/src/acaciarelay_bench/__main__.py
@@ -300,6 +300,10 @@
     }
     chosen["all small"] = [o for o in mixed if o.organisation in small]
     chosen["all large"] = [o for o in mixed if o.organisation not in small]
+    for tier in measured.deployment.tiers:
+        chosen[f"small {tier.name}"] = [
+            o for o in chosen["all small"] if o.request_class == tier.name
+        ]
     chosen["plates-40"] = [o for o in usual if o.caller == "plates-40"]
     chosen["plate-1"] = [o for o in usual if o.caller == "plate-1"]
     chosen["lookups"] = [o for o in measured.outcomes if o.lookup]
--- a/tests/unit/coordination/test_shedding.py
+++ b/tests/unit/coordination/test_shedding.py
@@ -83,3 +83,14 @@
     assert check.complete(5.0 + SHED_CHECK_S)
     check.start([], 9.0)
     assert check.complete(9.0)
+
+
+def test_the_victim_is_of_the_organisation_that_runs_most() -> None:
+    """Guards against a flood whose preemption costs small callers their streams."""
+    running = [work(f"f{n}", organisation="flood") for n in range(3)]
+    running.append(work("s", organisation="small", tokens_done=1))
+    victim = choose_victim(running, 0)
+    assert victim is not None and victim.startswith("f")
+    # A lower tier goes first whoever runs it.
+    running.append(work("low", tier=3, organisation="small"))
+    assert choose_victim(running, 0) == "low"
