Let an operator settle the key of a call whose agent died

Cause: a claim left as started by a dead agent answered every repeat with code 403 for ever, and nothing but an edit of the platform's table freed it. GET /admin/v1/claims/ORGANISATION/KEY shows the claim, POST .../settle frees the key or stores a fixed result, and acaciarelayctl has claim show and claim settle. The write is conditional on the revision that the operator read; anything else gives code 702 (exit code 4).

Ruled out: settling claims that are claimed or finished, since the first may be taken over anyway and the second has its answer; releasing after a time, since no clock shows whether the call was sent; marking a freed key with a row, since a repeat writes its claim without a read.

--- /dev/null
+++ b/src/acaciarelay/programs/admin_claims.py
@@ -0,0 +1,55 @@
+"""Serve ``/admin/v1/claims``: show and settle the claim of an idempotency key."""
+
+import secrets
+from urllib.parse import unquote
+
+from result import Err, Ok, Result
+
+from acaciarelay.programs.logs import log_event
+from acaciarelay.protocol.admin_api import ClaimAnswer, read_settle
+from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.http_message import HttpRequest
+from acaciarelay.protocol.platform_api import Platform
+from acaciarelay.transport.claim_settling import settle_claim, show_claim
+
+__all__ = ["get_claim", "post_settlement"]
+
+
+async def get_claim(
+    platform: Platform, parts: list[str]
+) -> Result[ClaimAnswer, Refusal]:
+    """Answer the state of a claim; ``parts`` are the path segments after ``/v1``."""
+    match [unquote(part) for part in parts]:
+        case [_, organisation, key]:
+            return await show_claim(platform, organisation, key)
+    return Err(refuse("unknown_path"))
+
+
+async def post_settlement(
+    platform: Platform, parts: list[str], request: HttpRequest, body: bytes
+) -> Result[ClaimAnswer, Refusal]:
+    """Settle a claim; ``parts`` are the path segments after ``/v1``."""
+    match [unquote(part) for part in parts]:
+        case [_, organisation, key, "settle"]:
+            pass
+        case _:
+            return Err(refuse("unknown_path"))
+    match read_settle(body):
+        case Err(refusal):
+            return Err(refusal)
+        case Ok(settlement):
+            pass
+    operator = request.header("acaciarelay-operator") or "unknown"
+    token = request.header("acaciarelay-token") or secrets.token_hex(16)
+    answer = await settle_claim(
+        platform, organisation, key, settlement, operator, token
+    )
+    # A freed claim leaves no row, so the log is the only trace of who freed it.
+    log_event(
+        "claim_settlement",
+        claim=f"{organisation}/{key}",
+        operator=operator,
+        ran=settlement.ran,
+        accepted=answer.is_ok(),
+    )
+    return answer
--- a/src/acaciarelay/programs/admin_routes.py
+++ b/src/acaciarelay/programs/admin_routes.py
@@ -8,6 +8,7 @@
 import orjson
 from result import Err, Ok, Result
 
+from acaciarelay.programs.admin_claims import get_claim, post_settlement
 from acaciarelay.programs.config_sync import ConfigSync
 from acaciarelay.programs.config_writer import ConfigWriter
 from acaciarelay.protocol.admin_api import (
@@ -97,6 +98,8 @@
             ("GET", "generation"): self.generation,
             ("GET", "status"): self.status,
             ("POST", "endpoints"): self.set_state,
+            ("GET", "claims"): self.claim,
+            ("POST", "claims"): self.settle,
         }
 
     async def handle(self, exchange: HttpExchange) -> bool:
@@ -211,6 +214,18 @@
         processes = self.status_source.processes()
         return Ok(StatusAnswer(self.sync.generation, processes))
 
+    async def claim(self, call: _Call) -> Answer:
+        return await get_claim(self.sync.platform, call.parts)
+
+    async def settle(self, call: _Call) -> Answer:
+        match await read_body(call.exchange):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(body):
+                pass
+        platform = self.sync.platform
+        return await post_settlement(platform, call.parts, call.request, body)
+
     async def set_state(self, call: _Call) -> Answer:
         if len(call.parts) != 3 or call.parts[2] not in STATES:
             return Err(refuse("unknown_path"))
--- a/src/acaciarelay/programs/ctl_commands.py
+++ b/src/acaciarelay/programs/ctl_commands.py
@@ -36,7 +36,7 @@
     read_as,
 )
 
-__all__ = ["COMMANDS"]
+__all__ = ["COMMANDS", "CtlCommand", "Outcome", "quoted_path"]
 
 WATCH_INTERVAL_S = 0.5
 
@@ -51,7 +51,8 @@
         return f"uid-{os.getuid()}"
 
 
-def _path(*parts: str) -> str:
+def quoted_path(*parts: str) -> str:
+    """Join path segments; each is percent-encoded, since names may hold slashes."""
     return "".join("/" + quote(part, safe="") for part in parts)
 
 
@@ -139,7 +140,7 @@
     ]
 
     async def work(self, client: AdminClient, prepared: Any) -> Outcome:
-        path = _path("records", self.argument("type"), self.argument("name"))
+        path = quoted_path("records", self.argument("type"), self.argument("name"))
         answer = await client.call("GET", path)
         return answer.map(lambda body: format_json(body["records"]))
 
@@ -151,7 +152,7 @@
 
     async def work(self, client: AdminClient, prepared: Any) -> Outcome:
         wanted = self.argument("type")
-        path = _path("records", wanted) if wanted else "/records"
+        path = quoted_path("records", wanted) if wanted else "/records"
         answer = await client.call("GET", path)
         return answer.map(lambda body: format_json(body["records"]))
 
@@ -202,7 +203,7 @@
         return query if schema is None else f"{query}&schema={schema}"
 
     async def work(self, client: AdminClient, prepared: str) -> Outcome:
-        path = _path("records", self.argument("type"), self.argument("name"))
+        path = quoted_path("records", self.argument("type"), self.argument("name"))
         answer = await client.call(
             "DELETE", f"{path}?{prepared}", token=secrets.token_hex(8)
         )
@@ -288,7 +289,7 @@
     arguments: ClassVar[list[Argument]] = [argument("endpoint", "Endpoint name.")]
 
     async def work(self, client: AdminClient, prepared: Any) -> Outcome:
-        path = _path("endpoints", self.argument("endpoint"), self.name)
+        path = quoted_path("endpoints", self.argument("endpoint"), self.name)
         answer = await client.call("POST", path, token=secrets.token_hex(8))
         return answer.map(
             lambda plain: f"generation {plain['generation']}: {self.name} accepted"
--- a/src/acaciarelay/programs/ctl_main.py
+++ b/src/acaciarelay/programs/ctl_main.py
@@ -8,6 +8,7 @@
 from cleo.helpers import option
 from cleo.io.inputs.argv_input import ArgvInput
 
+from acaciarelay.programs.ctl_claims import CLAIM_COMMANDS
 from acaciarelay.programs.ctl_client import ExitCode
 from acaciarelay.programs.ctl_commands import COMMANDS
 from acaciarelay.programs.ctl_output import format_table
@@ -16,6 +17,7 @@
 __all__ = ["main", "overview"]
 
 PROGRAM = "acaciarelayctl"
+ALL_COMMANDS = [*COMMANDS, *CLAIM_COMMANDS]
 
 EXIT_CODES = [
     (ExitCode.OK, "done"),
@@ -29,7 +31,7 @@
 
 def overview() -> str:
     """Return the help text with all commands, settings and exit codes."""
-    commands = [(f"  {item.name}", item.description) for item in COMMANDS]
+    commands = [(f"  {item.name}", item.description) for item in ALL_COMMANDS]
     settings = [
         (f"  {item.flag}", item.variable, item.help, _default(item.default, item.unit))
         for item in CTL_OPTIONS
@@ -65,7 +67,7 @@
                 multiple=declared.name == "entry",
             )
         )
-    for command in COMMANDS:
+    for command in ALL_COMMANDS:
         application.add(command())
     return application
 
--- a/src/acaciarelay/protocol/admin_api.py
+++ b/src/acaciarelay/protocol/admin_api.py
@@ -9,6 +9,9 @@
 - ``GET /generation`` answers the generations of this and all known processes.
 - ``GET /status`` answers the state of the fleet.
 - ``POST /endpoints/NAME/drain`` and ``/activate`` write the endpoint's record.
+- ``GET /claims/ORGANISATION/KEY`` answers the claim of an idempotency key; both parts
+  are percent-encoded.
+- ``POST /claims/ORGANISATION/KEY/settle`` settles a started claim after its agent died.
 
 A change carries the revision that its writer read, which is the generation that last
 wrote the record. The header ``Acaciarelay-Token`` identifies a commit, so that a
@@ -30,6 +33,7 @@
 __all__ = [
     "ApplyAnswer",
     "ApplyRequest",
+    "ClaimAnswer",
     "Diff",
     "GenerationAnswer",
     "HistoryAnswer",
@@ -38,12 +42,14 @@
     "RecordChange",
     "RecordRefusal",
     "RecordsAnswer",
+    "SettleRequest",
     "StatusAnswer",
     "StatusSource",
     "TierStatus",
     "VersionConflict",
     "read_apply",
     "read_as",
+    "read_settle",
     "to_plain",
 ]
 
@@ -179,6 +185,31 @@
     processes: list[ProcessStatus]
 
 
+@attrs.frozen(kw_only=True)
+class ClaimAnswer:
+    """Describe the claim of an idempotency key.
+
+    ``state`` is ``free``, ``claimed``, ``started`` or ``finished``. ``claimed_at`` is
+    in seconds since the epoch. ``status`` is the stored result's HTTP status, or 0.
+    """
+
+    organisation: str
+    key: str
+    state: str
+    revision: int = 0
+    claimed_at: float = 0.0
+    settled_by: str = ""
+    status: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class SettleRequest:
+    """Say whether a started call ran; ``revision`` is the one that ``GET`` answered."""
+
+    ran: bool
+    revision: int
+
+
 @attrs.frozen
 class VersionConflict:
     """Hold the version expected by the writer and the one that is stored."""
@@ -230,3 +261,18 @@
     except Exception as error:
         detail = "; ".join(cattrs.transform_error(error))
         return Err(refuse("record_invalid", detail))
+
+
+def read_settle(data: bytes) -> Result[SettleRequest, Refusal]:
+    """Read the body of a settlement; both fields are required."""
+    try:
+        body = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        return Err(refuse("invalid_json", str(error)))
+    match body:
+        case {"ran": bool() as ran, "revision": int() as revision, **rest}:
+            # bool is a subclass of int.
+            if not rest and not isinstance(revision, bool):
+                return Ok(SettleRequest(ran=ran, revision=revision))
+    detail = "send ran (true or false) and revision (a whole number), nothing else"
+    return Err(refuse("invalid_field", detail))
--- a/src/acaciarelay/state/claim.py
+++ b/src/acaciarelay/state/claim.py
@@ -18,9 +18,11 @@
     "Put",
     "ResultRecord",
     "Settled",
+    "Settlement",
     "claim_step",
     "finish_step",
     "release_step",
+    "settle_step",
     "start_step",
 ]
 
@@ -49,7 +51,8 @@
 
     ``token`` names the claimant and ``start_id`` the one attempt to start the call.
     ``claimed_at`` is the claimant's wall clock in seconds. It only delays a take-over;
-    no safety rests on it.
+    no safety rests on it. ``settled_by`` and ``settle_token`` are set when an operator
+    and not an agent stored the result.
     """
 
     phase: ClaimPhase
@@ -58,6 +61,8 @@
     claimed_at: float
     start_id: str = ""
     result: ResultRecord | None = None
+    settled_by: str = ""
+    settle_token: str = ""
 
 
 class DeniedReason(enum.StrEnum):
@@ -69,6 +74,8 @@
     NOT_STARTED = "not_started"
     REPLACED = "replaced"
     MISSING = "missing"
+    CHANGED = "changed"
+    FINISHED = "finished"
 
 
 @attrs.frozen
@@ -95,6 +102,21 @@
 ClaimStep = Put | Settled | Denied
 
 
+@attrs.frozen(kw_only=True)
+class Settlement:
+    """Hold an operator's finding on a started call.
+
+    ``revision`` is the revision of the claim's row that the operator saw; ``result``
+    is stored when the call ran, and ``None`` frees the key. ``token`` identifies the
+    settlement when its answer is lost.
+    """
+
+    revision: int
+    result: ResultRecord | None
+    operator: str
+    token: str
+
+
 def claim_step(
     current: Claim | None, body_hash: str, token: str, now: float, take_over_s: float
 ) -> ClaimStep:
@@ -166,3 +188,35 @@
         case ClaimPhase.STARTED if start_id and current.start_id == start_id:
             return Put(None)
     return Denied(DeniedReason.STARTED)
+
+
+def settle_step(
+    current: Claim | None, revision: int, settlement: Settlement
+) -> ClaimStep:
+    """Settle a started claim whose agent is gone; ``revision`` is that of the row.
+
+    A claim that changed after the operator read it is left alone: its agent may have
+    stored the result, or a repeat may have started after another settlement.
+    """
+    if current is None:
+        return Denied(DeniedReason.MISSING)
+    if current.settle_token and current.settle_token == settlement.token:
+        return Settled(current)
+    if revision != settlement.revision:
+        return Denied(DeniedReason.CHANGED)
+    match current.phase:
+        case ClaimPhase.CLAIMED:
+            # It frees itself: another entry may take it over.
+            return Denied(DeniedReason.NOT_STARTED)
+        case ClaimPhase.FINISHED:
+            return Denied(DeniedReason.FINISHED)
+    if settlement.result is None:
+        return Put(None)
+    settled = attrs.evolve(
+        current,
+        phase=ClaimPhase.FINISHED,
+        result=settlement.result,
+        settled_by=settlement.operator,
+        settle_token=settlement.token,
+    )
+    return Put(settled)
--- a/src/acaciarelay/transport/claim_store.py
+++ b/src/acaciarelay/transport/claim_store.py
@@ -54,6 +54,9 @@
     # Another claimant has the key; this call was not sent.
     DeniedReason.REPLACED: "key_in_progress",
     DeniedReason.MISSING: "key_in_progress",
+    # An operator's settlement; no call depends on it.
+    DeniedReason.CHANGED: "record_conflict",
+    DeniedReason.FINISHED: "record_conflict",
 }
 
 
--- /dev/null
+++ b/tests/integration/test_claim_settlement.py
@@ -0,0 +1,98 @@
+"""Guard against a key that stays unsettled for ever after its agent was killed."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import attrs
+import orjson
+import pytest
+from integration.ctl import run_ctl
+from integration.support import Answer, apply, order, standard_records
+
+from acaciarelay_standins.fleet import OPERATOR_KEY, Fleet
+
+KEY = "deposit/7 a"
+
+
+@attrs.define
+class Killed:
+    """Hold a fleet whose agent was killed during the call of ``KEY``."""
+
+    fleet: Fleet
+    service: str
+
+    async def ctl(self, *words: str) -> tuple[int, str, str]:
+        return await run_ctl([self.fleet.entries["entry-1"].http], OPERATOR_KEY, *words)
+
+    async def revision(self) -> int:
+        code, text, _ = await self.ctl("claim", "show", "dealer", KEY)
+        assert code == 0
+        shown = orjson.loads(text)
+        assert shown["state"] == "started"
+        return shown["revision"]
+
+    async def wait_started(self) -> None:
+        """Wait until the agent has written that it calls the service."""
+        for _ in range(100):
+            code, text, _ = await self.ctl("claim", "show", "dealer", KEY)
+            if code == 0 and orjson.loads(text)["state"] == "started":
+                return
+        raise TimeoutError("the call was not started")
+
+    async def repeat(self) -> Answer:
+        return await order(self.fleet, "entry-1", KEY, b"oak")
+
+    async def effects(self) -> int:
+        return len((await self.fleet.record(self.service))["effects"])
+
+
+@pytest.fixture
+async def killed(tmp_path: Path) -> AsyncIterator[Killed]:
+    async with Fleet(tmp_path) as fleet:
+        await fleet.start_platform()
+        service = await fleet.start_service("service", "--latency-s", "6")
+        await fleet.start_entry("entry-1")
+        agent = await fleet.start_agent("agent-1", "shop", "service", service)
+        await apply(fleet, standard_records())
+        await fleet.wait_ready()
+        first = asyncio.create_task(order(fleet, "entry-1", KEY, b"oak"))
+        case = Killed(fleet, service)
+        await case.wait_started()
+        agent.process.kill()
+        await agent.process.wait()
+        assert (await first).outcome == "outcome_unknown"
+        await fleet.start_agent("agent-2", "shop", "service", service)
+        await fleet.wait_ready(1)
+        assert (await case.repeat()).code == 403
+        yield case
+
+
+async def test_a_freed_key_runs_and_a_stale_settlement_conflicts(
+    killed: Killed,
+) -> None:
+    before = await killed.effects()
+    revision = await killed.revision()
+    words = ("claim", "settle", "dealer", KEY, "not-run", str(revision))
+    code, text, _ = await killed.ctl(*words)
+    assert (code, text.strip()) == (0, f"claim dealer/{KEY}: free")
+    answer = await killed.repeat()
+    assert answer.status == 200
+    assert await killed.effects() == before + 1
+    code, _, errors = await killed.ctl(*words)
+    assert code == 4 and f"expected revision {revision}" in errors
+    assert (await killed.repeat()).body == answer.body
+    assert await killed.effects() == before + 1
+
+
+async def test_a_key_settled_as_run_answers_without_a_call(killed: Killed) -> None:
+    before = await killed.effects()
+    revision = await killed.revision()
+    code, _, _ = await killed.ctl(
+        "claim", "settle", "dealer", KEY, "ran", str(revision)
+    )
+    assert code == 0
+    answer = await killed.repeat()
+    assert answer.status == 200
+    assert orjson.loads(answer.body)["settled"] == "ran"
+    assert await killed.effects() == before
--- a/tests/unit/test_claim.py
+++ b/tests/unit/test_claim.py
@@ -12,9 +12,11 @@
     Put,
     ResultRecord,
     Settled,
+    Settlement,
     claim_step,
     finish_step,
     release_step,
+    settle_step,
     start_step,
 )
 
@@ -55,6 +57,36 @@
     assert claim_step(step.claim, "hash", "b", 0.0, TAKE_OVER_S) == Settled(step.claim)
 
 
+def settlement(revision: int, ran: bool, token: str = "t") -> Settlement:
+    result = attrs.evolve(RESULT, status=299) if ran else None
+    return Settlement(revision=revision, result=result, operator="op", token=token)
+
+
+def test_only_a_started_claim_is_settled() -> None:
+    """A finished result must not be replaced, nor a live claimant be displaced."""
+    for ran in (True, False):
+        wanted = settlement(1, ran)
+        assert settle_step(None, 0, wanted) == Denied(DeniedReason.MISSING)
+        claim = claimed(None, "a")
+        assert settle_step(claim, 1, wanted) == Denied(DeniedReason.NOT_STARTED)
+        step = finish_step(started("a", "1"), "a", RESULT)
+        assert isinstance(step, Put)
+        assert settle_step(step.claim, 1, wanted) == Denied(DeniedReason.FINISHED)
+        changed = Denied(DeniedReason.CHANGED)
+        assert settle_step(started("a", "1"), 2, wanted) == changed
+
+
+def test_a_settlement_recognises_its_own_write() -> None:
+    step = settle_step(started("a", "1"), 1, settlement(1, True))
+    assert isinstance(step, Put) and step.claim is not None
+    assert settle_step(step.claim, 2, settlement(1, True)) == Settled(step.claim)
+    other = settlement(1, True, token="u")
+    assert settle_step(step.claim, 2, other) == Denied(DeniedReason.CHANGED)
+    # The agent that comes back keeps the operator's result and does not call again.
+    assert finish_step(step.claim, "a", RESULT) == Settled(step.claim)
+    assert start_step(step.claim, "a", "1") == Denied(DeniedReason.STARTED)
+
+
 @attrs.define
 class Pending:
     """Hold a conditional write on its way to the table."""
@@ -85,6 +117,7 @@
         self.pending: list[Pending] = []
         self.called: set[str] = set()
         self.given_up: set[str] = set()
+        self.seen: list[tuple[int, str]] = []
 
     def send(self, step: object, at_once: bool, start_id: str = "") -> None:
         if isinstance(step, Put):
@@ -137,6 +170,22 @@
             self.given_up.add(start_id)
             self.send(release_step(self.claim, token, start_id), at_once)
 
+    @rule()
+    def look(self) -> None:
+        if self.claim is not None and self.claim.start_id:
+            self.seen.append((self.row_revision, self.claim.start_id))
+
+    @rule(data=st.data(), ran=st.booleans(), at_once=MOSTLY)
+    def settle(self, data: st.DataObject, ran: bool, at_once: bool) -> None:
+        """Settle what was seen earlier; "not run" needs an agent known to be gone."""
+        if not self.seen:
+            return
+        revision, start_id = data.draw(st.sampled_from(self.seen))
+        if not ran and (start_id not in self.given_up or start_id in self.called):
+            return
+        wanted = settlement(revision, ran)
+        self.send(settle_step(self.claim, self.row_revision, wanted), at_once)
+
     @rule(data=st.data(), answered=st.booleans(), kept=st.booleans())
     def deliver(self, data: st.DataObject, answered: bool, kept: bool) -> None:
         if not self.pending:
