Report the schemas that agents and peer entries understand

Cause: schema-status listed every agent and every peer among the processes that report no schemas, so an operator could not see who must be upgraded before a new schema is written. Welcome carries the newest schema by record type now, and so does a peer's answer to FetchConfig, which entries already ask for generations while an operator looks.

Ruled out: schemas in each Load message, since they change only with the program; a further call between peers, since FetchConfig serves.

--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -14,6 +14,7 @@
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.protocol import relay_pb2 as pb
 from acaciarelay.protocol.wire import NO_FLOOR
+from acaciarelay.state.records import known_schemas
 from acaciarelay.transport.relay_server import EntryLink
 
 __all__ = ["AgentCore", "AgentIdentityConfig"]
@@ -93,6 +94,7 @@
             token_limit=self.limit.limit,
             draining=self.draining,
             generation=self.generation,
+            schemas=known_schemas(),
         )
         link.send(pb.AgentMessage(welcome=welcome))
         link.send(pb.AgentMessage(load=self.load()))
--- a/src/acaciarelay/programs/entry_core.py
+++ b/src/acaciarelay/programs/entry_core.py
@@ -62,6 +62,7 @@
         self.views: dict[str, AgentView] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.generations: dict[str, int] = {}
+        self.schemas: dict[str, dict[str, int]] = {}
         self.on_usage: Callable[[Call, pb.End], None] = lambda call, end: None
 
     # Sessions.
@@ -118,6 +119,7 @@
     def close_session(self, agent_id: str) -> None:
         self.sessions.pop(agent_id, None)
         self.views.pop(agent_id, None)
+        self.schemas.pop(agent_id, None)
         task = self.tasks.pop(agent_id, None)
         if task is not None:
             task.cancel()
@@ -142,6 +144,7 @@
         view.draining = welcome.draining
         view.zone, view.region, view.pool = welcome.zone, welcome.region, welcome.pool
         view.token_limit = welcome.token_limit
+        self.schemas[session.agent_id] = dict(welcome.schemas)
         view.updated_at = time.monotonic()
         self.send_config(session)
         log_event("session_opened", agent=session.agent_id)
--- a/src/acaciarelay/programs/entry_status.py
+++ b/src/acaciarelay/programs/entry_status.py
@@ -10,7 +10,7 @@
 from acaciarelay.programs.entry_requests import RequestHandler
 from acaciarelay.protocol.admin_api import ProcessStatus, TierStatus
 from acaciarelay.state.directory import Directory
-from acaciarelay.state.records import RECORD_TYPES
+from acaciarelay.state.records import known_schemas
 from acaciarelay.transport.peer import PeerClient
 
 __all__ = ["FleetStatus"]
@@ -38,6 +38,7 @@
         self.handler = handler
         self.peers = peers
         self.peer_generations: dict[str, int] = {}
+        self.peer_schemas: dict[str, dict[str, int]] = {}
         self.watched_until = 0.0
         self.watched = asyncio.Event()
 
@@ -59,6 +60,7 @@
                     region=member.region,
                     connected=generation is not None,
                     generation=generation or 0,
+                    schemas=self.peer_schemas.get(member.address, {}),
                 )
             )
         for agent_id in sorted(self.core.views):
@@ -81,7 +83,7 @@
             draining=self.handler.stopping_soon,
             generation=self.core.snapshot.generation,
             tiers=[TierStatus(t, w, r) for t, (w, r) in sorted(counts.items())],
-            schemas={kind.name: kind.newest for kind in RECORD_TYPES.values()},
+            schemas=known_schemas(),
         )
 
     def agent_status(self, agent_id: str) -> ProcessStatus:
@@ -101,6 +103,7 @@
                 TierStatus(tier, count.waiting, count.running)
                 for tier, count in sorted(view.tiers.items())
             ],
+            schemas=self.core.schemas.get(agent_id, {}),
         )
 
     async def run(self) -> None:
@@ -119,5 +122,6 @@
             match answer:
                 case Ok(generation):
                     self.peer_generations[client.address] = generation
+                    self.peer_schemas[client.address] = client.schemas
                 case _:
                     self.peer_generations.pop(client.address, None)
--- a/src/acaciarelay/transport/peer.py
+++ b/src/acaciarelay/transport/peer.py
@@ -18,6 +18,7 @@
     encode_change,
     whole_change,
 )
+from acaciarelay.state.records import known_schemas
 
 __all__ = ["ConfigHolder", "PeerClient", "PeerError", "PeerServer"]
 
@@ -83,7 +84,9 @@
             # Generation 0 here would be mistaken for an empty table.
             detail = "no configuration is in force"
             await context.abort(grpc.StatusCode.FAILED_PRECONDITION, detail)
-        answer = relay_pb2.ConfigUpdate(generation=state.generation)
+        answer = relay_pb2.ConfigUpdate(
+            generation=state.generation, schemas=known_schemas()
+        )
         if request.known_generation < state.generation or (
             request.known_generation == state.generation == 0
         ):
@@ -92,7 +95,11 @@
 
 
 class PeerClient:
-    """Call one peer entry; all times are in seconds."""
+    """Call one peer entry; all times are in seconds.
+
+    ``schemas`` holds the newest schema that the peer understands, by record type, as of
+    the last call of ``generation``; it is empty when the peer reports none.
+    """
 
     def __init__(
         self, address: str, timeout_s: float = 2.0, fetch_timeout_s: float = 10.0
@@ -100,6 +107,7 @@
         self.address = address
         self.timeout_s = timeout_s
         self.fetch_timeout_s = fetch_timeout_s
+        self.schemas: dict[str, int] = {}
         self.channel: grpc.aio.Channel | None = None
         self.closing: set[asyncio.Task] = set()
 
@@ -107,7 +115,11 @@
         """Read the generation in force at the peer."""
         request = relay_pb2.ConfigRequest(known_generation=NO_SNAPSHOT)
         answer = await self.call("FetchConfig", request, self.timeout_s)
-        return answer.map(lambda update: update.generation)
+        return answer.map(self.read_generation)
+
+    def read_generation(self, update: relay_pb2.ConfigUpdate) -> int:
+        self.schemas = dict(update.schemas)
+        return update.generation
 
     async def fetch(self, known_generation: int) -> Result[ChangeSet | None, PeerError]:
         """Read the peer's snapshot; ``None`` when it is not above the known one."""
