Count failed calls to the platform

Cause: acaciarelay_platform_failures_total was declared but never counted, so an operator could not see an outage in the metrics. The platform client now tells each failed call by method and collection. The timeout message of acaciarelayctl watch marks processes that are disconnected.

Ruled out: counting at each call site, since a new one would be forgotten.

Run: tests/unit/test_platform_client.py, tests/unit/test_ctl_main.py.

--- a/src/acaciarelay/programs/agent_main.py
+++ b/src/acaciarelay/programs/agent_main.py
@@ -48,6 +48,7 @@
         self.rng = random.Random()
         self.metrics = Metrics()
         self.platform = PlatformClient(settings.platform, settings.platform_timeout_s)
+        self.platform.on_failure = self.metrics.count_platform_failure
         limits = EndpointLimits(stall_s=settings.stall_s)
         self.adapter = ENDPOINT_KINDS[settings.kind](settings.endpoint, limits)
         self.limit = TokenLimit(
--- a/src/acaciarelay/programs/ctl_commands.py
+++ b/src/acaciarelay/programs/ctl_commands.py
@@ -279,7 +279,11 @@
 
 
 def _late(answer: GenerationAnswer, target: int) -> list[str]:
-    late = [item.id for item in answer.processes if item.generation < target]
+    late = [
+        item.id if item.connected else f"{item.id} (disconnected)"
+        for item in answer.processes
+        if item.generation < target
+    ]
     return late if answer.generation >= target else ["this entry", *late]
 
 
--- a/src/acaciarelay/programs/entry_main.py
+++ b/src/acaciarelay/programs/entry_main.py
@@ -57,6 +57,7 @@
         timing = SessionTiming(silence_s=settings.silence_s)
         self.core = EntryCore(self.place, self.metrics, self.rng, timing)
         self.platform = PlatformClient(settings.platform, settings.platform_timeout_s)
+        self.platform.on_failure = self.metrics.count_platform_failure
         self.directory = Directory()
         self.sync = ConfigSync(
             self.platform, ConfigState(), [], self.rng, settings.config_poll_s
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -157,6 +157,10 @@
         """Add to a counter; the name is given without its common prefix."""
         self.collectors["acaciarelay_" + name].add(_texts(labels), amount)
 
+    def count_platform_failure(self, call: str) -> None:
+        """Count a failed call to the platform."""
+        self.count("platform_failures_total", call=call)
+
     def set(self, name: str, value: float, **labels: object) -> None:
         """Set a gauge; the name is given without its common prefix."""
         self.collectors["acaciarelay_" + name].set(_texts(labels), value)
--- a/src/acaciarelay/transport/platform_client.py
+++ b/src/acaciarelay/transport/platform_client.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's table, object and VM services."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -38,11 +39,13 @@
     """Call the platform at ``IP:PORT``; each call ends within ``timeout_s`` seconds.
 
     A failed read is ``UNAVAILABLE``. A failed write is ``UNAVAILABLE`` only when it
-    certainly took no effect: no connection, or a status that says so.
+    certainly took no effect: no connection, or a status that says so. ``on_failure`` is
+    told of each failed call as ``METHOD COLLECTION``, such as ``GET tables``.
     """
 
     def __init__(self, address: str, timeout_s: float) -> None:
         self.address = address
+        self.on_failure: Callable[[str], None] = lambda call: None
         self.timeout_s = timeout_s
         # The connect step gets half of the time, so that a call which uses up all of
         # it has always reached the sending step.
@@ -135,6 +138,14 @@
 
     async def fetch(
         self, method: str, path: str, body: bytes
+    ) -> Result[FetchedAnswer, PlatformError]:
+        answer = await self.exchange(method, path, body)
+        if isinstance(answer, Err) or answer.ok_value.status >= 500:
+            self.on_failure(f"{method} {path.split('/')[1].partition('?')[0]}")
+        return answer
+
+    async def exchange(
+        self, method: str, path: str, body: bytes
     ) -> Result[FetchedAnswer, PlatformError]:
         headers = JSON_HEADERS if method == "POST" else []
         try:
--- a/tests/unit/test_platform_client.py
+++ b/tests/unit/test_platform_client.py
@@ -138,3 +138,19 @@
         answer = await PlatformClient(address, 0.3).commit(TRANSACTION)
         assert fault_of(answer) is PlatformFault.UNKNOWN
         assert asyncio.get_running_loop().time() - started < 3.0
+
+
+async def test_failed_calls_are_told_by_collection(
+    platform: PlatformStandin, client: PlatformClient
+) -> None:
+    """An outage must show in a counter, also when every caller retries silently."""
+    failed: list[str] = []
+    client.on_failure = failed.append
+    await client.read("t", "a")
+    platform.faults = Faults(down="status")
+    await client.read("t", "a")
+    await client.changes("t", 0)
+    await client.commit(TRANSACTION)
+    platform.faults = Faults(down="close")
+    await client.list_vms()
+    assert failed == ["GET tables", "GET tables", "POST transactions", "GET vms"]
