Accept the variables of the other programs in one environment

Cause: a variable ACACIARELAY_... that a program does not declare is a problem, since it is most likely misspelt. An operator who exported ACACIARELAY_ENTRY for acaciarelayctl could therefore not start an entry from the same shell. The variables of all three programs are known now; any other one is still a problem. A missing setting is called missing instead of "None is not valid".

Ruled out: ignoring unknown variables, which would hide a misspelt setting.

--- a/src/acaciarelay/programs/options.py
+++ b/src/acaciarelay/programs/options.py
@@ -1,7 +1,7 @@
 """Typed readers for settings, which name the option and the bad value in errors."""
 
 import ipaddress
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any
 
 import attrs
@@ -27,7 +27,8 @@
     """Report one option whose value breaks its rule."""
 
     def __init__(self, option: str, value: object, rule: str) -> None:
-        super().__init__(f"{option}: {value!r} is not valid: {rule}")
+        problem = "is missing" if value is None else f"{value!r} is not valid"
+        super().__init__(f"{option}: {problem}: {rule}")
         self.option = option
         self.value = value
         self.rule = rule
@@ -148,12 +149,16 @@
 
 
 def read_options(
-    options: list[Option], flags: Mapping[str, str | None], environment: Mapping
+    options: list[Option],
+    flags: Mapping[str, str | None],
+    environment: Mapping,
+    others: Collection[str] = (),
 ) -> tuple[dict[str, Any], list[OptionError]]:
     """Read all options, a flag before its variable before the default.
 
     Returns the values by attribute name and every problem found. An unknown
-    variable with the prefix is a problem too, since it is most likely misspelt.
+    variable with the prefix is a problem too, since it is most likely misspelt;
+    ``others`` names the variables of programs that may share the environment.
     """
     values: dict[str, Any] = {}
     problems: list[OptionError] = []
@@ -169,7 +174,7 @@
             values[option.attribute] = option.reader(option.name, raw)
         except OptionError as problem:
             problems.append(problem)
-    known = {option.variable for option in options}
+    known = {option.variable for option in options}.union(others)
     for variable in sorted(environment):
         if not variable.startswith(ENVIRONMENT_PREFIX) or variable in known:
             continue
--- a/src/acaciarelay/programs/runner.py
+++ b/src/acaciarelay/programs/runner.py
@@ -12,6 +12,7 @@
 from cleo.helpers import option as cleo_option
 
 from acaciarelay.programs.options import Option, read_options
+from acaciarelay.programs.settings import ALL_VARIABLES
 
 __all__ = ["EXIT_SETTINGS", "Settings", "Stopper", "run_program"]
 
@@ -82,10 +83,9 @@
 
         def handle(self) -> int:
             raw = {option.name: self.option(option.name) for option in options}
-            values, problems = read_options(options, raw, os.environ)
+            values, problems = read_options(options, raw, os.environ, ALL_VARIABLES)
             if problems:
-                count = len(problems)
-                print(f"{program}: {count} settings are wrong:", file=sys.stderr)
+                print(f"{program}: wrong settings:", file=sys.stderr)
                 for problem in problems:
                     print(f"  {problem}", file=sys.stderr)
                 return EXIT_SETTINGS
--- a/src/acaciarelay/programs/settings.py
+++ b/src/acaciarelay/programs/settings.py
@@ -13,7 +13,7 @@
     read_text,
 )
 
-__all__ = ["AGENT_OPTIONS", "CTL_OPTIONS", "ENTRY_OPTIONS"]
+__all__ = ["AGENT_OPTIONS", "ALL_VARIABLES", "CTL_OPTIONS", "ENTRY_OPTIONS"]
 
 
 def _read_entries(option: str, value: str) -> list[str]:
@@ -208,3 +208,10 @@
         "s",
     ),
 ]
+
+# An operator's shell has the variables of acaciarelayctl when it starts a process.
+ALL_VARIABLES = frozenset(
+    option.variable
+    for options in (ENTRY_OPTIONS, AGENT_OPTIONS, CTL_OPTIONS)
+    for option in options
+)
--- a/tests/unit/test_options.py
+++ b/tests/unit/test_options.py
@@ -41,3 +41,19 @@
 def test_an_address_must_be_an_ip_number_and_a_port(value: str) -> None:
     with pytest.raises(OptionError):
         read_address("listen", value)
+
+
+def test_variables_of_other_programs_are_no_problem() -> None:
+    """An operator's shell holds ACACIARELAY_ENTRY when it starts an entry."""
+    environment = {"ACACIARELAY_LISTEN": "127.0.0.1:80", "ACACIARELAY_ENTRY": "x"}
+    _, problems = read_options(OPTIONS, {}, environment, {"ACACIARELAY_ENTRY"})
+    assert problems == []
+    _, problems = read_options(OPTIONS, {}, environment)
+    assert [problem.option for problem in problems] == ["ACACIARELAY_ENTRY"]
+
+
+def test_a_missing_setting_is_called_missing() -> None:
+    _, problems = read_options(OPTIONS, {}, {})
+    assert str(problems[0]) == (
+        "listen: is missing: set --listen or ACACIARELAY_LISTEN"
+    )
