--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,16 @@
 VENV := .venv
+# INSTALL=no uses the environment in VENV as it is, with the sources of this directory.
+INSTALL := yes
 PYTHON := $(VENV)/bin/python
 
 .PHONY: demo test check docs install proto
 
+ifeq ($(INSTALL),no)
+export PYTHONPATH := $(CURDIR)/src
+install:
+else
 install: $(VENV)/.installed
+endif
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
