Ask for the right to send once the connection is open

A command to an engine was checked against its lease before the connection was opened, which takes up to 2 s and may be interrupted by a pause of the process. fetch() and the adapters' command() now take a callback that is asked directly before the first byte. A command also has a time limit of its own, since a model load outlasts the 2 s of a probe, and a client error counts as a refusal, which certainly had no effect.

Ruled out: a margin of the lease above the connect timeout, since a pause during the connect is not bounded by it.

--- a/src/acaciarelay/transport/endpoints/base.py
+++ b/src/acaciarelay/transport/endpoints/base.py
@@ -2,7 +2,7 @@
 
 import abc
 import enum
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Protocol
 
 import attrs
@@ -12,6 +12,7 @@
 from acaciarelay.transport.http_client import ClientLimits, HttpError
 
 __all__ = [
+    "IDEMPOTENT_COMMANDS",
     "AnswerSink",
     "CommandKind",
     "EndpointAdapter",
@@ -32,13 +33,15 @@
 
     ``first_answer_s`` is the time from the end of the request body to the first piece
     of the answer, which includes the endpoint's own queue. ``stall_s`` is the time
-    without progress after that.
+    without progress after that. ``command_timeout_s`` is the time to the answer of a
+    command, which includes the load of a model.
     """
 
     connect_timeout_s: float = 2.0
     first_answer_s: float = 60.0
     stall_s: float = 10.0
     probe_timeout_s: float = 2.0
+    command_timeout_s: float = 60.0
 
     @property
     def for_runs(self) -> ClientLimits:
@@ -58,6 +61,15 @@
             write_timeout_s=self.probe_timeout_s,
         )
 
+    @property
+    def for_commands(self) -> ClientLimits:
+        return ClientLimits(
+            connect_timeout_s=self.connect_timeout_s,
+            head_timeout_s=self.command_timeout_s,
+            read_timeout_s=self.probe_timeout_s,
+            write_timeout_s=self.probe_timeout_s,
+        )
+
 
 @attrs.frozen
 class EndpointCall:
@@ -130,6 +142,10 @@
     CHANGE_ROLE = "change_role"
 
 
+# An engine that ignores fencing tokens gets only these.
+IDEMPOTENT_COMMANDS = frozenset(CommandKind)
+
+
 @attrs.frozen
 class EngineCommand:
     """Hold a command; ``token`` is the fencing token of the endpoint's lease."""
@@ -163,5 +179,10 @@
         """Read the endpoint's load, which also shows that it is up."""
 
     @abc.abstractmethod
-    async def command(self, command: EngineCommand) -> Result[None, HttpError]:
-        """Send a command; ``NOT_SENT`` means that it certainly had no effect."""
+    async def command(
+        self, command: EngineCommand, may_send: Callable[[], bool] | None = None
+    ) -> Result[None, HttpError]:
+        """Send a command; ``NOT_SENT`` and ``REFUSED`` mean that it had no effect.
+
+        ``may_send`` is asked directly before the first byte is written.
+        """
--- a/src/acaciarelay/transport/endpoints/chat_engine.py
+++ b/src/acaciarelay/transport/endpoints/chat_engine.py
@@ -1,6 +1,6 @@
 """Adapter to a model engine with the chat completions interface."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 import orjson
@@ -58,21 +58,26 @@
         """Read the engine's load report."""
         return await fetch_load(self.address, self.limits)
 
-    async def command(self, command: EngineCommand) -> Result[None, HttpError]:
+    async def command(
+        self, command: EngineCommand, may_send: Callable[[], bool] | None = None
+    ) -> Result[None, HttpError]:
         """Send a command with its fencing token."""
         body = orjson.dumps(attrs.asdict(command))
         headers = [("content-type", "application/json")]
-        limits = self.limits.for_probes
+        limits = self.limits.for_commands
         match await fetch(
-            self.address, "POST", "/commands", headers, body, limits=limits
+            self.address, "POST", "/commands", headers, body, limits, may_send
         ):
             case Err(error):
                 return Err(error)
             case Ok(answer):
                 if answer.status == 200:
                     return Ok(None)
-                detail = f"the engine refused the command with status {answer.status}"
-                return Err(HttpError(HttpFault.SENT, detail))
+                detail = f"the engine answered with status {answer.status}"
+                # Only a client error states that the command had no effect.
+                refused = 400 <= answer.status < 500
+                fault = HttpFault.REFUSED if refused else HttpFault.SENT
+                return Err(HttpError(fault, detail))
 
 
 def _result(end: RunEnd, answer: ChatAnswer) -> RunResult:
--- a/src/acaciarelay/transport/endpoints/plain_service.py
+++ b/src/acaciarelay/transport/endpoints/plain_service.py
@@ -1,6 +1,6 @@
 """Adapter to a plain HTTP service, whose calls may have effects."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 from result import Err, Result
 
@@ -51,7 +51,9 @@
         """Read the service's load report."""
         return await fetch_load(self.address, self.limits)
 
-    async def command(self, command: EngineCommand) -> Result[None, HttpError]:
+    async def command(
+        self, command: EngineCommand, may_send: Callable[[], bool] | None = None
+    ) -> Result[None, HttpError]:
         """Refuse every command, since a plain service has none."""
         detail = "a plain service takes no commands"
         return Err(HttpError(HttpFault.NOT_SENT, detail))
--- a/src/acaciarelay/transport/http_client.py
+++ b/src/acaciarelay/transport/http_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import enum
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 import attrs
 import h11
@@ -32,6 +32,7 @@
     NOT_SENT = "not_sent"  # No byte of the request was written.
     SENT = "sent"  # The server may have the request.
     STALLED = "stalled"  # The server made no progress for the limit.
+    REFUSED = "refused"  # The server answered that it did not act.
 
 
 @attrs.frozen
@@ -206,13 +207,20 @@
     headers: Sequence[Header] = (),
     body: bytes = b"",
     limits: ClientLimits | None = None,
+    may_send: Callable[[], bool] | None = None,
 ) -> Result[FetchedAnswer, HttpError]:
-    """Send one request and read its whole answer."""
+    """Send one request and read its whole answer.
+
+    ``may_send`` is asked once the connection is open; if false, nothing is sent.
+    """
     match await open_exchange(address, limits):
         case Err(error):
             return Err(error)
         case Ok(exchange):
             try:
+                if may_send is not None and not may_send():
+                    detail = "the right to send ended while connecting"
+                    return Err(HttpError(HttpFault.NOT_SENT, detail))
                 return await _fetch(exchange, address, method, path, headers, body)
             finally:
                 await exchange.close()
--- a/tests/unit/test_chat_engine.py
+++ b/tests/unit/test_chat_engine.py
@@ -18,6 +18,7 @@
     RunResult,
 )
 from acaciarelay.transport.endpoints.chat_engine import ChatEngine
+from acaciarelay.transport.http_client import HttpFault
 from acaciarelay.transport.http_server import HttpExchange
 from acaciarelay_standins.answers import expected_chat_answer
 from acaciarelay_standins.engine import EngineStandin, Faults, parse_arguments
@@ -202,3 +203,13 @@
         standin.check_token = False
         assert await engine.command(older) == Ok(None)
     assert [item.accepted for item in standin.commands] == [True, False, True]
+
+
+async def test_no_command_is_written_once_the_right_to_send_has_ended() -> None:
+    """Guards against a lease that ends while the connection is being opened."""
+    standin = EngineStandin(parse_arguments([*FAST, "--command-s=0"]))
+    async with serving(standin.handle) as address:
+        command = EngineCommand(CommandKind.LOAD_MODEL, "mender-2", 5)
+        answer = await ChatEngine(address).command(command, lambda: False)
+    assert answer.unwrap_err().fault is HttpFault.NOT_SENT
+    assert standin.commands == []
