Bring an engine to the models of its record, under its lease

The agent now loads the models that the endpoint's record names. The choice of the next step is a pure function. Each load is sent only after the platform confirmed lease and slot a short time before, so an unreachable platform stops commands before the lease ends. After a lost answer the command is repeated; the slot is kept while the load may run, and the lease of an engine that ignores tokens is not released before the command can't arrive any more.

Ruled out: renewing the slot in the background during a load (more writes, and no protection against a pause); sending on an unexpired but unconfirmed lease.

--- /dev/null
+++ b/src/acaciarelay/coordination/commands.py
@@ -0,0 +1,178 @@
+"""Decision which step brings an engine to the models that it should have."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from acaciarelay.state.lease import FencedLease
+
+__all__ = [
+    "AcquireLease",
+    "AcquireSlot",
+    "CommandState",
+    "CommandStep",
+    "Idle",
+    "LoadModel",
+    "ReleaseLease",
+    "ReleaseSlot",
+    "RenewLease",
+    "RenewSlot",
+    "Wait",
+    "may_send",
+    "next_step",
+]
+
+# A lease that was confirmed within this share of its duration needs no renewal before
+# a command. An unreachable platform thus stops commands before the lease ends.
+CONFIRMED_SHARE = 1 / 3
+
+
+@attrs.frozen(kw_only=True)
+class CommandState:
+    """Hold all that the decision depends on; times are monotonic, in seconds.
+
+    ``lease`` is the endpoint's lease and ``slot`` the weight-store slot, as last
+    confirmed by the platform. A load takes at most ``command_timeout_s``. Nothing is
+    tried before ``retry_at``. After a lost answer the command may arrive until
+    ``late_until`` and its load may run until ``loading_until``. ``checks_fencing`` says
+    whether the engine refuses an old token, ``idempotent`` whether a load may be
+    repeated.
+    """
+
+    desired: Sequence[str]
+    loaded: frozenset[str]
+    lease: FencedLease | None
+    slot: FencedLease | None
+    retry_at: float
+    late_until: float
+    loading_until: float
+    command_timeout_s: float
+    checks_fencing: bool
+    idempotent: bool = True
+
+    @property
+    def missing(self) -> list[str]:
+        """List the models to load, in the order of the record."""
+        return [model for model in self.desired if model not in self.loaded]
+
+
+@attrs.frozen
+class Idle:
+    """Do nothing until the state changes."""
+
+
+@attrs.frozen
+class Wait:
+    """Do nothing until a time, or until the state changes."""
+
+    until: float
+
+
+@attrs.frozen
+class AcquireLease:
+    """Acquire the endpoint's lease."""
+
+
+@attrs.frozen
+class RenewLease:
+    """Have the platform confirm the endpoint's lease."""
+
+    lease: FencedLease
+
+
+@attrs.frozen
+class ReleaseLease:
+    """Give the endpoint's lease back."""
+
+    lease: FencedLease
+
+
+@attrs.frozen
+class AcquireSlot:
+    """Acquire a slot for a load from the weight store."""
+
+
+@attrs.frozen
+class RenewSlot:
+    """Have the platform confirm the slot for one whole load."""
+
+    slot: FencedLease
+
+
+@attrs.frozen
+class ReleaseSlot:
+    """Give the slot back."""
+
+    slot: FencedLease
+
+
+@attrs.frozen
+class LoadModel:
+    """Send the command to load a model."""
+
+    model: str
+    token: int
+
+
+CommandStep = (
+    Idle
+    | Wait
+    | AcquireLease
+    | RenewLease
+    | ReleaseLease
+    | AcquireSlot
+    | RenewSlot
+    | ReleaseSlot
+    | LoadModel
+)
+
+
+def may_send(
+    lease: FencedLease, slot: FencedLease, command_timeout_s: float, now: float
+) -> bool:
+    """Return whether a load may be sent now; the slot must outlast the load."""
+    return lease.may_act(now) and slot.may_act(now + command_timeout_s)
+
+
+def next_step(state: CommandState, now: float) -> CommandStep:
+    """Choose the next step towards the desired models."""
+    if now < state.retry_at:
+        return Wait(state.retry_at)
+    missing = state.missing
+    # An engine that ignores the token can't refuse a late repeat of a command.
+    harmless = state.idempotent or state.checks_fencing
+    if not missing or not harmless:
+        return _give_back(state, now)
+    lease, slot = state.lease, state.slot
+    if lease is None:
+        return AcquireLease()
+    if slot is None:
+        return AcquireSlot()
+    if not _confirmed(lease, now):
+        return RenewLease(lease)
+    if not slot.may_act(now + state.command_timeout_s):
+        return RenewSlot(slot)
+    return LoadModel(missing[0], lease.token)
+
+
+def _confirmed(lease: FencedLease, now: float) -> bool:
+    fresh = now < lease.since + lease.duration_s * CONFIRMED_SHARE
+    return fresh and lease.may_act(now)
+
+
+def _give_back(state: CommandState, now: float) -> CommandStep:
+    """Release what is held, once no earlier command can act under it any more.
+
+    The next holder may act as soon as a lease or slot is released.
+    """
+    lease, slot = state.lease, state.slot
+    waits = []
+    if slot is not None:
+        if now >= state.loading_until:
+            return ReleaseSlot(slot)
+        waits.append(state.loading_until)
+    if lease is not None:
+        if state.checks_fencing or now >= state.late_until:
+            return ReleaseLease(lease)
+        waits.append(state.late_until)
+    return Wait(min(waits)) if waits else Idle()
--- a/src/acaciarelay/programs/agent_main.py
+++ b/src/acaciarelay/programs/agent_main.py
@@ -9,6 +9,7 @@
 
 from acaciarelay.coordination.concurrency import TokenLimit
 from acaciarelay.coordination.fair_queue import FairQueue
+from acaciarelay.programs.agent_commands import CommandConfig, CommandRunner
 from acaciarelay.programs.agent_core import AgentCore, AgentIdentityConfig
 from acaciarelay.programs.agent_service import RunService
 from acaciarelay.programs.logs import configure_logs, log_event
@@ -38,6 +39,8 @@
 CLAIM_STALE_S = 3600.0
 # Entries may not acknowledge the last message after their caller left.
 DELIVERY_GRACE_S = 5.0
+# Leases that can't be given back in this time expire by themselves.
+COMMAND_STOP_GRACE_S = 2.0
 
 
 class AgentProgram:
@@ -48,7 +51,9 @@
         self.rng = random.Random()
         self.metrics = Metrics()
         self.platform = PlatformClient(settings.platform, settings.platform_timeout_s)
-        limits = EndpointLimits(stall_s=settings.stall_s)
+        limits = EndpointLimits(
+            stall_s=settings.stall_s, command_timeout_s=settings.command_timeout_s
+        )
         self.adapter = ENDPOINT_KINDS[settings.kind](settings.endpoint, limits)
         self.limit = TokenLimit(
             settings.token_limit, settings.token_limit_min, settings.token_limit_max
@@ -71,10 +76,25 @@
         queue = FairQueue(settings.max_waiting, settings.quantum_tokens)
         self.core = AgentCore(self.config, queue, self.limit, runs, self.metrics)
         self.core.on_config = self.on_config
+        self.commands = self.new_command_runner()
         self.snapshot = Snapshot()
         self.drain_reasons: set[str] = set()
         self.tasks: list[asyncio.Task[None]] = []
 
+    def new_command_runner(self) -> CommandRunner:
+        settings = self.settings
+        config = CommandConfig(
+            endpoint=settings.id,
+            holder=f"{settings.id}/{self.config.incarnation}",
+            checks_fencing=settings.checks_fencing,
+            lease_s=settings.command_lease_s,
+            timeout_s=settings.command_timeout_s,
+            load_slots=settings.load_slots,
+        )
+        return CommandRunner(
+            config, self.adapter, self.platform, self.metrics, self.rng
+        )
+
     async def run(self, stopper: Stopper) -> int:
         """Serve until a stop is requested and all work is done."""
         settings = self.settings
@@ -87,6 +107,7 @@
         await stopper.wait()
         self.set_drain("stop requested", True)
         await self.wait_idle()
+        await self.commands.wait_idle(COMMAND_STOP_GRACE_S)
         for task in self.tasks:
             task.cancel()
         await grpc_server.stop(None)
@@ -110,6 +131,8 @@
             self.poll_config(),
             register(self.platform, member, self.rng),
         ]
+        if settings.kind == "chat":
+            work.append(self.commands.run())
         if settings.vm_name != "-":
             work.append(self.poll_vms())
         for item in work:
@@ -136,10 +159,12 @@
         if wanted:
             self.drain_reasons.add(reason)
             self.core.start_drain(reason)
+            self.commands.set_active(False)
             return
         self.drain_reasons.discard(reason)
         if not self.drain_reasons:
             self.core.stop_drain()
+            self.commands.set_active(True)
 
     def on_config(self, data: bytes) -> None:
         """Put a newer configuration in force; an older one never is."""
@@ -159,6 +184,7 @@
     def apply_endpoint_record(self, record: EndpointRecord | None) -> None:
         draining = record is not None and record.state == "draining"
         self.set_drain("endpoint record", draining)
+        self.commands.set_models(record.models if record is not None else [])
 
     # Watching.
 
@@ -171,6 +197,7 @@
                 case Err():
                     failures += 1
             self.core.set_endpoint_up(failures < PROBE_FAILURES)
+            self.commands.set_endpoint_up(self.core.endpoint_up)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def poll_config(self) -> None:
--- a/src/acaciarelay/programs/settings.py
+++ b/src/acaciarelay/programs/settings.py
@@ -128,6 +128,26 @@
         "false",
         "Whether the endpoint refuses a command with an old fencing token.",
     ),
+    Option(
+        "command-lease-s",
+        read_float(0.5, 600),
+        "10",
+        "Duration of the lease under which the endpoint gets commands.",
+        "s",
+    ),
+    Option(
+        "command-timeout-s",
+        read_float(0.1, 3600),
+        "60",
+        "Longest time that the endpoint takes for a command, as to load a model.",
+        "s",
+    ),
+    Option(
+        "load-slots",
+        read_int(1, 1000),
+        "2",
+        "Loads from the weight store at once; the same value at every agent.",
+    ),
     Option(
         "token-limit",
         read_int(1, 100_000_000),
