--- a/tests/integration/effects.py
+++ b/tests/integration/effects.py
@@ -20,7 +20,7 @@
 # One order costs 64 tokens and more for a long body, so one runs at a time.
 ONE_AT_A_TIME = (
     *("--token-limit", "100", "--token-limit-min", "100"),
-    *("--token-limit-max", "100"),
+    *("--token-limit-max", "100", "--largest-share", "1"),
 )
 # The shortest value that the setting takes.
 CLAIM_STALE_S = 1.0
--- a/tests/integration/test_agent_failures.py
+++ b/tests/integration/test_agent_failures.py
@@ -11,7 +11,7 @@
 # Room for the two requests in service and for no third one.
 SMALL_LIMIT = [
     *("--token-limit", "340", "--token-limit-min", "340"),
-    *("--token-limit-max", "340"),
+    *("--token-limit-max", "340", "--largest-share", "1"),
 ]
 
 
--- a/tests/integration/test_entry_limits.py
+++ b/tests/integration/test_entry_limits.py
@@ -18,7 +18,7 @@
 # Room for two requests with such a body.
 TWO_LARGE = (
     *("--token-limit", "8000", "--token-limit-min", "8000"),
-    *("--token-limit-max", "8000"),
+    *("--token-limit-max", "8000", "--largest-share", "1"),
 )
 
 
--- a/tests/integration/test_graceful_stop.py
+++ b/tests/integration/test_graceful_stop.py
@@ -15,7 +15,7 @@
 FLOOD_S = LEAVING_S + 2.0
 SMALL_LIMIT = [
     *("--token-limit", "600", "--token-limit-min", "600"),
-    *("--token-limit-max", "600"),
+    *("--token-limit-max", "600", "--largest-share", "1"),
 ]
 
 
--- a/tests/integration/tiers.py
+++ b/tests/integration/tiers.py
@@ -31,7 +31,7 @@
 # Room for many more requests than an agent stops within one wait budget.
 WIDE = (
     *("--token-limit", "4000", "--token-limit-min", "4000"),
-    *("--token-limit-max", "4000"),
+    *("--token-limit-max", "4000", "--largest-share", "1"),
 )
 ENGINE_FLAGS = ("--max-batch", "64", "--decode-tokens-per-s", "100", "--slowdown", "0")
 
