Hold the slow caller until the engine's progress is read

The test compared the engine's progress while the caller still read, and failed once with a busy machine: after 3 s the caller and the buffers of the sockets had taken all 18 MB. The caller now reads nothing until the progress is read, and the answer is twice as long as those buffers.

--- /dev/null
+++ b/tests/integration/test_fault_pairs.py
@@ -0,0 +1,133 @@
+"""Guard against faults that come in pairs, at any time, under a mixed load."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from integration.cluster import Cluster, cluster_of, told
+
+LOAD_S = 5.0
+FAULT_EVERY_S = 2.5
+AGENT_FLAGS = [
+    *("--token-limit", "1500", "--token-limit-min", "1500"),
+    *("--token-limit-max", "1500", "--stall-s", "2", "--resume-window-s", "15"),
+]
+SEEDS = (1, 2, 3)
+
+Fault = Callable[[Cluster, str, random.Random], Awaitable[None]]
+
+
+async def kill_and_restart(cluster: Cluster, agent: str, rng: random.Random) -> None:
+    process = cluster.fleet.agents[agent].process
+    process.kill()
+    await process.wait()
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    await cluster.restart_agent(agent)
+
+
+async def pause(cluster: Cluster, agent: str, rng: random.Random) -> None:
+    process = cluster.fleet.agents[agent].process
+    process.pause()
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    process.resume()
+
+
+async def pause_entry(cluster: Cluster, agent: str, rng: random.Random) -> None:
+    process = cluster.fleet.entries["entry-2"].process
+    process.pause()
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    process.resume()
+
+
+async def break_link(cluster: Cluster, agent: str, rng: random.Random) -> None:
+    faults = rng.choice(
+        [
+            {"cut": True},
+            {"silent": True},
+            {"one_way": "to_upstream"},
+            {"one_way": "to_client"},
+            {"cut": True, "refuse": True},
+            {"silent": True, "all_connections": True},
+        ]
+    )
+    await cluster.link(agent, **faults)
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    await cluster.link(agent, cut=rng.random() < 0.5)
+
+
+async def delay_link(cluster: Cluster, agent: str, rng: random.Random) -> None:
+    await cluster.link(agent, delay_s=rng.uniform(0.05, 0.6))
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    await cluster.link(agent)
+
+
+async def break_engine(cluster: Cluster, agent: str, rng: random.Random) -> None:
+    kind = rng.choice(["stall_after", "die_after"])
+    await cluster.engine(agent, **{kind: rng.randint(0, 10), "count": 3})
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    await cluster.engine(agent)
+
+
+FAULTS: list[Fault] = [
+    kill_and_restart,
+    pause,
+    pause_entry,
+    break_link,
+    delay_link,
+    break_engine,
+]
+
+
+async def load(cluster: Cluster, rng: random.Random) -> None:
+    """Send a mix of short and long, streamed and whole requests at both entries."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + LOAD_S
+    number = 0
+    while loop.time() < end:
+        number += 1
+        cluster.begin(
+            f"{number}" + "four" * rng.choice([1, 1, 100]),
+            rng.choice([4, 20, 60, 200]),
+            entry=rng.choice(["entry-1", "entry-2"]),
+            stream=rng.random() < 0.7,
+            timeout_ms=rng.choice([3_000, 10_000, 20_000]),
+            request_class=rng.choice(["default", "urgent", "batch"]),
+        )
+        await asyncio.sleep(rng.uniform(0.02, 0.12))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_pairs_of_faults_break_no_invariant(seed: int, tmp_path: Path) -> None:
+    """Guard against I1, I3 and I4 failing under two faults at once."""
+    rng = random.Random(seed)
+    async with cluster_of(
+        tmp_path, agents=3, entries=2, agent_flags=AGENT_FLAGS
+    ) as cluster:
+        sender = asyncio.create_task(load(cluster, random.Random(seed)))
+        plan = []
+        while not sender.done():
+            first, second = rng.sample(FAULTS, 2)
+            agents = rng.sample(sorted(cluster.engines), 2)
+            plan.append(f"{first.__name__} {second.__name__} {agents}")
+            await asyncio.gather(
+                first(cluster, agents[0], rng),
+                second(cluster, rng.choice(agents), rng),
+                asyncio.sleep(FAULT_EVERY_S),
+            )
+        await sender
+        for agent in cluster.engines:
+            await cluster.link(agent)
+            await cluster.engine(agent)
+        await cluster.judge()
+        seen: dict[str, int] = {}
+        for call in cluster.pending:
+            seen[told(call.answer)] = seen.get(told(call.answer), 0) + 1
+        print(f"seed {seed}: {plan} {seen}")
+        assert seen.get("whole", 0) > len(cluster.pending) / 2, seen
+        assert seen.get("broken", 0) == 0, seen
+        await cluster.fleet.wait_ready()
+        last = [cluster.begin(f"last{n}", 8, entry=f"entry-{n}") for n in (1, 2)]
+        await cluster.judge()
+        assert [call.whole for call in last] == [True, True]
--- a/tests/integration/test_whole_answers.py
+++ b/tests/integration/test_whole_answers.py
@@ -34,8 +34,13 @@
         assert [call.whole for call in calls] == [True] * 16
 
 
-async def read_slowly(cluster: Cluster, body: bytes, pause_s: float) -> Pending:
-    """Send a request and read its answer with a pause after each MiB."""
+async def read_slowly(
+    cluster: Cluster, body: bytes, hold: asyncio.Event, pause_s: float
+) -> Pending:
+    """Send a request and read its answer with a pause after each MiB.
+
+    After the first one reading stops until the event is set.
+    """
     answer = Answer()
 
     async def run() -> None:
@@ -64,6 +69,7 @@
                     break
             if unpaused >= MEBIBYTE:
                 unpaused = 0
+                await hold.wait()
                 await asyncio.sleep(pause_s)
         answer.body = b"".join(pieces)
         await exchange.close()
@@ -79,15 +85,19 @@
     async with cluster_of(
         tmp_path, engine_flags=engine_flags, agent_flags=LARGE_LIMIT
     ) as cluster:
-        tokens = 2_000_000
+        # The buffers of the sockets on the way hold up to about half of it.
+        tokens = 4_000_000
         body = chat_body("slow", tokens)
-        slow = await read_slowly(cluster, body, 0.4)
-        quick = cluster.begin("quick", 20)
+        go_on = asyncio.Event()
+        slow = await read_slowly(cluster, body, go_on, 0.02)
         await slow.started()
         # An engine that nothing holds back sends the whole answer in this time.
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(5.0)
         sent = (await cluster.records())[0]["answer_tokens"]
         assert sent < tokens, "the engine was read ahead of the caller"
+        quick = cluster.begin("quick", 20)
+        go_on.set()
+        await asyncio.sleep(0.2)
         await cluster.link("agent-1", cut=True)
         await quick.end()
         await slow.end()
