--- a/tests/integration/test_fault_pairs.py
+++ b/tests/integration/test_fault_pairs.py
@@ -14,7 +14,8 @@
     *("--token-limit", "1500", "--token-limit-min", "1500"),
     *("--token-limit-max", "1500", "--stall-s", "2", "--resume-window-s", "15"),
 ]
-SEEDS = (1, 2, 3)
+# Seed 3 kills agents that serve requests; 6 and 10 break links within answers.
+SEEDS = (3, 6, 10)
 
 Fault = Callable[[Cluster, str, random.Random], Awaitable[None]]
 
@@ -112,8 +113,9 @@
             agents = rng.sample(sorted(cluster.engines), 2)
             plan.append(f"{first.__name__} {second.__name__} {agents}")
             await asyncio.gather(
-                first(cluster, agents[0], rng),
-                second(cluster, rng.choice(agents), rng),
+                # One source of chance for each, so that their timing changes nothing.
+                first(cluster, agents[0], random.Random(rng.random())),
+                second(cluster, rng.choice(agents), random.Random(rng.random())),
                 asyncio.sleep(FAULT_EVERY_S),
             )
         await sender
