--- a/tests/integration/tiers.py
+++ b/tests/integration/tiers.py
@@ -48,7 +48,7 @@
         return self.answer.error is None and self.answer.code in SHED_CODES
 
 
-def sort_of_records(wait_budget_ms: int = 800) -> list[dict[str, Any]]:
+def flood_records(wait_budget_ms: int = 800) -> list[dict[str, Any]]:
     """The standard records with short wait budgets, so that floods are shed soon."""
     records = [item for item in standard_records() if item["type"] != "tier"]
     for name, rank in RANKS.items():
@@ -79,7 +79,7 @@
         place = ("assistants", "chat", engine, "zone-a", "region-a")
         starts.append(fleet.start_agent(f"agent-{number}", *place, *agent_flags))
     await asyncio.gather(*starts)
-    generation = await apply(fleet, sort_of_records(wait_budget_ms))
+    generation = await apply(fleet, flood_records(wait_budget_ms))
     await wait_generation(fleet, generation)
     await fleet.wait_ready()
     return list(engines)
