Do not preempt for a head that gets room within its wait budget

A normal-tier burst preempted lower streams as soon as half of its wait budget was used, although running work was about to end.

--- a/src/acaciarelay/coordination/concurrency.py
+++ b/src/acaciarelay/coordination/concurrency.py
@@ -141,6 +141,14 @@
         """Return the rate at which running work frees tokens, 0 when unknown."""
         return self._freed.per_second()
 
+    def room_in_s(self, tokens: int) -> float:
+        """Return the expected time until tokens fit, infinite when it is unknown."""
+        missing = tokens - self.room
+        if missing <= 0:
+            return 0.0
+        rate = self.tokens_per_second
+        return missing / rate if rate > 0 else math.inf
+
     def acquire(self, request_id: str, tokens: int) -> bool:
         """Hold tokens for a request; ``False`` when they do not fit.
 
--- a/src/acaciarelay/coordination/shedding.py
+++ b/src/acaciarelay/coordination/shedding.py
@@ -1,6 +1,7 @@
 """The tier floor, preemption, and the check before a request is shed."""
 
 import collections
+import math
 
 import attrs
 
@@ -75,12 +76,18 @@
     return victim.request_id
 
 
-def should_preempt(head: Reservation, now: float) -> bool:
-    """Tell whether lower-tier work is to be cancelled for the head of the queue."""
+def should_preempt(head: Reservation, now: float, room_in_s: float = math.inf) -> bool:
+    """Tell whether lower-tier work is to be cancelled for the head of the queue.
+
+    ``room_in_s`` is the expected time until runs that end make room for it. A run is
+    not cancelled, and its prefill wasted, for a head that can start within its budget.
+    """
     if head.last_resort:
         return True
     waited_s = head.waited_s + max(0.0, now - head.queued_at)
-    return waited_s > head.wait_budget_s * PREEMPT_SHARE
+    if waited_s <= head.wait_budget_s * PREEMPT_SHARE:
+        return False
+    return waited_s + room_in_s > head.wait_budget_s
 
 
 class ShedCheck:
--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -255,9 +255,9 @@
     def preempt_for_head(self, now: float) -> None:
         """Cancel one lower run when the best reservation can't wait any longer."""
         head = self.queue.head()
-        if head is None or not should_preempt(head, now):
+        if head is None or head.tokens <= self.limit.room:
             return
-        if head.tokens <= self.limit.room:
+        if not should_preempt(head, now, self.limit.room_in_s(head.tokens)):
             return
         tier = self.runs.preempt(head.tier)
         if tier is not None:
--- a/tests/unit/coordination/test_concurrency.py
+++ b/tests/unit/coordination/test_concurrency.py
@@ -188,3 +188,16 @@
     simulate(free, 0.0, 3.0, 1_000_000)
     assert queued.limit == before
     assert free.limit > 10_000
+
+
+def test_the_time_until_room_follows_the_measured_rate() -> None:
+    """Guards against a preemption decided on a time that nobody measured."""
+    limit = new_limit(1_000)
+    assert limit.room_in_s(5_000) == 0.0
+    assert limit.acquire("a", 600) and limit.acquire("b", 400)
+    assert limit.room_in_s(100) == float("inf")
+    limit.release("a", 0.0)
+    assert limit.acquire("c", 600)
+    limit.release("c", 2.0)
+    assert limit.tokens_per_second == 300
+    assert limit.room_in_s(900) == 1.0
