--- a/src/acaciarelay_bench/__main__.py
+++ b/src/acaciarelay_bench/__main__.py
@@ -33,6 +33,7 @@
     wan_bytes: float
     token_limits: list[int]
     preemptions: float
+    session_losses: float
     drops: dict[str, float]
 
 
@@ -149,12 +150,15 @@
             wan_bytes=0.0,
             token_limits=[],
             preemptions=0.0,
+            session_losses=0.0,
             drops={},
         )
         for entry in self.fleet.entries.values():
             for line in await read_metrics(entry.http):
                 if line.startswith("acaciarelay_link_bytes_total") and "wan" in line:
                     sample.wan_bytes += float(line.rpartition(" ")[2])
+                if line.startswith("acaciarelay_session_losses_total"):
+                    sample.session_losses += float(line.rpartition(" ")[2])
         for name, agent in self.fleet.agents.items():
             if not name.startswith("agent-service"):
                 take_agent_metrics(sample, await read_metrics(agent.http))
@@ -372,7 +376,8 @@
         }
         row = [window.phase, round(after.wan_bytes - before.wan_bytes), cores]
         limits = " ".join(str(limit) for limit in after.token_limits)
-        rows.append([*row, limits, after.preemptions - before.preemptions, drops])
+        row += [limits, after.preemptions - before.preemptions, drops]
+        rows.append([*row, after.session_losses - before.session_losses])
     return rows
 
 
@@ -409,6 +414,7 @@
     print(report.render_table(headings, tables["prefill"]), end="\n\n")
     headings = ["phase", "bytes between regions", "cores by kind of process"]
     headings += ["token limits at the end", "preemptions", "drops by reason"]
+    headings += ["session losses"]
     print(report.render_table(headings, tables["resources"]), end="\n\n")
     if tables["series"] is not None:
         for phase, steps in tables["series"]["steps"].items():
