Keep a quarter of the wait budget in reserve when waiting for room

A head that waited for room up to the end of its budget had its entry ask all agents to make room, which sets a tier floor and stops all lower-tier work of the pool; with entries busy, the requests were then shed.

--- a/src/acaciarelay/coordination/shedding.py
+++ b/src/acaciarelay/coordination/shedding.py
@@ -11,6 +11,10 @@
 
 TIER_FLOOR_S = 2.0
 PREEMPT_SHARE = 0.5
+# The rest of the wait budget covers an optimistic estimate and a slow answer to a pull.
+# At the end of the budget the entry asks all agents to make room, which stops all
+# lower-tier work of the pool.
+PREEMPT_LATEST_SHARE = 0.75
 # A last-resort round crosses one link twice. An agent that does not answer within this
 # time is unreachable, and waiting longer would only use up the caller's deadline.
 SHED_CHECK_S = 1.0
@@ -87,7 +91,7 @@
     waited_s = head.waited_s + max(0.0, now - head.queued_at)
     if waited_s <= head.wait_budget_s * PREEMPT_SHARE:
         return False
-    return waited_s + room_in_s > head.wait_budget_s
+    return waited_s + room_in_s > head.wait_budget_s * PREEMPT_LATEST_SHARE
 
 
 class ShedCheck:
--- a/tests/unit/coordination/test_shedding.py
+++ b/tests/unit/coordination/test_shedding.py
@@ -99,6 +99,7 @@
 def test_nothing_is_preempted_for_a_head_that_gets_room_in_time() -> None:
     """Guards against prefill wasted for work that would have started anyway."""
     head = reservation("head", queued_at=0.0, wait_budget_s=4.0)
-    assert not should_preempt(head, 3.0, room_in_s=0.5)
-    assert should_preempt(head, 3.0, room_in_s=1.5)
+    assert not should_preempt(head, 2.5, room_in_s=0.4)
+    assert should_preempt(head, 2.5, room_in_s=0.6)
+    assert should_preempt(head, 3.1, room_in_s=0.0)
     assert not should_preempt(head, 1.0, room_in_s=10.0)
