Name the mistakes that a newcomer's trial met

Cause: in a trial from a fresh clone with wrong settings, records and keys, some mistakes were accepted or not named. An organisation with a plain key in place of its hash was accepted; an agent of a pool without a record, or with a dead endpoint, looked active in status; code 303 did not name the pool and code 200 did not say that the key was unknown; an unknown flag of an entry or agent ended with exit code 1 in place of 2; acaciarelayctl printed each problem twice and an empty line for equal bodies.

The key hashes of test_config_writer.py were two characters long and are whole sums now; what the test requires is unchanged. The check is made when a record is written only: stored records stay in use, since an accepted configuration is never reverted.

Ruled out: refusing an agent of an unknown pool, since agents may start before the first configuration.

--- a/src/acaciarelay/programs/config_plan.py
+++ b/src/acaciarelay/programs/config_plan.py
@@ -1,5 +1,7 @@
 """Check record changes against the stored configuration and plan their commit."""
 
+import re
+
 import attrs
 from result import Err, Ok, Result
 
@@ -15,12 +17,16 @@
 from acaciarelay.state.records import (
     RECORD_TYPES,
     Envelope,
+    OrganisationRecord,
+    Record,
     dangling_references,
     parse_record,
 )
 
 __all__ = ["Plan", "plan_changes"]
 
+KEY_HASH_PATTERN = re.compile(r"[0-9a-f]{64}")
+
 
 @attrs.frozen
 class Plan:
@@ -65,6 +71,20 @@
         )
 
 
+def _write_problems(record: Record) -> list[str]:
+    """List what a new record must not hold, though stored ones with it are used.
+
+    A plain key in place of its hash would open nothing and be readable in the table.
+    """
+    if not isinstance(record, OrganisationRecord):
+        return []
+    return [
+        f"key hash {number} is not a SHA-256 sum of 64 lower-case hexadecimal digits"
+        for number, key_hash in enumerate(record.key_hashes, start=1)
+        if KEY_HASH_PATTERN.fullmatch(key_hash) is None
+    ]
+
+
 class _Planner:
     def __init__(self, state: ConfigState, generation: int) -> None:
         self.state = state
@@ -97,8 +117,9 @@
                 self.findings.too_new.append(f"{where}: {error.reason}")
             case Err(error):
                 self.findings.invalid.append(f"{where}: {error.reason}")
-            case _:
-                pass
+            case Ok(record):
+                problems = [f"{where}: {text}" for text in _write_problems(record)]
+                self.findings.invalid.extend(problems)
         self.write(where, key, envelope)
 
     def add_deletion(self, where: str, change: RecordChange) -> None:
--- a/src/acaciarelay/programs/ctl_client.py
+++ b/src/acaciarelay/programs/ctl_client.py
@@ -22,6 +22,8 @@
 
 CONNECT_TIMEOUT_S = 2.0
 
+_ADVICE = {code.number: code.advice for code in CODES.values()}
+
 
 class ExitCode(enum.IntEnum):
     """Number the results of the command line program."""
@@ -57,6 +59,9 @@
         return CtlFailure(ExitCode.REFUSED, message)
     is_conflict = number == CODES["record_conflict"].number
     exit_code = ExitCode.CONFLICT if is_conflict else ExitCode.REFUSED
+    if problems and number in _ADVICE:
+        # The message repeats the problems, which are printed one a line.
+        message = _ADVICE[number]
     return CtlFailure(exit_code, f"{number}: {message}", problems, conflicts, not_run)
 
 
--- a/src/acaciarelay/programs/ctl_output.py
+++ b/src/acaciarelay/programs/ctl_output.py
@@ -72,7 +72,8 @@
         stored = {form.schema: form for form in conflict.stored}
         wanted = {form.schema: form for form in conflict.expected}
         for schema in sorted(stored | wanted):
-            lines.append(_compare(stored.get(schema), wanted.get(schema)))
+            compared = _compare(stored.get(schema), wanted.get(schema))
+            lines.append(compared or "  the stored body is the same")
     return "\n".join(lines)
 
 
@@ -107,7 +108,9 @@
         place = (item.kind, item.id, item.pool or "-", item.region, item.zone)
         load = (_state(item), item.generation, item.token_limit or "-", tiers or "-")
         rows.append((*place, *load))
-    return format_table((*header, "TOKENS", "TIERS (WAITING/RUNNING)"), rows)
+    text = format_table((*header, "TOKENS", "TIERS (WAITING/RUNNING)"), rows)
+    problems = [f"{item.id}: {item.problem}" for item in processes if item.problem]
+    return "\n".join([text, *problems])
 
 
 def format_schemas(
--- a/src/acaciarelay/programs/entry_place.py
+++ b/src/acaciarelay/programs/entry_place.py
@@ -104,7 +104,11 @@
                     "shed", retry_after_s=self.retry_after(other)
                 )
                 other.wake.set()
-        return refuse(self.shed_reason(call), retry_after_s=self.retry_after(call))
+        code = self.shed_reason(call)
+        detail = ""
+        if code == "no_endpoint":
+            detail = f"Pool {call.pool.name} has no endpoint that is up and active"
+        return refuse(code, detail, self.retry_after(call))
 
     def shed_reason(self, call: Call) -> str:
         views = self.core.pool_views(call.pool.name)
--- a/src/acaciarelay/programs/entry_status.py
+++ b/src/acaciarelay/programs/entry_status.py
@@ -5,6 +5,7 @@
 
 from result import Ok
 
+from acaciarelay.coordination.placement import AgentView
 from acaciarelay.programs.config_sync import ConfigSync
 from acaciarelay.programs.entry_core import EntryCore
 from acaciarelay.programs.entry_requests import RequestHandler
@@ -104,8 +105,14 @@
                 for tier, count in sorted(view.tiers.items())
             ],
             schemas=self.core.schemas.get(agent_id, {}),
+            problem=self.agent_problem(view),
         )
 
+    def agent_problem(self, view: AgentView) -> str:
+        if view.pool not in self.core.snapshot.pools:
+            return f"pool {view.pool} has no record"
+        return "" if view.endpoint_up else "the endpoint is down"
+
     async def run(self) -> None:
         """Ask the peers for their generation while an operator looks."""
         while True:
--- a/src/acaciarelay/programs/runner.py
+++ b/src/acaciarelay/programs/runner.py
@@ -9,6 +9,7 @@
 
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.exceptions import CleoError
 from cleo.helpers import option as cleo_option
 
 from acaciarelay.programs.options import Option, read_options
@@ -64,7 +65,14 @@
 ) -> int:
     """Run a program and return its exit code."""
     command = build_command(name, description, options, service)
-    return _SingleCommand(command).run()
+    application = _SingleCommand(command)
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    try:
+        return application.run()
+    except CleoError as error:
+        print(f"{error}\nSee {name} --help.", file=sys.stderr)
+        return EXIT_SETTINGS
 
 
 def build_command(
--- a/src/acaciarelay/protocol/admin_api.py
+++ b/src/acaciarelay/protocol/admin_api.py
@@ -144,7 +144,8 @@
     """Describe an entry or an agent, as last reported.
 
     ``kind`` is ``entry`` or ``agent``. ``schemas`` holds the newest schema understood
-    by record type; it is empty when the process has not reported it.
+    by record type; it is empty when the process has not reported it. ``problem`` says
+    what keeps a connected process from being used.
     """
 
     kind: str
@@ -159,6 +160,7 @@
     token_limit: int = 0
     tiers: list[TierStatus] = attrs.field(factory=list)
     schemas: dict[str, int] = attrs.field(factory=dict)
+    problem: str = ""
 
 
 class StatusSource(Protocol):
@@ -259,7 +261,7 @@
     try:
         return Ok(_CONVERTER.structure(body, ApplyRequest))
     except Exception as error:
-        detail = "; ".join(cattrs.transform_error(error))
+        detail = "; ".join(cattrs.transform_error(error, path="request"))
         return Err(refuse("record_invalid", detail))
 
 
--- a/src/acaciarelay/protocol/caller_api.py
+++ b/src/acaciarelay/protocol/caller_api.py
@@ -73,7 +73,7 @@
             return Err(refuse("unknown_key", "No bearer key was sent"))
         name = self.names.get(hashlib.sha256(key.strip().encode()).hexdigest())
         if name is None:
-            return Err(refuse("unknown_key"))
+            return Err(refuse("unknown_key", "No organisation has this key"))
         record = self.snapshot.organisations[name]
         policy = self.snapshot.policies.get(record.policy)
         if policy is None:
--- a/src/acaciarelay/state/records.py
+++ b/src/acaciarelay/state/records.py
@@ -280,7 +280,7 @@
     try:
         record: Record = _CONVERTER.structure(upgrade(envelope.body), kind.record_class)
     except Exception as error:
-        reason = "; ".join(cattrs.transform_error(error))
+        reason = "; ".join(cattrs.transform_error(error, path="body"))
         return Err(RecordError(kind.name, envelope.name, reason))
     return Ok(record)
 
--- a/tests/integration/test_ctl.py
+++ b/tests/integration/test_ctl.py
@@ -9,7 +9,7 @@
 import orjson
 import pytest
 from integration.ctl import run_ctl
-from integration.support import apply, standard_records
+from integration.support import CHAT_PATH, apply, standard_records
 
 from acaciarelay.state.records import known_schemas
 from acaciarelay_standins.fleet import OPERATOR_KEY, Fleet
@@ -118,3 +118,21 @@
     lines = [line.split() for line in text.splitlines()]
     assert ["tier", "1", "3", "-"] in lines
     assert (await operators.agent("agent-1"))["schemas"] == known_schemas()
+
+
+async def test_mistakes_of_a_newcomer_are_named(operators: Operators) -> None:
+    """A mistake that is accepted shows only as calls that find no endpoint."""
+    record = {"type": "endpoint", "name": "agent-1", "body": {"pool": "asistants"}}
+    code, _, errors = await operators.run("entry-1", "apply", "-", records=[record])
+    assert code == 1
+    assert errors.splitlines() == [
+        "705: Create the named record first.",
+        "  endpoint agent-1: pool asistants does not exist",
+    ]
+    fleet = operators.fleet
+    await fleet.start_agent("agent-2", "asistants", "chat", "127.0.0.1:9")
+    await fleet.wait_ready()
+    status = await operators.done("entry-1", "status")
+    assert "agent-2: pool asistants has no record" in status.splitlines()
+    answer = await fleet.call("entry-1", "POST", CHAT_PATH, "wrong", b"{}")
+    assert b"No organisation has this key" in answer.unwrap().body
--- a/tests/integration/test_operations_page.py
+++ b/tests/integration/test_operations_page.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import orjson
+import pytest
 from integration.support import ORDERS_PATH
 
 from acaciarelay.programs.metrics import METRICS
@@ -106,6 +107,8 @@
             os.kill(int(file.read_text()), signal.SIGKILL)
 
 
+# An idle agent reports a generation every 5 s, and the page waits for several.
+@pytest.mark.timeout(400)
 async def test_the_commands_of_the_page_work(tmp_path: Path) -> None:
     directory = tmp_path / "run"
     directory.mkdir()
--- a/tests/unit/test_config_writer.py
+++ b/tests/unit/test_config_writer.py
@@ -207,8 +207,9 @@
     """Processes that use the other stored schema would not see the change."""
     writer = new_writer(FakePlatform())
     await apply(writer, tier(1), RecordChange(type="policy", name="p", body=POLICY))
-    old = {"key_hash": "aa", "policy": "p"}
-    new = {"key_hashes": ["aa"], "policy": "p"}
+    key_hash = "aa" * 32
+    old = {"key_hash": key_hash, "policy": "p"}
+    new = {"key_hashes": [key_hash], "policy": "p"}
 
     def form(schema: int, revision: int, body: dict) -> RecordChange:
         return RecordChange(
@@ -264,3 +265,19 @@
     writer.sync.offer(ChangeSet(generation=9, whole=True))
     assert number(await apply(writer, tier(1))) == 600
     assert platform.commits == 0
+
+
+async def test_a_plain_key_is_not_taken_for_its_hash() -> None:
+    """It would be stored readable and open nothing; every wrong one is named."""
+    writer = new_writer(FakePlatform())
+    await apply(writer, tier(1), RecordChange(type="policy", name="p", body=POLICY))
+    body = {"key_hashes": ["plain-key", "aa" * 32, "AA" * 32], "policy": "p"}
+    change = RecordChange(type="organisation", name="o", body=body)
+    match await apply(writer, change):
+        case Err(RecordRefusal(problems=problems)):
+            assert [text.split(" is not ")[0] for text in problems] == [
+                "organisation o: key hash 1",
+                "organisation o: key hash 3",
+            ]
+        case other:
+            pytest.fail(str(other))
