Let the engine stand-in hash prefixes as reservations do

The first block of a cache event had another hash function than the prefix hash of a reservation, so no event could be compared with a reservation.

Run: tests/unit/test_engine_standin.py, ruff, mypy. The new test compares both hashes; it was not run against the earlier hash function.

--- a/src/acaciarelay_standins/engine_model.py
+++ b/src/acaciarelay_standins/engine_model.py
@@ -87,7 +87,8 @@
 def block_hashes(model: str, text: bytes) -> list[int]:
     """Hash each prefix of whole blocks, and a first block that is not full."""
     hashes = []
-    chain = xxhash.xxh64(model.encode() + b"\0")
+    # The first hash is the relay's prefix hash, so that events can serve as hints.
+    chain = xxhash.xxh3_64(model.encode() + b"\0")
     for start in range(0, max(1, len(text)), BLOCK_BYTES):
         block = text[start : start + BLOCK_BYTES]
         if start > 0 and len(block) < BLOCK_BYTES:
--- a/tests/unit/test_engine_standin.py
+++ b/tests/unit/test_engine_standin.py
@@ -5,6 +5,7 @@
 import orjson
 from unit.standin_serving import serving
 
+from acaciarelay.coordination.prefix import prefix_hash
 from acaciarelay.transport.http_client import fetch
 from acaciarelay_standins.engine import EngineStandin, parse_arguments
 from acaciarelay_standins.engine_model import (
@@ -81,3 +82,9 @@
         record = (await fetch(address, "GET", "/record?after=1")).unwrap()
     assert [item.prefill_tokens for item in standin.requests] == [1_024, 0]
     assert len(orjson.loads(record.body)["requests"]) == 1
+
+
+def test_cache_events_name_the_prefix_as_reservations_do() -> None:
+    """Guards against cache events that no reservation can be compared with."""
+    for text in (b"short", b"a" * 3_000):
+        assert block_hashes("m", text)[0] == prefix_hash("m", text)
