--- a/src/acaciarelay/coordination/fair_queue.py
+++ b/src/acaciarelay/coordination/fair_queue.py
@@ -1,7 +1,6 @@
 """The agent's queue: strict tier order, and fairness over organisations in a tier."""
 
 import heapq
-from collections.abc import Callable
 
 import attrs
 
@@ -19,18 +18,11 @@
 
     A waiting tier is never passed by a lower one, also while its head does not fit:
     short lower-tier work would otherwise keep taking the room that the head needs.
-    Within an organisation, reservations whose prefix hash is ``cached`` may go first.
     """
 
-    def __init__(
-        self,
-        max_waiting: int,
-        quantum_tokens: int,
-        cached: Callable[[int], bool] = lambda prefix: False,
-    ) -> None:
+    def __init__(self, max_waiting: int, quantum_tokens: int) -> None:
         self.max_waiting = max_waiting
         self.quantum_tokens = quantum_tokens
-        self.cached = cached
         self._waiting: dict[str, Waiting] = {}
         self._entries: dict[str, dict[str, None]] = {}
         self._tiers: dict[int, TierQueue] = {}
@@ -188,7 +180,7 @@
 
     def _tier(self, tier: int) -> TierQueue:
         if tier not in self._tiers:
-            self._tiers[tier] = TierQueue(self.quantum_tokens, self.cached)
+            self._tiers[tier] = TierQueue(self.quantum_tokens)
         return self._tiers[tier]
 
     def _first_tier(self) -> int | None:
--- a/src/acaciarelay/coordination/tier_queue.py
+++ b/src/acaciarelay/coordination/tier_queue.py
@@ -12,8 +12,6 @@
 
 import heapq
 from collections import OrderedDict
-from collections.abc import Callable
-from itertools import islice
 
 import attrs
 
@@ -27,8 +25,6 @@
 MAX_BYPASSES = 4
 # Organisations behind a blocked head that are examined for a reservation that fits.
 BYPASS_LOOKAHEAD = 4
-# Reservations of one organisation that are examined for a cached prefix.
-CACHE_LOOKAHEAD = 16
 # Idle organisations are looked through when their number has doubled and exceeds this.
 MIN_SWEEP = 256
 
@@ -86,10 +82,7 @@
 class TierQueue:
     """Queue the reservations of one tier; last-resort ones are served first."""
 
-    def __init__(
-        self, quantum_tokens: int, cached: Callable[[int], bool] = lambda prefix: False
-    ) -> None:
-        self.cached = cached
+    def __init__(self, quantum_tokens: int) -> None:
         self.quantum = max(1, quantum_tokens)
         self.round = 0
         self._latest_round = 0
@@ -152,16 +145,13 @@
         chosen: Waiting | None = head
         if head.reservation.tokens > room_tokens:
             chosen = self._smaller(head, room_tokens)
-        else:
-            chosen = self._cached(head, room_tokens)
         if chosen is None:
             return None
         reservation = chosen.reservation
         organisation = self._organisation(reservation.organisation)
         # A last-resort reservation is taken out of turn and must not advance the round,
         # which would cancel the debts of all other organisations.
-        in_turn = reservation.organisation == head.reservation.organisation
-        if in_turn and not reservation.last_resort:
+        if chosen is head and not reservation.last_resort:
             self.round = max(self.round, organisation.round)
         self.remove(reservation)
         organisation.weight = max(1, reservation.weight)
@@ -213,27 +203,6 @@
             head.bypasses += 1
         return found
 
-    def _cached(self, head: Waiting, room_tokens: int) -> Waiting:
-        """Find a reservation of the head's organisation with a cached prefix.
-
-        Its prefill is saved only while the prefix stays cached. Other organisations
-        keep their turns.
-        """
-        first = head.reservation
-        if first.last_resort or head.bypasses >= MAX_BYPASSES:
-            return head
-        if self.cached(first.prefix_hash):
-            return head
-        queue = self._organisations[first.organisation].queue
-        for waiting in islice(queue.values(), 1, CACHE_LOOKAHEAD):
-            reservation = waiting.reservation
-            if reservation.tokens > room_tokens:
-                continue
-            if self.cached(reservation.prefix_hash):
-                head.bypasses += 1
-                return waiting
-        return head
-
     def _organisation(self, name: str) -> _Organisation:
         """Return an organisation's state; an unknown one starts with no debt."""
         organisation = self._organisations.get(name)
--- a/src/acaciarelay/programs/agent_main.py
+++ b/src/acaciarelay/programs/agent_main.py
@@ -11,7 +11,6 @@
 from acaciarelay.coordination.fair_queue import FairQueue
 from acaciarelay.programs.agent_commands import CommandConfig, CommandRunner
 from acaciarelay.programs.agent_core import AgentCore, AgentIdentityConfig
-from acaciarelay.programs.agent_events import CacheEventReader
 from acaciarelay.programs.agent_service import RunService
 from acaciarelay.programs.logs import configure_logs, log_event
 from acaciarelay.programs.membership import register
@@ -74,10 +73,7 @@
             self.metrics,
             settings.resume_window_s,
         )
-        self.cache_events = CacheEventReader(self.adapter, self.rng)
-        queue = FairQueue(
-            settings.max_waiting, settings.quantum_tokens, self.cache_events.cached
-        )
+        queue = FairQueue(settings.max_waiting, settings.quantum_tokens)
         self.core = AgentCore(self.config, queue, self.limit, runs, self.metrics)
         self.core.on_config = self.on_config
         self.commands = self.new_command_runner()
@@ -136,7 +132,7 @@
             register(self.platform, member, self.rng),
         ]
         if settings.kind == "chat":
-            work += [self.commands.run(), self.cache_events.run()]
+            work.append(self.commands.run())
         if settings.vm_name != "-":
             work.append(self.poll_vms())
         for item in work:
@@ -202,8 +198,6 @@
                     failures += 1
             self.core.set_endpoint_up(failures < PROBE_FAILURES)
             self.commands.set_endpoint_up(self.core.endpoint_up)
-            if not self.core.endpoint_up:
-                self.cache_events.forget()
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def poll_config(self) -> None:
--- a/src/acaciarelay/transport/endpoints/base.py
+++ b/src/acaciarelay/transport/endpoints/base.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 import attrs
-from result import Ok, Result
+from result import Result
 
 from acaciarelay.protocol.codes import CODES, Outcome
 from acaciarelay.transport.http_client import ClientLimits, HttpError
@@ -14,7 +14,6 @@
 __all__ = [
     "IDEMPOTENT_COMMANDS",
     "AnswerSink",
-    "CacheEvent",
     "CommandKind",
     "EndpointAdapter",
     "EndpointCall",
@@ -156,15 +155,6 @@
     token: int
 
 
-@attrs.frozen
-class CacheEvent:
-    """Tell that the engine stored a prefix (``kind`` is ``stored``) or removed it."""
-
-    seq: int
-    kind: str
-    prefix_hash: int
-
-
 class EndpointAdapter(abc.ABC):
     """Run calls at one endpoint; one subclass for each kind of endpoint."""
 
@@ -196,7 +186,3 @@
 
         ``may_send`` is asked directly before the first byte is written.
         """
-
-    async def cache_events(self, after: int) -> Result[list[CacheEvent], HttpError]:
-        """Read the cache events after a sequence number, late and with gaps."""
-        return Ok([])
--- a/src/acaciarelay/transport/endpoints/chat_engine.py
+++ b/src/acaciarelay/transport/endpoints/chat_engine.py
@@ -3,13 +3,11 @@
 from collections.abc import AsyncIterator, Callable
 
 import attrs
-import cattrs
 import orjson
 from result import Err, Ok, Result
 
 from acaciarelay.transport.endpoints.base import (
     AnswerSink,
-    CacheEvent,
     EndpointAdapter,
     EndpointCall,
     EndpointLoad,
@@ -81,20 +79,6 @@
                 fault = HttpFault.REFUSED if refused else HttpFault.SENT
                 return Err(HttpError(fault, detail))
 
-    async def cache_events(self, after: int) -> Result[list[CacheEvent], HttpError]:
-        """Read the engine's cache events."""
-        path = f"/events?after={after}"
-        match await fetch(self.address, "GET", path, limits=self.limits.for_probes):
-            case Err(error):
-                return Err(error)
-            case Ok(answer):
-                try:
-                    events = orjson.loads(answer.body)["events"]
-                    return Ok(cattrs.structure(events, list[CacheEvent]))
-                except (ValueError, LookupError, TypeError, cattrs.BaseValidationError):
-                    detail = f"no events, status {answer.status}"
-                    return Err(HttpError(HttpFault.SENT, detail))
-
 
 def _result(end: RunEnd, answer: ChatAnswer) -> RunResult:
     if end.error is None:
--- a/src/acaciarelay_bench/variant_agent.py
+++ b/src/acaciarelay_bench/variant_agent.py
@@ -17,7 +17,6 @@
 REPLACED: dict[str, dict[str, Any]] = {
     "no_tier_order": {"tier": 0},
     "no_fair_queueing": {"organisation": "all", "weight": 1},
-    "no_cache_hints": {"prefix_hash": 0},
 }
 
 read_reservation = agent_core.read_reservation
--- a/tests/unit/coordination/test_fair_queue.py
+++ b/tests/unit/coordination/test_fair_queue.py
@@ -224,18 +224,3 @@
         fill(queue, f"organisation-{index}-", 1, 2 * QUANTUM)
         drain(queue)
     assert len(queue._tiers[1]._organisations) < 1_000
-
-
-def test_a_cached_prefix_goes_first_within_its_organisation_only() -> None:
-    """Guards against hints that starve a request or take another one's turn."""
-    queue = FairQueue(100, QUANTUM, lambda prefix: prefix == 7)
-    queue.add(reservation("a-first", organisation="a", prefix_hash=1))
-    for index in range(MAX_BYPASSES + 2):
-        queue.add(reservation(f"a{index}", organisation="a", prefix_hash=7))
-        queue.add(reservation(f"b{index}", organisation="b", prefix_hash=1))
-    taken = [item.request_id for item in drain(queue)]
-    of_a = [name for name in taken if name.startswith("a")]
-    assert of_a[: MAX_BYPASSES + 1] == [f"a{n}" for n in range(MAX_BYPASSES)] + [
-        "a-first"
-    ]
-    assert [name[0] for name in taken[:8]] == ["a", "b"] * 4
