--- a/src/acaciarelay/programs/runner.py
+++ b/src/acaciarelay/programs/runner.py
@@ -93,7 +93,8 @@
             raw = {option.name: self.option(option.name) for option in options}
             values, problems = read_options(options, raw, os.environ, ALL_VARIABLES)
             if problems:
-                print(f"{program}: wrong settings:", file=sys.stderr)
+                count = len(problems)
+                print(f"{program}: {count} wrong settings:", file=sys.stderr)
                 for problem in problems:
                     print(f"  {problem}", file=sys.stderr)
                 return EXIT_SETTINGS
--- a/tests/integration/test_settings.py
+++ b/tests/integration/test_settings.py
@@ -83,7 +83,7 @@
         "ACACIARELAY_CONFIG_POL_S",
     ):
         assert f"  {word}: " in ended.errors, (word, ended.errors)
-    assert "11 settings are wrong" in ended.errors
+    assert "11 wrong settings" in ended.errors
 
 
 async def test_an_agent_reports_all_wrong_settings_at_once() -> None:
@@ -97,7 +97,7 @@
     assert ended.code == 2
     for word in ("kind", "token-limit", "stall-s", "checks-fencing", "advertise"):
         assert f"  {word}: " in ended.errors, (word, ended.errors)
-    assert "5 settings are wrong" in ended.errors
+    assert "5 wrong settings" in ended.errors
 
 
 @pytest.mark.parametrize("module", [ENTRY, AGENT])
--- a/tests/unit/coordination/test_concurrency.py
+++ b/tests/unit/coordination/test_concurrency.py
@@ -123,7 +123,7 @@
 
 def test_a_queue_at_the_endpoint_lowers_the_limit_to_what_runs() -> None:
     """Guards against requests that wait in the endpoint's own queue, out of order."""
-    limit = new_limit(10_000)
+    limit = new_limit()
     for index in range(32):
         assert limit.acquire(f"r{index}", 250)
     limit.reported(8, 24)
--- a/tests/unit/coordination/test_shedding.py
+++ b/tests/unit/coordination/test_shedding.py
@@ -14,8 +14,10 @@
 )
 
 
-def work(name, tier=2, repeatable=True, prompt=1_000, done=1_100, sent=True):
-    return RunningWork(name, tier, repeatable, prompt, done, sent)
+def work(
+    name, tier=2, repeatable=True, prompt=1_000, done=1_100, sent=True, organisation=""
+):
+    return RunningWork(name, tier, repeatable, prompt, done, sent, organisation)
 
 
 def test_the_floor_lapses_and_the_most_urgent_one_is_in_force() -> None:
@@ -90,7 +92,7 @@
 def test_the_victim_is_of_the_organisation_that_runs_most() -> None:
     """Guards against a flood whose preemption costs small callers their streams."""
     running = [work(f"f{n}", organisation="flood") for n in range(3)]
-    running.append(work("s", organisation="small", tokens_done=1))
+    running.append(work("s", organisation="small", done=1))
     victim = choose_victim(running, 0)
     assert victim is not None and victim.startswith("f")
     # A lower tier goes first whoever runs it.
