Run the tests in four workers

Cause: the whole suite took 493 s in one worker beside other work. Ruled out: one worker per core, since each fleet starts up to ten processes.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV := .venv
 # INSTALL=no uses the environment in VENV as it is, with the sources of this directory.
 INSTALL := yes
+# Most tests wait for processes; more workers would make timeouts a matter of load.
+TEST_WORKERS := 4
 PYTHON := $(VENV)/bin/python
 
 .PHONY: demo test check docs install proto
@@ -22,7 +24,7 @@
 	$(PYTHON) tools/demo.py
 
 test: install
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(TEST_WORKERS) --dist loadfile
 
 check: install
 	$(PYTHON) -m ruff format --check .
--- a/tests/unit/coordination/test_concurrency.py
+++ b/tests/unit/coordination/test_concurrency.py
@@ -149,7 +149,7 @@
 
 def test_the_time_until_room_follows_the_measured_rate() -> None:
     """Guards against a preemption decided on a time that nobody measured."""
-    limit = new_limit(1_000)
+    limit = TokenLimit(1_000, 1, 1_000)
     assert limit.room_in_s(5_000) == 0.0
     assert limit.acquire("a", 600) and limit.acquire("b", 400)
     assert limit.room_in_s(100) == float("inf")
