Place a returned request again under a new try

Cause: a request whose hand-off was lost could not run at an agent that had marked it, so with every agent marked it was refused; seen as not_run for a 6 MB body whose links were cut twice, once in a parallel run of the tests. Ruled out: removing the mark, since the lost grant may still arrive. After: each try has an id of its own, REQUEST.TRY; the agent's mark stops the old one.

--- a/src/acaciarelay/programs/entry_call.py
+++ b/src/acaciarelay/programs/entry_call.py
@@ -1,7 +1,6 @@
 """One request at the entry that owns it: its state, its events and its body."""
 
 import asyncio
-import math
 import time
 
 import attrs
@@ -29,6 +28,8 @@
 # The agent's buffer holds 256 KiB, so acknowledgements must come well before that.
 ACK_EVERY_BYTES = 32_768
 ACK_EVERY_MESSAGES = 16
+# An agent that dropped or returned a request is not asked again for so long.
+AVOID_S = 0.5
 
 
 @attrs.frozen
@@ -108,10 +109,16 @@
     unacked_messages: int = 0
     answered_tokens: int = 0
     end_received: bool = False
+    attempt: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.state = RequestState(self.request_id)
 
+    @property
+    def dispatch_id(self) -> str:
+        """Name this try to place the request, as agents know it."""
+        return f"{self.request_id}.{self.attempt}"
+
     @property
     def deadline(self) -> float:
         return self.started_at + self.head.timeout_s
@@ -130,10 +137,10 @@
         """Send a reservation; a repeated one replaces the first."""
         now = time.monotonic()
         self.state.reserve(session.agent_id)
-        session.outstanding.add(self.request_id)
+        session.outstanding.add(self.dispatch_id)
         self.reserved_at.add(session)
         message = pb.Reserve(
-            request_id=self.request_id,
+            request_id=self.dispatch_id,
             pool=self.pool.name,
             tier=self.rank,
             organisation=self.head.caller.organisation,
@@ -166,7 +173,7 @@
     def grant(self) -> pb.Grant:
         left_s = self.deadline - time.monotonic()
         return pb.Grant(
-            request_id=self.request_id,
+            request_id=self.dispatch_id,
             method=self.method,
             path=self.target,
             headers=[pb.Header(name=name, value=value) for name, value in self.headers],
@@ -197,7 +204,7 @@
                 self.credit_given.clear()
                 await self.credit_given.wait()
             chunk = pb.BodyChunk(
-                request_id=self.request_id,
+                request_id=self.dispatch_id,
                 seq=seq,
                 data=self.body[seq],
                 last=seq == len(self.body) - 1,
@@ -235,13 +242,13 @@
         if self.session is None:
             return
         delivered = self.state.answer.next_seq - self.events.qsize()
-        ack = pb.Ack(request_id=self.request_id, next_seq=max(0, delivered))
+        ack = pb.Ack(request_id=self.dispatch_id, next_seq=max(0, delivered))
         self.session.send(pb.EntryMessage(ack=ack))
 
     def cancel_at_holder(self) -> None:
         """Ask the holder to stop."""
         if self.session is not None:
-            cancel = pb.Cancel(request_id=self.request_id)
+            cancel = pb.Cancel(request_id=self.dispatch_id)
             self.session.send(pb.EntryMessage(cancel=cancel))
 
     def give_back(self, identity: AgentIdentity, reason: str) -> bool:
@@ -251,9 +258,11 @@
         self.stop_body()
         self.session = None
         self.retry_reason = reason
-        # The agent's marker outlives every deadline, so asking it again would only
-        # spend the retry budget of the pool.
-        self.avoid_until[identity.agent_id] = math.inf
+        self.avoid_until[identity.agent_id] = time.monotonic() + AVOID_S
+        for session in self.reserved_at:
+            session.outstanding.discard(self.dispatch_id)
+        # The holder has marked the old id as one that must never run.
+        self.attempt += 1
         self.events.put_nowait(Returned(reason))
         return True
 
@@ -265,7 +274,7 @@
         """
         for session in self.reserved_at:
             if session is not self.session or self.end_received:
-                session.outstanding.discard(self.request_id)
+                session.outstanding.discard(self.dispatch_id)
         self.state.end()
         self.stop_body()
         if self.resume_timer is not None:
--- a/src/acaciarelay/programs/entry_core.py
+++ b/src/acaciarelay/programs/entry_core.py
@@ -11,7 +11,7 @@
 from acaciarelay.coordination.load import TierCount
 from acaciarelay.coordination.placement import AgentView, choose_subset
 from acaciarelay.coordination.retry_budget import RetryBudget
-from acaciarelay.programs.entry_call import Call, HolderLost
+from acaciarelay.programs.entry_call import AVOID_S, Call, HolderLost
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.protocol import relay_pb2 as pb
@@ -25,8 +25,6 @@
 __all__ = ["EntryCore", "EntryPlace"]
 
 RESUME_WINDOW_S = 15.0
-# An agent that dropped a reservation is not asked again for so long.
-AVOID_S = 0.5
 RETRY_RESERVE = 10.0
 # With these reasons an agent drops a last resort while it still has lower work.
 PLACE_LACKING = (pb.EVICTED, pb.FULL)
@@ -164,9 +162,9 @@
                 call.events.put_nowait(HolderLost("The agent was restarted"))
                 continue
             call.session = session
-            session.outstanding.add(call.request_id)
+            session.outstanding.add(call.dispatch_id)
             query = pb.Query(
-                request_id=call.request_id, next_seq=call.state.answer.next_seq
+                request_id=call.dispatch_id, next_seq=call.state.answer.next_seq
             )
             session.send(pb.EntryMessage(query=query))
 
@@ -217,8 +215,15 @@
             case "load":
                 self.on_load(session, message.load)
 
+    def find_call(self, dispatch_id: str) -> Call | None:
+        """Find a call by the id of its current try; older tries are not found."""
+        call = self.calls.get(dispatch_id.partition(".")[0])
+        if call is None or call.dispatch_id != dispatch_id:
+            return None
+        return call
+
     def on_pull(self, session: AgentSession, request_id: str) -> None:
-        call = self.calls.get(request_id)
+        call = self.find_call(request_id)
         if call is None or not call.on_pull(session):
             deny = pb.Deny(request_id=request_id)
             session.send(pb.EntryMessage(deny=deny))
@@ -232,12 +237,12 @@
             call.state.drop(agent_id)
             session = self.sessions.get(agent_id)
             if session is not None:
-                session.outstanding.discard(call.request_id)
-                withdraw = pb.Withdraw(request_id=call.request_id)
+                session.outstanding.discard(call.dispatch_id)
+                withdraw = pb.Withdraw(request_id=call.dispatch_id)
                 session.send(pb.EntryMessage(withdraw=withdraw))
 
     def on_drop(self, session: AgentSession, drop: pb.Drop) -> None:
-        call = self.calls.get(drop.request_id)
+        call = self.find_call(drop.request_id)
         if call is None:
             return
         if call.shed_check is not None:
@@ -245,7 +250,7 @@
                 call.shed_check.decline()
             call.shed_check.answered(session.agent_id)
             call.wake.set()
-        session.outstanding.discard(call.request_id)
+        session.outstanding.discard(call.dispatch_id)
         if call.state.drop(session.agent_id):
             reason = pb.DropReason.Name(drop.reason).lower()
             self.note_drop(call, session.agent_id, reason)
@@ -260,7 +265,7 @@
     def on_answer(
         self, session: AgentSession, message: pb.Head | pb.Chunk | pb.End
     ) -> None:
-        call = self.calls.get(message.request_id)
+        call = self.find_call(message.request_id)
         if call is not None:
             call.on_answer(session, message.seq, message)
             return
@@ -271,7 +276,7 @@
             session.send(pb.EntryMessage(ack=ack))
 
     def on_status(self, session: AgentSession, status: pb.Status) -> None:
-        call = self.calls.get(status.request_id)
+        call = self.find_call(status.request_id)
         if call is None:
             return
         if call.resume_timer is not None:
--- a/tests/integration/test_config_changes.py
+++ b/tests/integration/test_config_changes.py
@@ -169,7 +169,7 @@
         async with watching(fleet) as watch:
             await watch.wait_in_force(generation)
             (newest,) = await stored(fleet, "entry-1", "organisation", "dealer")
-            old_body = {"key_hashes": [key_hash(KEY)], "policy": "standard"}
+            old_body = {"key_hash": key_hash(KEY), "policy": "standard"}
             changes = [
                 {
                     **record("organisation", "dealer", **newest["body"]),
--- a/tests/integration/test_link_failures.py
+++ b/tests/integration/test_link_failures.py
@@ -63,7 +63,7 @@
     """Guard against a request that is lost or run twice when its body is lost.
 
     The link is cut while the hand-off is under way, so the agent never had it. It
-    must say so before another agent gets the request.
+    must say so before any agent gets the request under a new try.
     """
     async with cluster_of(tmp_path, agents=2) as cluster:
         for agent in cluster.proxies:
@@ -73,7 +73,7 @@
         await cluster.link(holder, cut=True)
         await cluster.judge()
         assert call.whole
-        assert await cluster.records(holder) == []
+        assert len(await cluster.records()) == 1
 
 
 async def test_a_returned_request_does_not_spend_the_retry_budget(
@@ -81,15 +81,16 @@
 ) -> None:
     """Guard against asking again and again an agent that must not run a request.
 
-    With a single agent a returned request can't be placed. Its tries must not use up
-    the budget that other requests of the pool need.
+    The single agent has marked the lost try as one that must never run. The request
+    must be served under a new try, and must not use up the budget that other requests
+    of the pool need.
     """
     async with cluster_of(tmp_path) as cluster:
         await cluster.link("agent-1", delay_s=0.4)
         returned = cluster.begin("a", 20, timeout_ms=7_000)
         await cluster.handed_off(1)
         await cluster.link("agent-1", cut=True)
-        assert told(await returned.end()) == "not_run"
+        assert told(await returned.end()) == "whole"
         entry = cluster.fleet.entries["entry-1"]
         metrics = (await fetch(entry.http, "GET", "/metrics")).unwrap().body.decode()
         lines = [
--- a/tests/integration/test_wrong_input.py
+++ b/tests/integration/test_wrong_input.py
@@ -55,7 +55,9 @@
 
 
 POLICY = record("policy", "p", tiers={"default": "no-such-tier"})
-ORGANISATION = record("organisation", "o", key_hashes=["00"], policy="no-such-policy")
+ORGANISATION = record(
+    "organisation", "o", key_hashes=["0" * 64], policy="no-such-policy"
+)
 TIER = record("tier", "t", rank=3)
 
 ADMIN_CASES = [
