Let answer messages serve as heartbeats and name early refusals

Refusals of requests that could not be read carried no request id, and one showed raw bytes. Ruled out: the idle interval for active sessions, which delays resumption.

--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -20,6 +20,7 @@
 __all__ = ["AgentCore", "AgentIdentityConfig"]
 
 HEARTBEAT_CHECK_S = 0.5
+LOAD_MAX_AGE_S = 2.0
 TICK_S = 0.05
 # A pull whose answer is lost must not hold room for long.
 PULL_TIMEOUT_S = 3.0
@@ -326,7 +327,10 @@
         for link in self.links.values():
             active = link.entry_id in running or self.queue.has_entry(link.entry_id)
             link.liveness.set_active(active, now)
-            if link.liveness.heartbeat_due(now):
+            # Answer messages serve as heartbeats, but placement needs the load too.
+            stale = active and now - link.load_sent_at >= LOAD_MAX_AGE_S
+            if link.liveness.heartbeat_due(now) or stale:
+                link.load_sent_at = now
                 link.send(message)
 
     def send_load(self) -> None:
--- a/src/acaciarelay/protocol/caller_api.py
+++ b/src/acaciarelay/protocol/caller_api.py
@@ -6,7 +6,11 @@
 from result import Err, Ok, Result
 
 from acaciarelay.protocol.codes import Refusal, refuse
-from acaciarelay.protocol.http_message import Header, HttpRequest
+from acaciarelay.protocol.http_message import (
+    REQUEST_ID_HEADER,
+    Header,
+    HttpRequest,
+)
 from acaciarelay.state.records import (
     OrganisationRecord,
     PolicyRecord,
@@ -36,7 +40,6 @@
 SERVICE_PREFIX = "/v1/services/"
 CLASS_HEADER = "acaciarelay-class"
 KEY_HEADER = "idempotency-key"
-REQUEST_ID_HEADER = "acaciarelay-request-id"
 TIMEOUT_HEADER = "acaciarelay-timeout-ms"
 TIER_HEADER = "acaciarelay-tier"
 ORGANISATION_HEADER = "acaciarelay-organisation"
--- a/src/acaciarelay/protocol/http_message.py
+++ b/src/acaciarelay/protocol/http_message.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-__all__ = ["Header", "HttpRequest", "end_to_end_headers"]
+__all__ = ["REQUEST_ID_HEADER", "Header", "HttpRequest", "end_to_end_headers"]
+
+REQUEST_ID_HEADER = "acaciarelay-request-id"
 
 Header = tuple[str, str]
 
--- a/src/acaciarelay/state/liveness.py
+++ b/src/acaciarelay/state/liveness.py
@@ -27,6 +27,10 @@
         """Note that a message arrived."""
         self.last_heard = now
 
+    def sent(self, now: float) -> None:
+        """Note that a message was sent, which serves as a heartbeat."""
+        self.last_sent = now
+
     def set_active(self, active: bool, now: float) -> None:
         """Note whether the session carries a request."""
         if not active:
--- a/src/acaciarelay/transport/http_server.py
+++ b/src/acaciarelay/transport/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import secrets
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from urllib.parse import parse_qsl, urlsplit
 
@@ -12,7 +13,7 @@
 from result import Err, Ok, Result
 
 from acaciarelay.protocol.codes import Refusal, refuse
-from acaciarelay.protocol.http_message import Header, HttpRequest
+from acaciarelay.protocol.http_message import REQUEST_ID_HEADER, Header, HttpRequest
 
 __all__ = [
     "CallerGone",
@@ -193,7 +194,8 @@
         except h11.RemoteProtocolError as error:
             if error.error_status_hint == 431:
                 return Err(refuse("head_too_large"))
-            return Err(refuse("malformed_http", str(error)))
+            # The library's text shows raw bytes of the request.
+            return Err(refuse("malformed_http"))
         except OSError:
             return Ok(None)
         if not isinstance(event, h11.Request):
@@ -371,7 +373,9 @@
         if connection.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         request = HttpRequest("GET", "", {}, [])
-        headers = [("connection", "close")]
+        # Assigned here, since no handler has seen the request.
+        request_id = secrets.token_hex(12)
+        headers = [("connection", "close"), (REQUEST_ID_HEADER, request_id)]
         await HttpExchange(connection, request).respond_refusal(refusal, headers)
 
     async def close(self, grace_s: float) -> None:
--- a/src/acaciarelay/transport/relay_client.py
+++ b/src/acaciarelay/transport/relay_client.py
@@ -169,6 +169,7 @@
         while True:
             message = await self.outgoing.get()
             self.sent_bytes += message.ByteSize()
+            self.liveness.sent(time.monotonic())
             try:
                 await call.write(message)
             except asyncio.InvalidStateError as error:
--- a/src/acaciarelay/transport/relay_server.py
+++ b/src/acaciarelay/transport/relay_server.py
@@ -34,6 +34,7 @@
         self.generation = hello.generation
         self.outgoing: OutgoingQueue[pb.AgentMessage] = OutgoingQueue()
         self.liveness = Liveness(HEARTBEAT_S, silence_s, time.monotonic())
+        self.load_sent_at = 0.0
 
     def send(self, message: pb.AgentMessage) -> None:
         """Send a control message; it is dropped when the session has ended."""
@@ -85,7 +86,9 @@
         try:
             with contextlib.suppress(SessionClosed):
                 while True:
-                    await context.write(await link.outgoing.get())
+                    message = await link.outgoing.get()
+                    link.liveness.sent(time.monotonic())
+                    await context.write(message)
         finally:
             link.close()
             reader.cancel()
--- a/tests/unit/test_liveness.py
+++ b/tests/unit/test_liveness.py
@@ -28,6 +28,15 @@
     assert liveness.silent(13.1)
 
 
+def test_any_message_serves_as_a_heartbeat() -> None:
+    """Heartbeats beside a stream of messages would only cost processor time."""
+    liveness = new()
+    liveness.set_active(True, 0.0)
+    liveness.sent(10.0)
+    assert not liveness.heartbeat_due(10.9)
+    assert liveness.heartbeat_due(11.0)
+
+
 def test_heartbeats_come_more_often_when_active() -> None:
     liveness = new()
     assert liveness.heartbeat_due(5.0)
