--- a/Makefile
+++ b/Makefile
@@ -31,9 +31,11 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
 	$(PYTHON) tools/make_docs.py --check
+	$(PYTHON) tools/make_capacity.py --check
 
 docs: install
 	$(PYTHON) tools/make_docs.py
+	$(PYTHON) tools/make_capacity.py
 
 proto: install
 	$(PYTHON) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src \
--- a/src/acaciarelay/coordination/largest.py
+++ b/src/acaciarelay/coordination/largest.py
@@ -23,6 +23,7 @@
         """Set the amount of a key; an amount of 0 or less removes the key."""
         if amount <= 0:
             self.amounts.pop(key, None)
+            self._compact()
             return
         previous = self.amounts.get(key, 0)
         self.amounts[key] = amount
