Refund the rate limit of requests that never ran

Cause: an organisation's limit was charged on the head of a request, and a request refused later as not run kept the charge, so wrong bodies or shed work spent the limit of good requests. Ruled out: charging after the body is read, which would read bodies above the limit. Also: reservations and the progress of a request have modules of their own.

--- a/src/acaciarelay/programs/agent_core.py
+++ b/src/acaciarelay/programs/agent_core.py
@@ -9,6 +9,7 @@
 from acaciarelay.coordination.concurrency import TokenLimit
 from acaciarelay.coordination.fair_queue import FairQueue, Reservation
 from acaciarelay.coordination.shedding import TierFloor, should_preempt
+from acaciarelay.programs.agent_reservations import read_reservation
 from acaciarelay.programs.agent_service import RunService
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
@@ -401,24 +402,3 @@
     def idle(self) -> bool:
         """Tell whether nothing runs and every answer has been delivered."""
         return not self.pulls and self.runs.idle
-
-
-def read_reservation(entry_id: str, message: pb.Reserve, now: float) -> Reservation:
-    """Build a reservation; times on the wire are relative, since clocks differ."""
-    return Reservation(
-        request_id=message.request_id,
-        entry_id=entry_id,
-        pool=message.pool,
-        tier=message.tier,
-        organisation=message.organisation,
-        weight=message.weight,
-        tokens=message.tokens,
-        prompt_tokens=message.prompt_tokens,
-        prefix_hash=message.prefix_hash,
-        repeatable=message.repeatable,
-        last_resort=message.last_resort,
-        queued_at=now,
-        deadline=now + message.time_left_ms / 1000,
-        wait_budget_s=message.wait_budget_ms / 1000,
-        waited_s=message.waited_ms / 1000,
-    )
--- /dev/null
+++ b/src/acaciarelay/programs/agent_reservations.py
@@ -0,0 +1,27 @@
+"""Reservations as they arrive at an agent."""
+
+from acaciarelay.coordination.fair_queue import Reservation
+from acaciarelay.protocol import relay_pb2 as pb
+
+__all__ = ["read_reservation"]
+
+
+def read_reservation(entry_id: str, message: pb.Reserve, now: float) -> Reservation:
+    """Build a reservation; times on the wire are relative, since clocks differ."""
+    return Reservation(
+        request_id=message.request_id,
+        entry_id=entry_id,
+        pool=message.pool,
+        tier=message.tier,
+        organisation=message.organisation,
+        weight=message.weight,
+        tokens=message.tokens,
+        prompt_tokens=message.prompt_tokens,
+        prefix_hash=message.prefix_hash,
+        repeatable=message.repeatable,
+        last_resort=message.last_resort,
+        queued_at=now,
+        deadline=now + message.time_left_ms / 1000,
+        wait_budget_s=message.wait_budget_ms / 1000,
+        waited_s=message.waited_ms / 1000,
+    )
--- /dev/null
+++ b/src/acaciarelay/programs/entry_progress.py
@@ -0,0 +1,52 @@
+"""What an entry knows of a request from its head to its end."""
+
+import attrs
+
+from acaciarelay.coordination.estimator import Estimate
+from acaciarelay.programs.entry_call import Call
+from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.protocol.codes import Outcome, Refusal
+
+__all__ = ["Progress", "count_end"]
+
+
+@attrs.define
+class Progress:
+    """Hold what is known of a request so far, for its metrics and its end."""
+
+    request_id: str
+    tier: str = ""
+    organisation_class: str = ""
+    organisation: str = ""
+    call: Call | None = None
+    estimate: Estimate | None = None
+    charged_tokens: int = 0
+    model: str = ""
+
+
+def count_end(metrics: Metrics, progress: Progress, refusal: Refusal | None) -> None:
+    """Count and log the end of a request."""
+    outcome = Outcome.RAN if refusal is None else refusal.code.outcome
+    metrics.count(
+        "requests_total",
+        tier=progress.tier,
+        organisation_class=progress.organisation_class,
+        outcome="complete" if refusal is None else str(outcome),
+    )
+    if refusal is not None:
+        metrics.count(
+            "refusals_total",
+            code=refusal.code.number,
+            reason=refusal.code.name,
+            tier=progress.tier,
+            organisation_class=progress.organisation_class,
+        )
+    log_event(
+        "request_ended",
+        request_id=progress.request_id,
+        tier=progress.tier,
+        organisation=progress.organisation,
+        code=0 if refusal is None else refusal.code.number,
+        outcome=str(outcome),
+    )
--- a/src/acaciarelay/programs/entry_requests.py
+++ b/src/acaciarelay/programs/entry_requests.py
@@ -4,7 +4,6 @@
 import secrets
 import time
 
-import attrs
 from result import Err, Ok, Result
 
 from acaciarelay.coordination.admission import Admission
@@ -15,8 +14,8 @@
 from acaciarelay.programs.entry_claims import ClaimKeeper
 from acaciarelay.programs.entry_core import EntryCore
 from acaciarelay.programs.entry_place import Placer
+from acaciarelay.programs.entry_progress import Progress, count_end
 from acaciarelay.programs.entry_stream import Completed, Failed, PlaceAgain, Streamer
-from acaciarelay.programs.logs import log_event
 from acaciarelay.protocol import relay_pb2 as pb
 from acaciarelay.protocol.caller_api import (
     REQUEST_ID_HEADER,
@@ -44,20 +43,6 @@
 FIRST_GUESS_BYTES = 16_384
 
 
-@attrs.define
-class Progress:
-    """Hold what is known of a request so far, for its metrics and its end."""
-
-    request_id: str
-    tier: str = ""
-    organisation_class: str = ""
-    organisation: str = ""
-    call: Call | None = None
-    estimate: Estimate | None = None
-    charged_tokens: int = 0
-    model: str = ""
-
-
 class RequestHandler:
     """Serve callers' requests."""
 
@@ -114,7 +99,9 @@
             refusal = refuse("caller_gone")
         finally:
             self.release(progress)
-        self.count_end(progress, refusal)
+        count_end(self.metrics, progress, refusal)
+        if refusal is not None and refusal.code.outcome is Outcome.NOT_RUN:
+            self.refund(progress)
 
     async def serve(self, exchange: HttpExchange, progress: Progress) -> Refusal | None:
         match self.admit(exchange, progress):
@@ -156,12 +143,11 @@
                 return Err(refusal)
             case Ok(head):
                 progress.tier = head.tier_name
-        progress.charged_tokens = self.first_guess(caller.organisation, head)
-        wait_s = self.limits.admit(
-            caller.organisation, progress.charged_tokens, time.monotonic()
-        )
+        tokens = self.first_guess(caller.organisation, head)
+        wait_s = self.limits.admit(caller.organisation, tokens, time.monotonic())
         if wait_s > 0:
             return Err(refuse("rate_limited", retry_after_s=wait_s))
+        progress.charged_tokens = tokens
         decision = self.admission.admit(
             progress.request_id,
             head.tier.rank,
@@ -381,31 +367,12 @@
         await exchange.respond_refusal(refusal, headers)
         return refusal
 
+    def refund(self, progress: Progress) -> None:
+        """Give an organisation back what a request that never ran was charged."""
+        self.limits.correct(
+            progress.organisation, progress.charged_tokens, 0, time.monotonic()
+        )
+
     def release(self, progress: Progress) -> None:
         self.admission.release(progress.request_id)
         self.evicted.discard(progress.request_id)
-
-    def count_end(self, progress: Progress, refusal: Refusal | None) -> None:
-        outcome = Outcome.RAN if refusal is None else refusal.code.outcome
-        self.metrics.count(
-            "requests_total",
-            tier=progress.tier,
-            organisation_class=progress.organisation_class,
-            outcome="complete" if refusal is None else str(outcome),
-        )
-        if refusal is not None:
-            self.metrics.count(
-                "refusals_total",
-                code=refusal.code.number,
-                reason=refusal.code.name,
-                tier=progress.tier,
-                organisation_class=progress.organisation_class,
-            )
-        log_event(
-            "request_ended",
-            request_id=progress.request_id,
-            tier=progress.tier,
-            organisation=progress.organisation,
-            code=0 if refusal is None else refusal.code.number,
-            outcome=str(outcome),
-        )
