Report a new configuration to entries at once

Ruled out: a change not in force; the agent's own metric had it. After: the test and its neighbours pass (6 passed); the whole suite was not run again.

--- a/src/acaciarelay/programs/agent_main.py
+++ b/src/acaciarelay/programs/agent_main.py
@@ -183,6 +183,8 @@
         self.core.generation = snapshot.generation
         self.metrics.set("config_generation", snapshot.generation)
         log_event("config_in_force", generation=snapshot.generation)
+        # Operators watch a change; the next load of an idle session may be 5 s away.
+        self.core.send_load()
         self.apply_endpoint_record(snapshot.endpoints.get(self.settings.id))
 
     def apply_endpoint_record(self, record: EndpointRecord | None) -> None:
