Read whole numbers and numbers by one function

Cause: the two readers of numbers in a range stood twice. Run: 15 tests of options, runner and settings pass; linter and type checker clean.

--- a/src/acaciarelay/programs/options.py
+++ b/src/acaciarelay/programs/options.py
@@ -69,27 +69,22 @@
 
 def read_int(minimum: int, maximum: int) -> Reader:
     """Return a reader for a whole number in a range, both ends included."""
-
-    def read(option: str, value: str) -> int:
-        rule = f"give a whole number from {minimum} to {maximum}"
-        try:
-            number = int(value)
-        except ValueError:
-            raise OptionError(option, value, rule) from None
-        if not minimum <= number <= maximum:
-            raise OptionError(option, value, rule)
-        return number
-
-    return read
+    rule = f"give a whole number from {minimum} to {maximum}"
+    return _number_reader(int, minimum, maximum, rule)
 
 
 def read_float(minimum: float, maximum: float) -> Reader:
     """Return a reader for a number in a range, both ends included."""
+    rule = f"give a number from {minimum:g} to {maximum:g}"
+    return _number_reader(float, minimum, maximum, rule)
+
 
+def _number_reader(
+    convert: Callable[[str], float], minimum: float, maximum: float, rule: str
+) -> Reader:
     def read(option: str, value: str) -> float:
-        rule = f"give a number from {minimum:g} to {maximum:g}"
         try:
-            number = float(value)
+            number = convert(value)
         except ValueError:
             raise OptionError(option, value, rule) from None
         if not minimum <= number <= maximum:
