--- /dev/null
+++ b/src/acaciarelay/coordination/usage_shares.py
@@ -0,0 +1,117 @@
+"""Organisations' rate limits, shared among processes by the demand that each sees."""
+
+import math
+
+import attrs
+
+from acaciarelay.state.routing import Organisation
+
+__all__ = ["UsageShares"]
+
+# Time constant over which demand is averaged.
+DEMAND_S = 1.5
+# Part of a limit that is shared equally, so that a process without recent demand can
+# admit its first requests.
+EQUAL_PART = 0.1
+# How long the share of a process that was lost stays reserved: what it admitted before
+# counts until the window has passed.
+LOST_RESERVE_S = 10.0
+# An organisation without a stated burst may use this many seconds of its rate at once.
+DEFAULT_BURST_S = 1.0
+
+
+@attrs.define(eq=False)
+class _Bucket:
+    """Hold one organisation's allowance here; a negative level is a debt."""
+
+    level: float = 0.0
+    updated_at: float | None = None
+    demand: float = 0.0
+    demand_at: float = 0.0
+    share: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Peer:
+    demand: dict[str, float]
+    heard_at: float
+    alive: bool = True
+    lost_at: float = 0.0
+
+
+class UsageShares:
+    """Admit requests against this process's share of each limit.
+
+    An allowance starts empty: an earlier lifetime of this process may have spent it.
+    """
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+        self._peers: dict[str, _Peer] = {}
+        # Other processes known to exist; their equal part is left to them.
+        self.known_peers = 0
+
+    def hear(self, peer: str, demand: dict[str, float], now: float) -> None:
+        """Take a peer's demand by organisation, in tokens a second."""
+        self._peers[peer] = _Peer(demand, now)
+
+    def lose(self, peer: str, now: float) -> None:
+        """Keep a lost peer's demand reserved for a while."""
+        known = self._peers.get(peer)
+        if known is not None and known.alive:
+            known.alive = False
+            known.lost_at = now
+
+    def demand(self, now: float) -> dict[str, float]:
+        """Return the demand here by organisation, in tokens a second."""
+        result = {}
+        for name, bucket in self._buckets.items():
+            level = self._decayed(bucket, now)
+            if level > 1.0:
+                result[name] = round(level, 1)
+        return result
+
+    def _decayed(self, bucket: _Bucket, now: float) -> float:
+        elapsed = max(0.0, now - bucket.demand_at)
+        return bucket.demand * math.exp(-elapsed / DEMAND_S)
+
+    def admit(self, organisation: Organisation, cost: float, now: float) -> float:
+        """Charge a request and return 0, or return the seconds until it fits."""
+        if organisation.rate_per_s <= 0:
+            return 0.0
+        bucket = self._buckets.setdefault(organisation.name, _Bucket())
+        bucket.demand = self._decayed(bucket, now) + cost / DEMAND_S
+        bucket.demand_at = now
+        share = self._share(organisation.name, bucket, now)
+        rate = organisation.rate_per_s * share
+        burst = (
+            organisation.burst or organisation.rate_per_s * DEFAULT_BURST_S
+        ) * share
+        if bucket.updated_at is not None:
+            bucket.level += max(0.0, now - bucket.updated_at) * rate
+        bucket.level = min(burst, bucket.level)
+        bucket.updated_at = now
+        missing = min(cost, burst) - bucket.level
+        if missing > 0:
+            return missing / rate if rate > 0 else DEFAULT_BURST_S
+        bucket.level -= cost
+        return 0.0
+
+    def refund(self, organisation: Organisation, cost: float) -> None:
+        """Give back the charge of a request that did not run."""
+        bucket = self._buckets.get(organisation.name)
+        if bucket is not None:
+            bucket.level += cost
+
+    def _share(self, name: str, bucket: _Bucket, now: float) -> float:
+        own = self._decayed(bucket, now)
+        others = 0.0
+        for peer_name, peer in list(self._peers.items()):
+            if not peer.alive and now - peer.lost_at > LOST_RESERVE_S:
+                del self._peers[peer_name]
+                continue
+            others += peer.demand.get(name, 0.0)
+        total = own + others
+        by_demand = own / total if total > 0 else 0.0
+        equal = 1.0 / (1 + max(self.known_peers, len(self._peers)))
+        return EQUAL_PART * equal + (1 - EQUAL_PART) * by_demand
--- /dev/null
+++ b/src/acaciarelay/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/src/acaciarelay/platform/exchange.py
@@ -0,0 +1,178 @@
+"""Headers of requests and answers on the platform, decoded and encoded once."""
+
+import attrs
+
+from acaciarelay.protocol.http_message import Header, end_to_end_headers
+
+__all__ = [
+    "READY_PATH",
+    "REPORT_PATH",
+    "AnswerTraits",
+    "RequestTraits",
+    "answer_headers",
+    "decode_answer",
+    "decode_request",
+    "endpoint_headers",
+    "retry_header",
+]
+
+READY_PATH = "/ready"
+REPORT_PATH = "/report"
+
+_ATTEMPT = "attempt-id"
+_TIME_LIMIT = "deadline-ms"
+_KEY = "api-key"
+_ORGANISATION = "tenant"
+_EXPECTED_ENDPOINT = "expect-instance"
+_TOKENS = "token-usage"
+_LENGTH_HINT = "length-hint"
+_LAST_EVENT = "last-event-id"
+_SEAL = "runner-seal"
+_NOT_RUN = "not-executed"
+_LOAD = "runner-load"
+_ENCODING = "content-encoding"
+# Set by the system alone; a caller's value never reaches an endpoint.
+_SYSTEM_HEADERS = frozenset(
+    [
+        _KEY,
+        _ORGANISATION,
+        _EXPECTED_ENDPOINT,
+        _TIME_LIMIT,
+        "expect-version",
+        "kv-hold",
+        "kv-fetch",
+        "kv-from",
+        "kv-backup",
+        "pin-ms",
+        "content-length",
+    ]
+)
+
+
+@attrs.frozen(kw_only=True)
+class RequestTraits:
+    """Hold what a request's head says about how to serve it.
+
+    ``output_tokens`` is the most that may be made; ``expected_output`` is the caller's
+    estimate. ``forwarded`` holds the header fields that go on to an endpoint.
+    """
+
+    request_id: str
+    time_limit_s: float | None
+    key: str | None
+    prompt_tokens: int | None
+    output_tokens: int | None
+    expected_output: int | None
+    last_event: int | None
+    forwarded: list[Header]
+
+
+@attrs.frozen(kw_only=True)
+class AnswerTraits:
+    """Hold what the head of an endpoint's answer says.
+
+    ``load`` holds running, waiting and slots.
+    """
+
+    request_id: str | None
+    sealed: bool
+    not_run: bool
+    encoded: bool
+    load: tuple[int, int, int] | None
+
+
+def decode_request(headers: list[Header]) -> RequestTraits:
+    """Decode a request's head; raises ``ValueError`` for a malformed field."""
+    fields = dict(headers)
+    limit = fields.get(_TIME_LIMIT)
+    prompt, output = _token_counts(fields.get(_TOKENS))
+    hint = fields.get(_LENGTH_HINT)
+    last_event = fields.get(_LAST_EVENT)
+    forwarded = []
+    for header in end_to_end_headers(headers):
+        if header[0] in _SYSTEM_HEADERS:
+            continue
+        forwarded.append(header)
+    return RequestTraits(
+        request_id=fields.get(_ATTEMPT, ""),
+        time_limit_s=max(0.0, float(limit)) / 1000 if limit else None,
+        key=fields.get(_KEY),
+        prompt_tokens=prompt,
+        output_tokens=output,
+        expected_output=int(hint) if hint and hint.isdigit() else None,
+        last_event=int(last_event) if last_event and last_event.isdigit() else None,
+        forwarded=forwarded,
+    )
+
+
+def _token_counts(text: str | None) -> tuple[int | None, int | None]:
+    if text is None:
+        return None, None
+    prompt, _, output = text.partition(",")
+    return int(prompt), int(output or 0)
+
+
+def endpoint_headers(
+    traits: RequestTraits,
+    *,
+    host: str,
+    body_bytes: int | None,
+    endpoint_id: str,
+    organisation: str | None,
+    time_left_s: float,
+    after_event: int | None,
+) -> list[Header]:
+    """Build the head of a request to one endpoint."""
+    headers: list[Header] = [("Host", host)]
+    for name, value in traits.forwarded:
+        if name == _LAST_EVENT and after_event is not None:
+            continue
+        headers.append((name, value))
+    if after_event is not None:
+        headers.append((_LAST_EVENT, str(after_event)))
+    headers.append((_TIME_LIMIT, str(max(1, int(time_left_s * 1000)))))
+    headers.append((_EXPECTED_ENDPOINT, endpoint_id))
+    if organisation is not None:
+        headers.append((_ORGANISATION, organisation))
+    if body_bytes is not None:
+        headers.append(("content-length", str(body_bytes)))
+    return headers
+
+
+def decode_answer(headers: list[Header]) -> AnswerTraits:
+    """Decode the head of an endpoint's answer."""
+    fields = dict(headers)
+    return AnswerTraits(
+        request_id=fields.get(_ATTEMPT),
+        sealed=_SEAL in fields,
+        not_run=_NOT_RUN in fields,
+        encoded=_ENCODING in fields,
+        load=_decode_load(fields.get(_LOAD)),
+    )
+
+
+def _decode_load(text: str | None) -> tuple[int, int, int] | None:
+    if text is None:
+        return None
+    parts = text.split(",")
+    if len(parts) != 3:
+        return None
+    try:
+        return int(parts[0]), int(parts[1]), int(parts[2])
+    except ValueError:
+        return None
+
+
+def answer_headers(headers: list[Header]) -> list[Header]:
+    """Return the fields of an endpoint's answer that go on to the caller."""
+    kept = []
+    for header in end_to_end_headers(headers):
+        if header[0] in ("content-length", _LOAD):
+            continue
+        kept.append(header)
+    return kept
+
+
+def retry_header(seconds: float) -> Header:
+    """Build the field that says when to come back; fractions are allowed here."""
+    return "Retry-After", f"{max(0.0, seconds):.2f}"
--- /dev/null
+++ b/src/acaciarelay/platform/store.py
@@ -0,0 +1,169 @@
+"""Client of the platform's metadata store: reads, feeds and conditional writes."""
+
+import asyncio
+import base64
+import binascii
+from urllib.parse import quote
+
+import attrs
+import h11
+import orjson
+from result import Err, Ok, Result
+
+from acaciarelay.transport.endpoint_call import CallFault, EndpointConnection, connect
+
+__all__ = ["HistoryGone", "RowPage", "StoreClient", "StoreError", "StoreRow"]
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 2.5
+# What a feed may take beyond the time for which it asked the store to wait.
+FEED_MARGIN_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class StoreRow:
+    """Hold one row; ``value`` is ``None`` when it was removed."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class RowPage:
+    """Hold rows with the store's newest version at the time of the answer."""
+
+    rows: list[StoreRow]
+    version: int
+
+
+@attrs.frozen
+class StoreError:
+    """Report a call that brought nothing."""
+
+    detail: str
+
+
+@attrs.frozen
+class HistoryGone:
+    """Report that the store no longer has the changes asked for."""
+
+
+class StoreClient:
+    """Call the store at ``IP:PORT`` over one kept connection, one call at a time."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._connection: EndpointConnection | None = None
+        self._lock = asyncio.Lock()
+
+    async def read_table(self, table: str) -> Result[RowPage, StoreError]:
+        """Read all rows of a table."""
+        rows: list[StoreRow] = []
+        first = ""
+        version = 0
+        while True:
+            path = f"/rows-get?table={quote(table)}&part=&limit=500"
+            if first:
+                path += f"&from={quote(first, safe='')}"
+            match await self._call("GET", path, b"", READ_TIMEOUT_S):
+                case Err(error):
+                    return Err(error)
+                case Ok((200, data)):
+                    page, more = _decode_page(data)
+                case Ok((status, _)):
+                    return Err(StoreError(f"the store answered {status}"))
+            if page is None:
+                return Err(StoreError("the store's answer is unreadable"))
+            rows.extend(page.rows)
+            # The oldest page decides, since changes after it may be missing.
+            version = min(version or page.version, page.version)
+            if not more or not page.rows:
+                return Ok(RowPage(rows=rows, version=version))
+            first = page.rows[-1].key + "\x00"
+
+    async def follow(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[RowPage, StoreError | HistoryGone]:
+        """Wait for changes of a table after a version."""
+        path = (
+            f"/rows-feed?table={quote(table)}&afterRev={after}"
+            f"&waitMs={int(wait_s * 1000)}"
+        )
+        match await self._call("GET", path, b"", wait_s + FEED_MARGIN_S):
+            case Err(error):
+                return Err(error)
+            case Ok((410, _)):
+                return Err(HistoryGone())
+            case Ok((200, data)):
+                page, _ = _decode_page(data)
+                if page is None:
+                    return Err(StoreError("the store's answer is unreadable"))
+                return Ok(page)
+            case Ok((status, _)):
+                return Err(StoreError(f"the store answered {status}"))
+
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> Result[tuple[int, bytes], StoreError]:
+        async with self._lock:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await self._exchange(method, path, body)
+            except TimeoutError:
+                self.close()
+                return Err(StoreError(f"no answer within {timeout_s:g} s"))
+            except asyncio.CancelledError:
+                self.close()
+                raise
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes
+    ) -> Result[tuple[int, bytes], StoreError]:
+        connection = self._connection
+        if connection is None or not connection.reusable:
+            match await connect(self.address, CONNECT_TIMEOUT_S):
+                case Err(fault):
+                    return Err(StoreError(str(fault)))
+                case Ok(connection):
+                    self._connection = connection
+        assert connection is not None
+        headers = [("Host", self.address), ("content-length", str(len(body)))]
+        connection.send(method, path, headers, body)
+        status = 0
+        pieces: list[bytes] = []
+        while True:
+            match await connection.next_event():
+                case h11.Response() as response:
+                    status = response.status_code
+                case h11.Data() as data:
+                    pieces.append(bytes(data.data))
+                case h11.EndOfMessage():
+                    connection.start_next()
+                    return Ok((status, b"".join(pieces)))
+                case CallFault() as fault:
+                    self.close()
+                    return Err(StoreError(str(fault)))
+
+    def close(self) -> None:
+        """Drop the connection; a call under way ends with an error."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+
+def _decode_page(data: bytes) -> tuple[RowPage | None, bool]:
+    try:
+        raw = orjson.loads(data)
+        rows = [_decode_row(item) for item in raw["rows"]]
+        page = RowPage(rows=rows, version=int(raw["ver"]))
+        return page, bool(raw.get("hasMore"))
+    except (ValueError, KeyError, TypeError, binascii.Error):
+        return None, False
+
+
+def _decode_row(raw: dict) -> StoreRow:
+    # The wire word for a removed row is "compacted".
+    removed = bool(raw.get("compacted")) or raw.get("value") is None
+    value = None if removed else base64.b64decode(raw["value"])
+    return StoreRow(key=raw["key"], value=value, version=int(raw["ver"]))
--- /dev/null
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -0,0 +1,210 @@
+"""Agent on the users' platform: grants places at the engine on its machine."""
+
+import asyncio
+import secrets
+import signal
+import sys
+import time
+
+import h11
+from result import Err, Ok
+
+from acaciarelay.coordination.place_queue import PlaceQueue
+from acaciarelay.platform.configuration import FormatError
+from acaciarelay.platform.endpoints import EngineReport, decode_report
+from acaciarelay.platform.exchange import REPORT_PATH
+from acaciarelay.programs.decision_log import configure_decision_log
+from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.relay_settings import (
+    RelaySettings,
+    SettingsError,
+    load_settings,
+    settings_path,
+)
+from acaciarelay.protocol.relay_messages import (
+    AskPlace,
+    EndPlace,
+    EngineState,
+    GrantPlace,
+    Hello,
+    RelayMessage,
+)
+from acaciarelay.transport.endpoint_call import CallFault, connect
+from acaciarelay.transport.message_link import LinkServer, MessageLink
+
+__all__ = ["RelayAgent", "main"]
+
+EXIT_SETTINGS = 2
+STATE_INTERVAL_S = 0.05
+# Places beyond the engine's slots, so that the next request is there when one ends.
+EXTRA_PLACES = 1
+RANKS = 16
+REPORT_TIMEOUT_S = 0.5
+REPORT_INTERVAL_S = 0.25
+# How long runs without a place are looked for after a start or a lost link.
+UNKNOWN_RUNS_S = 6.0
+
+
+class RelayAgent:
+    """Own the places at one engine."""
+
+    def __init__(self, settings: RelaySettings) -> None:
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        self.queue = PlaceQueue()
+        self.hello = Hello(
+            name=settings.name,
+            lifetime=secrets.token_hex(6),
+            address=f"{settings.host}:{settings.agent_port}",
+            zone=settings.zone,
+        )
+        self.server = LinkServer(self.hello, self.receive, self.opened, self.closed)
+        self.links: set[MessageLink] = set()
+        self.stopping = asyncio.Event()
+        self.state_timer: asyncio.TimerHandle | None = None
+        self.last_state: EngineState | None = None
+        self.foreign = 0
+        self.unknown_until = time.monotonic() + UNKNOWN_RUNS_S
+
+    async def run(self) -> int:
+        """Grant places until a stop is requested."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        await self.server.listen(self.settings.host, self.settings.agent_port)
+        log_event("started", engine=self.settings.engine_address, always=True)
+        while not self.stopping.is_set():
+            if time.monotonic() < self.unknown_until:
+                await self.look_for_unknown_runs()
+            try:
+                async with asyncio.timeout(REPORT_INTERVAL_S):
+                    await self.stopping.wait()
+            except TimeoutError:
+                continue
+        log_event("stopped", places=len(self.queue.granted), always=True)
+        self.server.close()
+        return 0
+
+    async def look_for_unknown_runs(self) -> None:
+        """Count the engine's runs that no place stands for."""
+        report = await self.read_report()
+        if report is None:
+            return
+        runs = report.running + report.waiting
+        foreign = max(0, runs - len(self.queue.granted))
+        if time.monotonic() + REPORT_INTERVAL_S >= self.unknown_until:
+            foreign = 0
+        if foreign != self.foreign:
+            log_event("unknown_runs", runs=runs, places=len(self.queue.granted))
+        self.foreign = foreign
+        self.grant()
+
+    async def read_report(self) -> EngineReport | None:
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                return await self.fetch_report()
+        except TimeoutError:
+            log_event("report_failed", detail="no report in time")
+            return None
+
+    async def fetch_report(self) -> EngineReport | None:
+        match await connect(self.settings.engine_address, REPORT_TIMEOUT_S):
+            case Err(fault):
+                log_event("report_failed", detail=str(fault))
+                return None
+            case Ok(call):
+                pass
+        try:
+            host = self.settings.engine_address
+            call.send("GET", REPORT_PATH, [("Host", host)], b"")
+            pieces: list[bytes] = []
+            while True:
+                match await call.next_event():
+                    case h11.Data(data=data):
+                        pieces.append(bytes(data))
+                    case h11.EndOfMessage():
+                        return decode_report(b"".join(pieces))
+                    case CallFault() as fault:
+                        log_event("report_failed", detail=str(fault))
+                        return None
+        except FormatError as error:
+            log_event("report_failed", detail=str(error))
+            return None
+        finally:
+            call.close()
+
+    def opened(self, link: MessageLink) -> None:
+        assert link.peer is not None
+        self.links.add(link)
+        log_event("entry_regained", entry=link.peer.name, lifetime=link.peer.lifetime)
+        self.last_state = None
+        self.tell_soon()
+
+    def closed(self, link: MessageLink) -> None:
+        assert link.peer is not None
+        self.links.discard(link)
+        places = self.queue.end_all(link)
+        log_event("entry_lost", entry=link.peer.name, places=places)
+        if places:
+            # The entry may live and still use its places.
+            self.foreign += places
+            self.unknown_until = time.monotonic() + UNKNOWN_RUNS_S
+        self.grant()
+
+    def receive(self, link: MessageLink, message: RelayMessage) -> None:
+        now = time.monotonic()
+        match message:
+            case AskPlace():
+                self.queue.limit = message.slots + EXTRA_PLACES
+                self.queue.ask(link, message, now)
+            case EndPlace(request=request):
+                self.queue.end(link, request, now)
+            case _:
+                return
+        self.grant()
+
+    def grant(self) -> None:
+        for holder in self.queue.next_grants(time.monotonic(), self.foreign):
+            link = holder.owner
+            assert isinstance(link, MessageLink)
+            link.send(GrantPlace(request=holder.ask.request))
+        self.tell_soon()
+
+    def tell_soon(self) -> None:
+        if self.state_timer is None:
+            self.state_timer = self.loop.call_later(STATE_INTERVAL_S, self.tell)
+
+    def tell(self) -> None:
+        """Tell the entries how loaded the engine is, when that changed."""
+        self.state_timer = None
+        entries = []
+        for link in self.links:
+            if link.peer is not None:
+                entries.append(link.peer.address)
+        state = EngineState(
+            used=len(self.queue.granted) + self.foreign,
+            limit=self.queue.limit,
+            waiting=len(self.queue.waiting),
+            entries=sorted(entries),
+            waits_s=[round(w, 3) for w in self.queue.expected_waits(RANKS)],
+        )
+        if state == self.last_state:
+            return
+        self.last_state = state
+        for link in self.links:
+            link.send(state)
+
+
+def main() -> int:
+    """Run an agent and return its exit code."""
+    try:
+        settings = load_settings(settings_path())
+    except SettingsError as error:
+        print(f"acaciarelay agent: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_decision_log("agent", settings.name)
+
+    async def run() -> int:
+        return await RelayAgent(settings).run()
+
+    return asyncio.run(run())
--- /dev/null
+++ b/src/acaciarelay/programs/relay_beliefs.py
@@ -0,0 +1,211 @@
+"""What an entry believes of configuration and endpoints, and how old that is."""
+
+import base64
+import binascii
+import time
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from acaciarelay.platform.configuration import (
+    CONFIGURATION_KEY,
+    ENDPOINT_TABLE,
+    OPERATOR_TABLE,
+    FormatError,
+    decode_configuration,
+)
+from acaciarelay.platform.endpoints import decode_endpoint
+from acaciarelay.platform.store import RowPage, StoreRow
+from acaciarelay.programs.logs import log_event
+from acaciarelay.protocol.relay_messages import PeerRow
+from acaciarelay.state.endpoints import EndpointList
+from acaciarelay.state.routing import RoutingTable
+
+__all__ = ["TABLES", "Beliefs"]
+
+TABLES = (OPERATOR_TABLE, ENDPOINT_TABLE)
+# Removed rows that are remembered for peers that missed the removal.
+MAX_REMOVED_ROWS = 5_000
+
+
+@attrs.define(eq=False)
+class _TableState:
+    rows: dict[str, StoreRow] = attrs.Factory(dict)
+    version: int = 0
+    heard_at: float = -1e9
+
+
+class Beliefs:
+    """Merge rows from the store and from peers; a row never goes back."""
+
+    def __init__(self) -> None:
+        self.routing: RoutingTable | None = None
+        self.endpoints = EndpointList()
+        self.tables = {name: _TableState() for name in TABLES}
+        self.on_configuration: list[Callable[[], None]] = []
+        self.on_endpoints: list[Callable[[], None]] = []
+
+    def age_s(self, table: str) -> float:
+        """Return the seconds since a table was last known to be current."""
+        return time.monotonic() - self.tables[table].heard_at
+
+    def versions(self) -> dict[str, int]:
+        """Return the newest version known of each table."""
+        return {name: state.version for name, state in self.tables.items()}
+
+    def apply_changes(
+        self, table: str, rows: Iterable[StoreRow], version: int, after_outage: bool
+    ) -> None:
+        """Take changed rows; ``after_outage`` keeps missing endpoints for a while."""
+        state = self.tables[table]
+        changed = False
+        for row in rows:
+            known = state.rows.get(row.key)
+            if known is not None and known.version >= row.version:
+                continue
+            state.rows[row.key] = row
+            changed |= self._apply_row(table, row, after_outage)
+        state.version = max(state.version, version)
+        if changed:
+            self._changed(table)
+
+    def apply_whole(self, table: str, page: RowPage, after_outage: bool) -> bool:
+        """Take a whole table; ``False`` when it is older than what is known."""
+        state = self.tables[table]
+        if page.version < state.version:
+            log_event(
+                "stale_read_ignored",
+                table=table,
+                version=page.version,
+                known_version=state.version,
+            )
+            return False
+        present = {row.key for row in page.rows}
+        rows = list(page.rows)
+        for key, row in state.rows.items():
+            if key in present or row.value is None:
+                continue
+            rows.append(StoreRow(key=key, value=None, version=page.version))
+        self.apply_changes(table, rows, page.version, after_outage)
+        return True
+
+    def confirm(self, table: str) -> None:
+        """Note that a table is current as of now."""
+        self.tables[table].heard_at = time.monotonic()
+
+    def rows_after(self, table: str, version: int) -> list[PeerRow]:
+        """Return the rows that a peer lacks which knows a version."""
+        result = []
+        for row in self.tables[table].rows.values():
+            if row.version <= version:
+                continue
+            value = base64.b64encode(row.value).decode() if row.value else None
+            result.append(
+                PeerRow(table=table, key=row.key, value=value, version=row.version)
+            )
+        return result
+
+    def apply_peer_rows(self, rows: list[PeerRow], versions: dict[str, int]) -> None:
+        """Take rows that a peer passed on."""
+        for table in TABLES:
+            decoded = []
+            for row in rows:
+                if row.table != table:
+                    continue
+                try:
+                    value = base64.b64decode(row.value) if row.value else None
+                except binascii.Error:
+                    log_event("peer_row_unreadable", table=table, key=row.key)
+                    continue
+                decoded.append(StoreRow(key=row.key, value=value, version=row.version))
+            if decoded:
+                log_event(
+                    "rows_from_peer", table=table, rows=len(decoded), known=versions
+                )
+                self.apply_changes(table, decoded, versions.get(table, 0), False)
+
+    def _apply_row(self, table: str, row: StoreRow, after_outage: bool) -> bool:
+        if table == OPERATOR_TABLE:
+            return row.key == CONFIGURATION_KEY and self._apply_configuration(row)
+        return self._apply_endpoint(row, after_outage)
+
+    def _apply_configuration(self, row: StoreRow) -> bool:
+        if row.value is None:
+            log_event("configuration_row_missing", row_version=row.version)
+            return False
+        try:
+            routing = decode_configuration(row.value)
+        except FormatError as error:
+            log_event(
+                "row_unreadable",
+                table=OPERATOR_TABLE,
+                key=row.key,
+                row_version=row.version,
+                detail=str(error),
+            )
+            return False
+        if self.routing is not None and routing.version <= self.routing.version:
+            return False
+        log_event(
+            "configuration_applied",
+            version=routing.version,
+            row_version=row.version,
+            before=self.routing.version if self.routing else None,
+            routes=routing.route_count,
+            organisations=len(routing.organisations),
+        )
+        self.routing = routing
+        return True
+
+    def _apply_endpoint(self, row: StoreRow, after_outage: bool) -> bool:
+        if row.value is None:
+            if after_outage:
+                self.endpoints.lose(row.key, time.monotonic())
+                log_event("endpoint_missing", endpoint=row.key, version=row.version)
+                return False
+            removed = self.endpoints.remove(row.key)
+            if removed:
+                log_event("endpoint_removed", endpoint=row.key, version=row.version)
+            return removed
+        try:
+            endpoint = decode_endpoint(row.key, row.value)
+        except FormatError as error:
+            log_event(
+                "row_unreadable",
+                table=ENDPOINT_TABLE,
+                key=row.key,
+                row_version=row.version,
+                detail=str(error),
+            )
+            # A registration from another writer names no endpoint to use.
+            return self.endpoints.remove(row.key)
+        changed = self.endpoints.put(endpoint)
+        if changed:
+            log_event(
+                "endpoint_changed",
+                endpoint=row.key,
+                service=endpoint.service,
+                address=endpoint.address,
+                draining=endpoint.draining,
+                version=row.version,
+            )
+        return changed
+
+    def expire_endpoints(self) -> None:
+        """Drop the endpoints that did not return after an outage."""
+        gone = self.endpoints.expire(time.monotonic())
+        for endpoint_id in gone:
+            log_event("endpoint_not_back", endpoint=endpoint_id)
+        if gone:
+            self._changed(ENDPOINT_TABLE)
+
+    def _changed(self, table: str) -> None:
+        state = self.tables[table]
+        if len(state.rows) > MAX_REMOVED_ROWS:
+            for key in [key for key, row in state.rows.items() if row.value is None]:
+                del state.rows[key]
+        callbacks = (
+            self.on_configuration if table == OPERATOR_TABLE else self.on_endpoints
+        )
+        for callback in callbacks:
+            callback()
--- /dev/null
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -0,0 +1,273 @@
+"""Entry on the users' platform: answers callers' requests with its peers and agents."""
+
+import asyncio
+import random
+import secrets
+import signal
+import sys
+import time
+
+import eliot
+
+from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.place_asker import PlaceAsker
+from acaciarelay.coordination.retry_share import RetryShare
+from acaciarelay.coordination.usage_shares import UsageShares
+from acaciarelay.platform.exchange import READY_PATH
+from acaciarelay.programs.decision_log import configure_decision_log
+from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.programs.relay_beliefs import Beliefs
+from acaciarelay.programs.relay_peers import Peers
+from acaciarelay.programs.relay_request import RequestRelay, respond_refusal
+from acaciarelay.programs.relay_settings import (
+    RelaySettings,
+    SettingsError,
+    load_settings,
+    settings_path,
+)
+from acaciarelay.programs.store_follower import StoreFollower
+from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.relay_messages import EngineState, Hello, RelayMessage
+from acaciarelay.state.routing import CallerLimits
+from acaciarelay.transport.front_server import (
+    CallerGone,
+    FrontConnection,
+    FrontRequest,
+)
+from acaciarelay.transport.message_link import Dialer, MessageLink
+
+__all__ = ["RelayEntry", "main"]
+
+EXIT_SETTINGS = 2
+METRICS_PORT = 9102
+TICK_S = 0.4
+# Time after a stop request in which the platform still sends new connections.
+UNREADY_S = 2.6
+# Part of the grace time that is kept for the exit itself.
+EXIT_MARGIN_S = 0.6
+DRAIN_CHECK_S = 0.05
+
+
+class RelayEntry:
+    """Own all parts of an entry and its life from start to stop."""
+
+    def __init__(self, settings: RelaySettings) -> None:
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(secrets.randbits(64))
+        self.metrics = Metrics()
+        self.beliefs = Beliefs()
+        self.usage = UsageShares()
+        self.retries = RetryShare(
+            settings.retry_ratio,
+            settings.retry_reserve,
+            settings.retry_window_s,
+            time.monotonic(),
+        )
+        self.health = EndpointHealth(settings.zone, settings.zones, self.rng)
+        self.asker = PlaceAsker()
+        self.relay = RequestRelay(
+            self.beliefs,
+            self.usage,
+            self.retries,
+            self.health,
+            self.asker,
+            self.metrics,
+            self.rng,
+        )
+        self.hello = Hello(
+            name=settings.name,
+            lifetime=secrets.token_hex(6),
+            address=f"{settings.host}:{settings.peer_port}",
+            zone=settings.zone,
+        )
+        self.peers = Peers(self.hello, self.beliefs, self.usage, self.retries)
+        self.follower = StoreFollower(settings.store_address, self.beliefs, self.rng)
+        self.connections: set[FrontConnection] = set()
+        self.agents: dict[str, Dialer] = {}
+        self.servers: list[asyncio.Server] = []
+        self.stopping = asyncio.Event()
+        self.beliefs.on_configuration.append(self.reconcile_agents)
+        self.beliefs.on_endpoints.append(self.reconcile_agents)
+
+    async def run(self) -> int:
+        """Serve until a stop is requested and the work in hand is done."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.listen()
+        self.follower.start()
+        log_event("started", address=self.settings.caller_address, always=True)
+        while not self.stopping.is_set():
+            self.peers.tick()
+            self.beliefs.expire_endpoints()
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self.stopping.wait()
+            except TimeoutError:
+                continue
+        await self.drain()
+        return 0
+
+    async def listen(self) -> None:
+        host, port = _split(self.settings.caller_address)
+        self.servers.append(
+            await self.loop.create_server(self.build_front, host, port, backlog=1024)
+        )
+        host, port = _split(self.settings.ready_address)
+        self.servers.append(await self.loop.create_server(self.build_ready, host, port))
+        self.servers.append(
+            await self.loop.create_server(
+                self.build_metrics, self.settings.host, METRICS_PORT
+            )
+        )
+        await self.peers.listen(self.settings.host, self.settings.peer_port)
+        self.learn_seeds()
+
+    def learn_seeds(self) -> None:
+        port = self.settings.peer_port
+        self.peers.learn([f"{_split(seed)[0]}:{port}" for seed in self.settings.seeds])
+
+    def limits(self) -> CallerLimits:
+        routing = self.beliefs.routing
+        return routing.limits if routing is not None else CallerLimits()
+
+    def build_front(self) -> FrontConnection:
+        return FrontConnection(self.serve, self.refuse, self.limits, self.connections)
+
+    def build_ready(self) -> FrontConnection:
+        return FrontConnection(self.answer_ready, self.refuse, CallerLimits, set())
+
+    def build_metrics(self) -> FrontConnection:
+        return FrontConnection(self.answer_metrics, self.refuse, CallerLimits, set())
+
+    async def serve(self, connection: FrontConnection, request: FrontRequest) -> None:
+        if self.stopping.is_set():
+            connection.last_request = True
+        try:
+            await self.relay.handle(connection, request)
+        except CallerGone:
+            return
+        except Exception:
+            # A fault in one request must neither stay silent nor end the process.
+            eliot.write_traceback()
+            if connection.answer_started:
+                connection.abort()
+                return
+            respond_refusal(connection, refuse("internal_error"))
+
+    def refuse(self, connection: FrontConnection, refusal: Refusal) -> None:
+        log_event("input_refused", code=refusal.code.name)
+        respond_refusal(connection, refusal)
+
+    @property
+    def ready(self) -> bool:
+        return self.beliefs.routing is not None and not self.stopping.is_set()
+
+    async def answer_ready(
+        self, connection: FrontConnection, request: FrontRequest
+    ) -> None:
+        known = request.target == READY_PATH
+        status = 404 if not known else 200 if self.ready else 503
+        connection.respond(status, [], b"")
+
+    async def answer_metrics(
+        self, connection: FrontConnection, request: FrontRequest
+    ) -> None:
+        body, kind = self.metrics.render()
+        connection.respond(200, [("Content-Type", kind)], body)
+
+    # Agents.
+
+    def reconcile_agents(self) -> None:
+        """Keep a link to the agent beside each engine that is listed."""
+        routing = self.beliefs.routing
+        if routing is None:
+            return
+        hosts = set()
+        for endpoint in self.beliefs.endpoints.all():
+            service = routing.services.get(endpoint.service)
+            if service is not None and service.engine is not None:
+                hosts.add(endpoint.host)
+        for host in hosts - self.agents.keys():
+            self.agents[host] = Dialer(
+                f"{host}:{self.settings.agent_port}",
+                self.hello,
+                self.agent_said,
+                self.agent_opened,
+                self.agent_closed,
+            )
+        for host in self.agents.keys() - hosts:
+            self.agents.pop(host).close()
+
+    def agent_opened(self, link: MessageLink) -> None:
+        log_event("agent_regained", host=link.peer_host)
+        self.asker.opened(link.peer_host, link)
+
+    def agent_closed(self, link: MessageLink) -> None:
+        log_event("agent_lost", host=link.peer_host)
+        self.asker.closed(link.peer_host, link)
+
+    def agent_said(self, link: MessageLink, message: RelayMessage) -> None:
+        self.asker.receive(link.peer_host, message)
+        if isinstance(message, EngineState):
+            self.peers.learn(message.entries)
+
+    # Reload and stop.
+
+    def reload(self) -> None:
+        """Read the settings file again and take what can change."""
+        try:
+            settings = load_settings(settings_path())
+        except SettingsError as error:
+            log_event("reload_failed", detail=str(error), always=True)
+            return
+        self.settings = settings
+        self.learn_seeds()
+        log_event("reloaded", seeds=settings.seeds, always=True)
+
+    async def drain(self) -> None:
+        """Say not ready, serve what comes until the platform has noticed, then end."""
+        began = self.loop.time()
+        log_event("stopping", connections=len(self.connections), always=True)
+        for connection in self.connections:
+            connection.last_request = True
+        end_at = began + self.settings.stop_grace_s - EXIT_MARGIN_S
+        while self.loop.time() < end_at:
+            self.peers.tick()
+            busy = sum(1 for connection in self.connections if connection.busy)
+            if not busy and self.loop.time() - began > UNREADY_S:
+                break
+            await asyncio.sleep(DRAIN_CHECK_S)
+        for server in self.servers:
+            server.close()
+        busy = sum(1 for connection in self.connections if connection.busy)
+        log_event("stopped", cut=busy, after_s=self.loop.time() - began, always=True)
+        self.follower.close()
+        self.peers.close()
+        for dialer in self.agents.values():
+            dialer.close()
+        for connection in list(self.connections):
+            connection.close()
+        await asyncio.sleep(DRAIN_CHECK_S)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def main() -> int:
+    """Run an entry and return its exit code."""
+    try:
+        settings = load_settings(settings_path())
+    except SettingsError as error:
+        print(f"acaciarelay entry: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_decision_log("entry", settings.name)
+
+    async def run() -> int:
+        return await RelayEntry(settings).run()
+
+    return asyncio.run(run())
--- /dev/null
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -0,0 +1,137 @@
+"""Choose an endpoint for a request: by a place from an agent, or directly."""
+
+import asyncio
+import time
+
+import attrs
+
+from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.place_asker import AgentLink, Place, PlaceAsker
+from acaciarelay.coordination.retry_share import RetryShare
+from acaciarelay.platform.configuration import ENDPOINT_TABLE
+from acaciarelay.programs.relay_beliefs import Beliefs
+from acaciarelay.protocol.relay_messages import AskPlace
+from acaciarelay.state.endpoints import Endpoint
+from acaciarelay.state.relay_run import RelayRun
+
+__all__ = ["Placement", "Placer"]
+
+# Agents that are asked for one request.
+ASKED_AGENTS = 3
+# Part of the objective that a request may wait for a place.
+WAIT_PART = 0.6
+# Wait for a place after a break, when the caller already has a part of the answer.
+RESUME_WAIT_S = 1.0
+# Seconds of expected wait that a distance or a failure counts as.
+DISTANCE_S = 0.02
+FAILURE_S = 0.1
+LEAST_RETRY_S = 0.05
+
+
+@attrs.define(eq=False)
+class Placement:
+    """Hold the endpoint chosen for one attempt, with its place if an agent gave one."""
+
+    endpoint: Endpoint
+    place: Place | None
+
+    def end(self) -> None:
+        """Give the place back."""
+        if self.place is not None:
+            self.place.end()
+
+
+class Placer:
+    """Place requests by the loads that are known here."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        health: EndpointHealth,
+        asker: PlaceAsker,
+        retries: RetryShare,
+    ) -> None:
+        self.beliefs = beliefs
+        self.health = health
+        self.asker = asker
+        self.retries = retries
+
+    async def place(self, run: RelayRun) -> Placement | None:
+        """Choose an endpoint; ``None`` when none has room in time."""
+        loop = asyncio.get_running_loop()
+        wait_until = run.arrived_at + WAIT_PART * run.route.objective_s
+        if run.declined or run.runs:
+            wait_until = max(wait_until, loop.time() + RESUME_WAIT_S)
+        while True:
+            endpoints = self.beliefs.endpoints.of_service(run.service)
+            usable = [e for e in endpoints if e.endpoint_id not in run.tried]
+            usable = usable or endpoints
+            now = time.monotonic()
+            sound = [e for e in usable if not self.health.avoided(e.endpoint_id, now)]
+            usable = sound or usable
+            by_host = {e.host: e for e in usable if e.host in self.asker.agents}
+            if not by_host:
+                processes = self.retries.processes
+                endpoint = self.health.choose(usable, run.tried, processes, now)
+                if endpoint is not None:
+                    return Placement(endpoint, None)
+            else:
+                agents = self._nearest(run, by_host, now)
+                place = await self.asker.ask(
+                    agents, self._ask(run), max(0.0, wait_until - loop.time())
+                )
+                if place is not None:
+                    placed = by_host[place.agent.host]
+                    current = self.beliefs.endpoints.get(placed.endpoint_id)
+                    if current is not None and not current.draining:
+                        return Placement(current, place)
+                    place.end()
+                    continue
+            if loop.time() >= wait_until - 0.001:
+                return None
+            await asyncio.sleep(min(0.02, max(0.0, wait_until - loop.time())))
+
+    def _nearest(
+        self, run: RelayRun, by_host: dict[str, Endpoint], now: float
+    ) -> list[AgentLink]:
+        costs = []
+        for host, endpoint in by_host.items():
+            agent = self.asker.agents[host]
+            cost = agent.expected_wait_s(run.rank, now)
+            cost += DISTANCE_S * self.health.distance_cost(endpoint.zone)
+            cost += FAILURE_S * self.health.failures(endpoint.endpoint_id, now)
+            costs.append((cost + self.health.rng.random() * 0.002, host))
+        costs.sort()
+        return [self.asker.agents[host] for _, host in costs[:ASKED_AGENTS]]
+
+    def _ask(self, run: RelayRun) -> AskPlace:
+        loop = asyncio.get_running_loop()
+        service = run.routing.services.get(run.service)
+        engine = service.engine if service is not None else None
+        return AskPlace(
+            request=run.traits.request_id,
+            organisation=run.organisation.name if run.organisation else "",
+            rank=run.rank,
+            objective_left_s=run.arrived_at + run.route.objective_s - loop.time(),
+            time_left_s=run.limit_at - loop.time(),
+            prompt_tokens=run.traits.prompt_tokens or 0,
+            output_tokens=run.traits.expected_output or run.traits.output_tokens or 0,
+            slots=engine.slots if engine is not None else 1,
+            memory_tokens=engine.memory_tokens if engine is not None else 0,
+        )
+
+    def relief_s(self, run: RelayRun) -> float:
+        """Return the seconds after which a place is likely to be free."""
+        now = time.monotonic()
+        waits = []
+        for endpoint in self.beliefs.endpoints.of_service(run.service):
+            agent = self.asker.agents.get(endpoint.host)
+            if agent is not None:
+                waits.append(agent.expected_wait_s(run.rank, now))
+        if not waits:
+            return LEAST_RETRY_S * 4
+        return max(LEAST_RETRY_S, min(waits))
+
+    @property
+    def endpoint_age_s(self) -> float:
+        return self.beliefs.age_s(ENDPOINT_TABLE)
--- /dev/null
+++ b/src/acaciarelay/programs/relay_settings.py
@@ -0,0 +1,78 @@
+"""Settings of the programs that run on the users' platform, read from a JSON file."""
+
+import os
+from typing import Any
+
+import attrs
+import cattrs
+import orjson
+
+__all__ = ["RelaySettings", "SettingsError", "load_settings", "settings_path"]
+
+PATH_VARIABLE = "ACACIARELAY_CONFIG"
+
+
+class SettingsError(Exception):
+    """Report settings that can't be used, one problem a line."""
+
+
+@attrs.frozen(kw_only=True)
+class RelaySettings:
+    """Hold the settings of a process; addresses are ``IP:PORT`` or empty.
+
+    ``zones`` maps each zone to its region. ``ports`` are the first and last port for
+    links between the system's own processes. ``retry_reserve`` is the number of retries
+    in a window beyond ``retry_ratio`` of the requests, over all processes.
+    """
+
+    name: str
+    host: str
+    zone: str
+    zones: dict[str, str]
+    caller_address: str
+    ready_address: str
+    ports: list[int]
+    seeds: list[str]
+    store_address: str
+    engine_address: str
+    stop_grace_s: float
+    retry_ratio: float
+    retry_reserve: float
+    retry_window_s: float
+    usage_window_s: float
+    usage_slack: float
+
+    @property
+    def agent_port(self) -> int:
+        return self.ports[0]
+
+    @property
+    def peer_port(self) -> int:
+        return self.ports[0] + 1
+
+
+def settings_path() -> str:
+    """Return the path of the settings file; raises ``SettingsError``."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsError(f"{PATH_VARIABLE} must name the settings file")
+    return path
+
+
+def load_settings(path: str) -> RelaySettings:
+    """Read the settings file; raises ``SettingsError`` with all problems."""
+    try:
+        with open(path, "rb") as file:
+            raw: Any = orjson.loads(file.read())
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    try:
+        settings = cattrs.structure(raw, RelaySettings)
+    except cattrs.BaseValidationError as error:
+        problems = cattrs.transform_error(error)
+        raise SettingsError("\n".join(problems)) from error
+    except TypeError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    if len(settings.ports) < 2 or settings.ports[1] - settings.ports[0] < 1:
+        raise SettingsError("ports: must hold the first and last of two ports or more")
+    return settings
--- /dev/null
+++ b/src/acaciarelay/state/routing.py
@@ -0,0 +1,135 @@
+"""The configuration in force: routes, services, organisations and caller limits."""
+
+import enum
+
+import attrs
+
+__all__ = [
+    "CallerLimits",
+    "EngineTraits",
+    "Organisation",
+    "Repeatability",
+    "Route",
+    "RoutingTable",
+    "Service",
+    "Target",
+]
+
+
+class Repeatability(enum.StrEnum):
+    """Say what the kind of a route allows to run again."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    RESUMABLE = "resumable"  # A stream that may go on after its last event.
+
+
+@attrs.frozen
+class Target:
+    """Name a service with its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Hold one route; times are in seconds, rank 0 is the most urgent."""
+
+    name: str
+    host: str
+    prefix: str
+    repeatability: Repeatability
+    streaming: bool
+    timeout_s: float
+    objective_s: float
+    rank: int
+    targets: tuple[Target, ...]
+    max_attempts: int
+    anonymous: bool
+
+
+@attrs.frozen(kw_only=True)
+class EngineTraits:
+    """Hold the capacity of each engine of a service."""
+
+    slots: int
+    memory_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Hold one service; ``engine`` is ``None`` for a plain one."""
+
+    name: str
+    max_connections: int
+    engine: EngineTraits | None
+
+
+@attrs.frozen(kw_only=True)
+class Organisation:
+    """Hold an organisation; a rate of 0 means no limit.
+
+    Rate and burst are in tokens when ``by_tokens`` is true and in requests otherwise.
+    """
+
+    name: str
+    rank: int | None
+    by_tokens: bool
+    default_tokens: int
+    rate_per_s: float
+    burst: float
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """Bound what a caller may send; sizes in bytes, times in seconds."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class RoutingTable:
+    """Answer look-ups on one version of the configuration."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services: dict[str, Service],
+        organisations: dict[str, Organisation],
+        keys: dict[str, str] | None,
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.services = services
+        self.organisations = organisations
+        self.keys = keys
+        self.limits = limits
+        self.route_count = len(routes)
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of the host with the longest prefix of the path."""
+        prefixes = self._by_host.get(host.lower())
+        if prefixes is None:
+            return None
+        end = len(path)
+        while True:
+            end = path.rfind("/", 0, end)
+            if end < 0:
+                return None
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+
+    def organisation_of(self, key: str) -> Organisation | None:
+        """Return the organisation that holds a key, or ``None``."""
+        if self.keys is None:
+            return None
+        name = self.keys.get(key)
+        return self.organisations.get(name) if name is not None else None
--- /dev/null
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -0,0 +1,216 @@
+"""Client side of HTTP/1.1 on h11: one request at a time on a connection."""
+
+import asyncio
+import collections
+import enum
+from collections.abc import Sequence
+
+import attrs
+import h11
+from result import Err, Ok, Result
+
+from acaciarelay.protocol.http_message import Header
+from acaciarelay.transport.sockets import guard_socket
+
+__all__ = ["CallFault", "EndpointConnection", "FaultKind", "connect"]
+
+UNACKNOWLEDGED_S = 4.0
+# Reading pauses above this many events, so that a slow caller holds back its endpoint.
+MAX_QUEUED_EVENTS = 64
+KEEP_ALIVE = "keep-alive"
+
+
+class FaultKind(enum.StrEnum):
+    """Say how a connection failed."""
+
+    CONNECT = "connect"
+    RESET = "reset"
+    CLOSED = "closed"
+    MALFORMED = "malformed"
+
+
+@attrs.frozen
+class CallFault:
+    """Describe why a connection brings no more events."""
+
+    kind: FaultKind
+    detail: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.kind}: {self.detail}" if self.detail else str(self.kind)
+
+
+class EndpointConnection(asyncio.Protocol):
+    """Drive h11 as a client over one connection."""
+
+    def __init__(self) -> None:
+        self.http = h11.Connection(h11.CLIENT)
+        self.transport: asyncio.Transport | None = None
+        self.events: collections.deque[h11.Event | CallFault] = collections.deque()
+        self.waiter: asyncio.Future | None = None
+        self.written = 0
+        self.broken: CallFault | None = None
+        self.requests = 0
+        self.idle_limit_s: float | None = None
+        self.idle_since = 0.0
+        self.paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        guard_socket(transport, UNACKNOWLEDGED_S)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if exc is None and self.broken is None:
+            self._receive(b"")
+        if self.broken is None:
+            kind = FaultKind.RESET if exc is not None else FaultKind.CLOSED
+            self._break(CallFault(kind, str(exc or "")))
+
+    def eof_received(self) -> bool:
+        self._receive(b"")
+        if self.broken is None:
+            self._break(CallFault(FaultKind.CLOSED, "end of data"))
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        if self.broken is not None:
+            return
+        self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            self.http.receive_data(data)
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._break(CallFault(FaultKind.MALFORMED, str(error)))
+
+    def _parse(self) -> None:
+        if self.http.our_state is h11.IDLE:
+            # Nothing was asked, so whatever arrives belongs to no request.
+            if self.http.trailing_data[0]:
+                self._break(CallFault(FaultKind.MALFORMED, "data without a request"))
+            return
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.ConnectionClosed):
+                break
+            assert isinstance(event, h11.Event)
+            self._deliver(event)
+            if isinstance(event, h11.EndOfMessage):
+                break
+        if len(self.events) > MAX_QUEUED_EVENTS and not self.paused:
+            assert self.transport is not None
+            self.paused = True
+            self.transport.pause_reading()
+
+    def _deliver(self, event: h11.Event | CallFault) -> None:
+        self.events.append(event)
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def _break(self, fault: CallFault) -> None:
+        if self.broken is not None:
+            return
+        self.broken = fault
+        self._deliver(fault)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def send(
+        self, method: str, target: str, headers: Sequence[Header], body: bytes
+    ) -> None:
+        """Write a whole request; from then on the endpoint may have it."""
+        assert self.transport is not None
+        head = self.http.send(
+            h11.Request(method=method, target=target, headers=list(headers))
+        )
+        assert head is not None
+        self.written += 1
+        self.requests += 1
+        if body:
+            data = self.http.send(h11.Data(data=body))
+            self.transport.write(head + (data or b""))
+        else:
+            self.transport.write(head)
+        tail = self.http.send(h11.EndOfMessage())
+        if tail:
+            self.transport.write(tail)
+
+    async def next_event(self) -> h11.Event | CallFault:
+        """Return the next event of the answer, or the fault that ended it."""
+        while not self.events:
+            if self.broken is not None:
+                return self.broken
+            self.waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self.waiter
+            finally:
+                self.waiter = None
+        event = self.events.popleft()
+        if self.paused and len(self.events) < MAX_QUEUED_EVENTS // 2:
+            assert self.transport is not None
+            self.paused = False
+            self.transport.resume_reading()
+        return event
+
+    def start_next(self, idle_limit_s: float | None = None) -> None:
+        """Prepare for another request, or close when the connection can't take one.
+
+        ``idle_limit_s`` is how long the endpoint keeps an idle connection.
+        """
+        done = (
+            self.http.our_state is h11.DONE
+            and self.http.their_state is h11.DONE
+            and not self.http.trailing_data[0]
+            and self.unsent == 0
+        )
+        if not done or self.broken is not None:
+            self.close()
+            return
+        self.http.start_next_cycle()
+        self.idle_limit_s = idle_limit_s
+        self.idle_since = asyncio.get_running_loop().time()
+
+    @property
+    def unsent(self) -> int:
+        """Return the bytes of the request that the kernel hasn't taken yet."""
+        return self.transport.get_write_buffer_size() if self.transport else 0
+
+    @property
+    def reusable(self) -> bool:
+        return (
+            self.broken is None
+            and self.http.our_state is h11.IDLE
+            and self.transport is not None
+            and not self.transport.is_closing()
+        )
+
+    def close(self) -> None:
+        """Close at once, which also cancels an unfinished request."""
+        if self.broken is None:
+            self.broken = CallFault(FaultKind.CLOSED, "closed here")
+        if self.transport is not None:
+            self.transport.abort()
+
+
+async def connect(
+    address: str, timeout_s: float
+) -> Result[EndpointConnection, CallFault]:
+    """Open a connection to ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                EndpointConnection, host, int(port)
+            )
+    except TimeoutError:
+        return Err(CallFault(FaultKind.CONNECT, f"not open after {timeout_s:g} s"))
+    except OSError as error:
+        return Err(CallFault(FaultKind.CONNECT, str(error)))
+    return Ok(connection)
--- /dev/null
+++ b/src/acaciarelay/transport/front_server.py
@@ -0,0 +1,378 @@
+"""Server side of HTTP/1.1 on h11 for callers: strict heads, bounded bodies, limits."""
+
+import asyncio
+import enum
+from collections.abc import Awaitable, Callable, Sequence
+
+import attrs
+import h11
+
+from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.http_message import Header
+from acaciarelay.state.routing import CallerLimits
+from acaciarelay.transport.sockets import guard_socket
+
+__all__ = ["CallerGone", "FrontConnection", "FrontHandler", "FrontRequest"]
+
+# Data that a caller sends ahead of its turn; reading pauses above it.
+MAX_AHEAD_BYTES = 65_536
+# A caller that acknowledges nothing for this long is taken as gone.
+UNACKNOWLEDGED_S = 8.0
+# Time in which a refused caller may finish sending, so that closing does not reset the
+# connection before it has read the answer.
+LINGER_S = 1.0
+HEAD_END = b"\r\n\r\n"
+
+
+class CallerGone(Exception):
+    """Report that the caller's connection ended before its answer."""
+
+
+@attrs.frozen(kw_only=True)
+class FrontRequest:
+    """Hold a whole request; header names are in lower case.
+
+    ``framed`` tells an empty body from none. ``arrived_at`` is when its head began.
+    """
+
+    method: str
+    target: str
+    headers: list[Header]
+    body: bytes
+    framed: bool
+    arrived_at: float
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or ``None``."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class _Phase(enum.Enum):
+    IDLE = enum.auto()
+    HEAD = enum.auto()
+    BODY = enum.auto()
+    ANSWER = enum.auto()
+    CLOSING = enum.auto()
+
+
+FrontHandler = Callable[["FrontConnection", FrontRequest], Awaitable[None]]
+Refuser = Callable[["FrontConnection", Refusal], None]
+
+
+class FrontConnection(asyncio.Protocol):
+    """Drive h11 as a server over one accepted connection.
+
+    ``handler`` is awaited with each whole request and answers it through this object;
+    ``refuser`` is called for input that is no request.
+    """
+
+    def __init__(
+        self,
+        handler: FrontHandler,
+        refuser: Refuser,
+        limits: Callable[[], CallerLimits],
+        registry: set["FrontConnection"],
+    ) -> None:
+        self.handler = handler
+        self.refuser = refuser
+        self.limits = limits
+        self.registry = registry
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.http = self.new_parser()
+        self.phase = _Phase.IDLE
+        self.pending = bytearray()
+        self.task: asyncio.Task | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.head: h11.Request | None = None
+        self.pieces: list[bytes] = []
+        self.body_bytes = 0
+        self.arrived_at = 0.0
+        self.writable: asyncio.Future | None = None
+        self.last_request = False
+        self.answer_started = False
+        self.paused = False
+
+    def new_parser(self) -> h11.Connection:
+        limit = self.limits().max_head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=2 * limit)
+
+    # Events of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.registry.add(self)
+        guard_socket(transport, UNACKNOWLEDGED_S)
+        self.set_timer(self.limits().idle_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.registry.discard(self)
+        self.set_timer(None)
+        self.phase = _Phase.CLOSING
+        if self.task is not None:
+            self.task.cancel()
+        self.resume_writing()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pause_writing(self) -> None:
+        if self.writable is None:
+            self.writable = self.loop.create_future()
+
+    def resume_writing(self) -> None:
+        if self.writable is not None and not self.writable.done():
+            self.writable.set_result(None)
+        self.writable = None
+
+    def data_received(self, data: bytes) -> None:
+        match self.phase:
+            case _Phase.IDLE:
+                self.arrived_at = self.loop.time()
+                self.phase = _Phase.HEAD
+                self.set_timer(self.limits().head_timeout_s)
+                self.pending += data
+                self.read_head()
+            case _Phase.HEAD:
+                self.pending += data
+                self.read_head()
+            case _Phase.BODY:
+                self.set_timer(self.limits().head_timeout_s)
+                self.receive(data)
+            case _Phase.ANSWER:
+                self.pending += data
+                if len(self.pending) > MAX_AHEAD_BYTES and self.transport is not None:
+                    self.paused = True
+                    self.transport.pause_reading()
+            case _Phase.CLOSING:
+                return
+
+    # Reading a request.
+
+    def read_head(self) -> None:
+        """Check the raw head before the parser, which accepts bare line feeds."""
+        while self.pending[:2] == b"\r\n":
+            del self.pending[:2]
+        end = self.pending.find(HEAD_END)
+        head = self.pending if end < 0 else self.pending[: end + 4]
+        if len(head) > self.limits().max_head_bytes:
+            self.reject(refuse("head_too_large"))
+            return
+        if (
+            head.count(b"\n") != head.count(b"\r\n")
+            or b"\n " in head
+            or b"\n\t" in head
+        ):
+            self.reject(refuse("malformed_http"))
+            return
+        if end < 0:
+            return
+        data = bytes(self.pending)
+        self.pending.clear()
+        self.receive(data)
+
+    def receive(self, data: bytes) -> None:
+        try:
+            self.http.receive_data(data)
+            self.parse()
+        except h11.RemoteProtocolError:
+            # The library's text shows raw bytes of the request.
+            self.reject(refuse("malformed_http"))
+
+    def parse(self) -> None:
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                if self.http.they_are_waiting_for_100_continue:
+                    self.write_event(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                return
+            match event:
+                case h11.Request():
+                    if not self.accept_head(event):
+                        return
+                case h11.Data():
+                    self.body_bytes += len(event.data)
+                    if self.body_bytes > self.limits().max_body_bytes:
+                        self.reject(refuse("body_too_large"))
+                        return
+                    self.pieces.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    self.begin_answer()
+                    return
+                case _:
+                    return
+
+    def accept_head(self, head: h11.Request) -> bool:
+        self.head = head
+        self.pieces = []
+        self.body_bytes = 0
+        self.phase = _Phase.BODY
+        self.set_timer(self.limits().head_timeout_s)
+        lengths = 0
+        chunked = False
+        for name, value in head.headers:
+            if name == b"content-length":
+                lengths += 1
+                if int(value) > self.limits().max_body_bytes:
+                    self.reject(refuse("body_too_large"))
+                    return False
+            elif name == b"transfer-encoding":
+                chunked = True
+        if lengths and chunked:
+            # Two framings are how a request is smuggled inside another one.
+            self.reject(refuse("malformed_http"))
+            return False
+        return True
+
+    def begin_answer(self) -> None:
+        assert self.head is not None
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in self.head.headers
+        ]
+        framed = any(
+            name in ("content-length", "transfer-encoding") for name, _ in headers
+        )
+        request = FrontRequest(
+            method=self.head.method.decode("ascii"),
+            target=self.head.target.decode("latin-1"),
+            headers=headers,
+            body=b"".join(self.pieces),
+            framed=framed,
+            arrived_at=self.arrived_at,
+        )
+        self.pieces = []
+        self.phase = _Phase.ANSWER
+        self.answer_started = False
+        self.set_timer(None)
+        self.pending += self.http.trailing_data[0]
+        self.task = self.loop.create_task(self.run(request))
+
+    async def run(self, request: FrontRequest) -> None:
+        try:
+            await self.handler(self, request)
+        finally:
+            self.task = None
+            self.end_answer()
+
+    def end_answer(self) -> None:
+        if self.phase is not _Phase.ANSWER:
+            return
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            self.close()
+            return
+        # A new parser, since the next head is checked before the parser sees it.
+        self.http = self.new_parser()
+        self.phase = _Phase.IDLE
+        if self.paused and self.transport is not None:
+            self.paused = False
+            self.transport.resume_reading()
+        if self.pending:
+            self.data_received(b"")
+            return
+        self.set_timer(self.limits().idle_timeout_s)
+
+    # Answering.
+
+    def reject(self, refusal: Refusal) -> None:
+        """Answer input that is no whole request and close."""
+        self.last_request = True
+        self.phase = _Phase.CLOSING
+        self.set_timer(None)
+        self.refuser(self, refusal)
+
+    def start(self, status: int, headers: Sequence[Header]) -> None:
+        """Write the head of an answer."""
+        fields = list(headers)
+        if self.last_request:
+            fields.append(("Connection", "close"))
+        self.answer_started = True
+        self.write_event(h11.Response(status_code=status, headers=fields))
+
+    def write(self, data: bytes) -> None:
+        """Write a piece of the body."""
+        self.write_event(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the answer."""
+        self.write_event(h11.EndOfMessage())
+
+    def respond(self, status: int, headers: Sequence[Header], body: bytes) -> None:
+        """Write a whole answer."""
+        self.start(status, [*headers, ("Content-Length", str(len(body)))])
+        if body and (self.head is None or self.head.method != b"HEAD"):
+            self.write(body)
+        self.finish()
+        if self.phase is _Phase.CLOSING:
+            self.close_after_answer()
+
+    def write_event(self, event: h11.Event) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        try:
+            data = self.http.send(event)
+        except h11.LocalProtocolError:
+            # The parser gave up on this connection; only closing is left.
+            self.transport.close()
+            return
+        if data:
+            self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the caller takes more data; raises ``CallerGone``."""
+        if self.transport is None or self.transport.is_closing():
+            raise CallerGone
+        if self.writable is not None:
+            await asyncio.shield(self.writable)
+
+    # Ending.
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being read or answered."""
+        return self.phase in (_Phase.HEAD, _Phase.BODY, _Phase.ANSWER)
+
+    def set_timer(self, seconds: float | None) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if seconds is not None:
+            self.timer = self.loop.call_later(seconds, self.time_out)
+
+    def time_out(self) -> None:
+        match self.phase:
+            case _Phase.IDLE:
+                self.close()
+            case _Phase.HEAD:
+                self.reject(refuse("head_too_slow"))
+            case _Phase.BODY:
+                self.reject(refuse("body_too_slow"))
+            case _Phase.CLOSING:
+                self.abort()
+
+    def close_after_answer(self) -> None:
+        """Close once the caller has read the answer or stopped sending."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.set_timer(LINGER_S)
+
+    def close(self) -> None:
+        """Close after what was written has been sent."""
+        self.phase = _Phase.CLOSING
+        self.set_timer(None)
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once, so that a cut answer can't look whole."""
+        self.phase = _Phase.CLOSING
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/src/acaciarelay/transport/message_link.py
@@ -0,0 +1,207 @@
+"""Links between the system's own processes, with pings that end silent ones."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from acaciarelay.protocol.relay_messages import (
+    Hello,
+    MessageError,
+    Ping,
+    RelayMessage,
+    decode_message,
+    encode_message,
+)
+from acaciarelay.transport.sockets import guard_socket
+
+__all__ = ["Dialer", "LinkServer", "MessageLink"]
+
+PING_INTERVAL_S = 0.5
+SILENCE_S = 1.6
+CONNECT_TIMEOUT_S = 1.0
+REDIAL_S = 0.25
+MAX_REDIAL_S = 2.0
+# A link whose peer leaves this much unread is cut instead of filling memory.
+MAX_UNSENT_BYTES = 4_000_000
+MAX_LINE_BYTES = 16_000_000
+
+
+class MessageLink(asyncio.Protocol):
+    """Carry messages both ways over one connection."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        on_message: Callable[["MessageLink", RelayMessage], None],
+        on_open: Callable[["MessageLink"], None],
+        on_close: Callable[["MessageLink"], None],
+    ) -> None:
+        self.hello = hello
+        self.on_message = on_message
+        self.on_open = on_open
+        self.on_close = on_close
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.peer: Hello | None = None
+        self.peer_host = ""
+        self.buffer = bytearray()
+        self.heard_at = self.loop.time()
+        self.ping_timer: asyncio.TimerHandle | None = None
+        self.pings = 0
+        self.ping_sent_at = 0.0
+        self.round_trip_s = 0.0
+        self.closed = self.loop.create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        guard_socket(transport, SILENCE_S * 2)
+        name = transport.get_extra_info("peername")
+        self.peer_host = name[0] if name else ""
+        self.heard_at = self.loop.time()
+        self.send(self.hello)
+        self.tick()
+
+    def tick(self) -> None:
+        now = self.loop.time()
+        if now - self.heard_at > SILENCE_S:
+            self.close()
+            return
+        self.pings += 1
+        self.ping_sent_at = now
+        self.send(Ping(number=self.pings))
+        self.ping_timer = self.loop.call_later(PING_INTERVAL_S, self.tick)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = self.loop.time()
+        self.buffer += data
+        if b"\n" not in data:
+            if len(self.buffer) > MAX_LINE_BYTES:
+                self.close()
+            return
+        *lines, rest = bytes(self.buffer).split(b"\n")
+        self.buffer = bytearray(rest)
+        for line in lines:
+            try:
+                message = decode_message(line)
+            except MessageError:
+                self.close()
+                return
+            self.receive(message)
+
+    def receive(self, message: RelayMessage) -> None:
+        match message:
+            case Hello():
+                self.peer = message
+                self.on_open(self)
+            case Ping(answer=True, number=number):
+                if number == self.pings:
+                    self.round_trip_s = self.loop.time() - self.ping_sent_at
+            case Ping(number=number):
+                self.send(Ping(number=number, answer=True))
+            case _:
+                if self.peer is not None:
+                    self.on_message(self, message)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.ping_timer is not None:
+            self.ping_timer.cancel()
+        if not self.closed.done():
+            self.closed.set_result(None)
+        if self.peer is not None:
+            self.on_close(self)
+
+    def send(self, message: RelayMessage) -> None:
+        """Send a message; lost when the link breaks."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.write(encode_message(message))
+        if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.close()
+
+    def close(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class LinkServer:
+    """Accept links on one address."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        on_message: Callable[[MessageLink, RelayMessage], None],
+        on_open: Callable[[MessageLink], None],
+        on_close: Callable[[MessageLink], None],
+    ) -> None:
+        self.hello = hello
+        self.on_message = on_message
+        self.on_open = on_open
+        self.on_close = on_close
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> int:
+        """Start to accept links and return the port in use; raises ``OSError``."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.build, host, port)
+        return self.server.sockets[0].getsockname()[1]
+
+    def build(self) -> MessageLink:
+        return MessageLink(self.hello, self.on_message, self.on_open, self.on_close)
+
+    def close(self) -> None:
+        """Stop accepting."""
+        if self.server is not None:
+            self.server.close()
+
+
+class Dialer:
+    """Keep one link to an address open, and dial again when it is lost."""
+
+    def __init__(
+        self,
+        address: str,
+        hello: Hello,
+        on_message: Callable[[MessageLink, RelayMessage], None],
+        on_open: Callable[[MessageLink], None],
+        on_close: Callable[[MessageLink], None],
+    ) -> None:
+        self.address = address
+        self.hello = hello
+        self.on_message = on_message
+        self.on_open = on_open
+        self.on_close = on_close
+        self.link: MessageLink | None = None
+        self.failed = 0
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        host, _, port = self.address.rpartition(":")
+        while True:
+            link = None
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    _, link = await loop.create_connection(self.build, host, int(port))
+            if link is not None:
+                self.link = link
+                try:
+                    await link.closed
+                finally:
+                    self.link = None
+                    link.close()
+                self.failed = 0 if link.peer is not None else self.failed + 1
+            else:
+                self.failed += 1
+            pause_s = min(MAX_REDIAL_S, REDIAL_S * 2 ** min(self.failed, 4))
+            await asyncio.sleep(pause_s)
+
+    def build(self) -> MessageLink:
+        return MessageLink(self.hello, self.on_message, self.on_open, self.on_close)
+
+    def close(self) -> None:
+        """Close the link and stop dialling."""
+        self.task.cancel()
+        if self.link is not None:
+            self.link.close()
