Use part of the tolerated excess for usage limits

Cause: each entry's share of a limit was refilled to the limit itself and started empty, so bursts below the limit got 429.

--- a/src/acaciarelay/coordination/usage_shares.py
+++ b/src/acaciarelay/coordination/usage_shares.py
@@ -16,6 +16,9 @@
 # How long the share of a process that was lost stays reserved: what it admitted before
 # counts until the window has passed.
 LOST_RESERVE_S = 10.0
+# Part of the tolerated excess that is used; the rest covers requests that are admitted
+# on shares which processes reckon differently for a moment.
+USED_PART = 0.5
 # An organisation without a stated burst may use this many seconds of its rate at once.
 DEFAULT_BURST_S = 1.0
 
@@ -42,10 +45,15 @@
 class UsageShares:
     """Admit requests against this process's share of each limit.
 
-    An allowance starts empty: an earlier lifetime of this process may have spent it.
+    ``excess`` and ``slack`` are the part of a limit and the amount in a window by
+    which all processes together may exceed it. An allowance starts empty unless
+    ``first_start``: an earlier lifetime of this process may have spent it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, excess: float, slack: float, first_start: bool) -> None:
+        self.excess = excess * USED_PART
+        self.slack = slack * USED_PART
+        self.first_start = first_start
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
         # Other processes known to exist; their equal part is left to them.
@@ -83,12 +91,13 @@
         bucket.demand = self._decayed(bucket, now) + cost / DEMAND_S
         bucket.demand_at = now
         share = self._share(organisation.name, bucket, now)
-        rate = organisation.rate_per_s * share
-        burst = (
-            organisation.burst or organisation.rate_per_s * DEFAULT_BURST_S
-        ) * share
+        rate = organisation.rate_per_s * share * (1 + self.excess)
+        burst = organisation.burst or organisation.rate_per_s * DEFAULT_BURST_S
+        burst = burst * share + self.slack / self.processes
         if bucket.updated_at is not None:
             bucket.level += max(0.0, now - bucket.updated_at) * rate
+        elif self.first_start:
+            bucket.level = burst
         bucket.level = min(burst, bucket.level)
         bucket.updated_at = now
         missing = min(cost, burst) - bucket.level
@@ -113,5 +122,9 @@
             others += peer.demand.get(name, 0.0)
         total = own + others
         by_demand = own / total if total > 0 else 0.0
-        equal = 1.0 / (1 + max(self.known_peers, len(self._peers)))
-        return EQUAL_PART * equal + (1 - EQUAL_PART) * by_demand
+        return EQUAL_PART / self.processes + (1 - EQUAL_PART) * by_demand
+
+    @property
+    def processes(self) -> int:
+        """Return how many processes share the limits."""
+        return 1 + max(self.known_peers, len(self._peers))
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -58,7 +58,9 @@
         self.rng = random.Random(secrets.randbits(64))
         self.metrics = Metrics()
         self.beliefs = Beliefs()
-        self.usage = UsageShares()
+        self.usage = UsageShares(
+            settings.usage_excess, settings.usage_slack, settings.first_start
+        )
         self.retries = RetryShare(
             settings.retry_ratio,
             settings.retry_reserve,
