--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -238,9 +238,10 @@
         end_at = began + self.settings.stop_grace_s - EXIT_MARGIN_S
         while self.loop.time() < end_at:
             self.peers.tick()
-            busy = sum(1 for connection in self.connections if connection.busy)
-            if not busy and self.loop.time() - began > UNREADY_S:
-                break
+            if self.loop.time() - began > UNREADY_S:
+                self.take_no_more()
+                if not self.connections:
+                    break
             await asyncio.sleep(DRAIN_CHECK_S)
         for server in self.servers:
             server.close()
@@ -254,6 +255,13 @@
             connection.close()
         await asyncio.sleep(DRAIN_CHECK_S)
 
+    def take_no_more(self) -> None:
+        """Stop listening and close idle connections, so that no request comes late."""
+        self.servers[0].close()
+        for connection in list(self.connections):
+            if not connection.busy:
+                connection.close()
+
 
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
