Test the request path, input, beliefs and shared amounts; mend what they found

After: shares grow over 0.6 s, start equal, and don't grow while most peers are out of reach. Each test failed before its mend.

--- a/src/acaciarelay/coordination/usage_shares.py
+++ b/src/acaciarelay/coordination/usage_shares.py
@@ -10,12 +10,16 @@
 
 # Time constant over which demand is averaged.
 DEMAND_S = 1.5
+# Time over which a share grows, so that peers can hear of demand that begins at many
+# processes at once; after a pause of IDLE_S a share is equal again.
+GROW_S = 0.6
+IDLE_S = 2.0
 # Part of a limit that is shared equally, so that a process without recent demand can
 # admit its first requests.
 EQUAL_PART = 0.1
-# How long the share of a process that was lost stays reserved: what it admitted before
-# counts until the window has passed.
-LOST_RESERVE_S = 10.0
+# How long the share of a process that was lost stays reserved. It may live behind a
+# cut, and what it admitted before counts until the window has passed.
+LOST_RESERVE_S = 20.0
 # Part of the tolerated excess that is used; the rest covers requests that are admitted
 # on shares which processes reckon differently for a moment.
 USED_PART = 0.5
@@ -32,6 +36,7 @@
     demand: float = 0.0
     demand_at: float = 0.0
     share: float = 0.0
+    shared_at: float = -math.inf
 
 
 @attrs.define(eq=False)
@@ -122,7 +127,26 @@
             others += peer.demand.get(name, 0.0)
         total = own + others
         by_demand = own / total if total > 0 else 0.0
-        return EQUAL_PART / self.processes + (1 - EQUAL_PART) * by_demand
+        equal = 1.0 / self.processes
+        target = EQUAL_PART * equal + (1 - EQUAL_PART) * by_demand
+        idle_s = now - bucket.shared_at
+        bucket.shared_at = now
+        if idle_s > IDLE_S:
+            bucket.share = min(equal, target)
+        elif self.isolated:
+            # Behind a cut, the others divide all but what was last known of this share.
+            bucket.share = min(bucket.share, target)
+        elif target < bucket.share:
+            bucket.share = target
+        else:
+            bucket.share += (target - bucket.share) * min(1.0, idle_s / GROW_S)
+        return bucket.share
+
+    @property
+    def isolated(self) -> bool:
+        """Return whether this process has lost most of its peers."""
+        alive = sum(1 for peer in self._peers.values() if peer.alive)
+        return 1 + alive <= self.processes / 2
 
     @property
     def processes(self) -> int:
--- a/src/acaciarelay/platform/exchange.py
+++ b/src/acaciarelay/platform/exchange.py
@@ -12,6 +12,7 @@
     "answer_headers",
     "decode_answer",
     "decode_request",
+    "decode_request_id",
     "endpoint_headers",
     "retry_header",
 ]
@@ -81,6 +82,11 @@
     load: tuple[int, int, int] | None
 
 
+def decode_request_id(headers: list[Header]) -> str:
+    """Return the id of a request whose other fields may be malformed."""
+    return dict(headers).get(_ATTEMPT, "")
+
+
 def decode_request(headers: list[Header]) -> RequestTraits:
     """Decode a request's head; raises ``ValueError`` for a malformed field."""
     fields = dict(headers)
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -17,6 +17,7 @@
     answer_headers,
     decode_answer,
     decode_request,
+    decode_request_id,
     endpoint_headers,
     retry_header,
 )
@@ -182,8 +183,9 @@
             if placement is None:
                 return self.give_up(run, "shed")
             try:
-                if not self.still_allowed(run):
-                    return self.give_up(run, "unknown_path")
+                denied = self.denied_since(run)
+                if denied is not None:
+                    return self.give_up(run, denied)
                 if run.first_sent_at is not None and not self.retries.spend(
                     run.service, time.monotonic()
                 ):
@@ -209,20 +211,22 @@
                         return self.give_up(run, "endpoint_failed")
                     self.metrics.count("retries_total", reason="endpoint_failed")
 
-    def still_allowed(self, run: RelayRun) -> bool:
-        """Check a request that waited against a configuration that changed."""
+    def denied_since(self, run: RelayRun) -> str | None:
+        """Check a request that waited; return the code that denies it now."""
         routing = self.beliefs.routing
         if routing is run.routing or routing is None or run.head_sent:
-            return True
+            return None
         route = routing.find_route(run.route.host, run.route.prefix)
         if route is None:
-            return False
+            return "unknown_path"
         if all(target.service != run.service for target in route.targets):
-            return False
+            return "shed"
         if run.organisation is None:
-            return True
+            return None
         current = routing.organisation_of(run.traits.key or "")
-        return current is not None and current.name == run.organisation.name
+        if current is None or current.name != run.organisation.name:
+            return "unknown_key"
+        return None
 
     def may_repeat(self, run: RelayRun) -> bool:
         return run.repeatable and run.runs < run.route.max_attempts
@@ -415,7 +419,7 @@
             if code in ("outcome_unknown", "endpoint_failed"):
                 code = "shed"
             return refuse(code, "", self.retry_after(run))
-        if code in ("shed", "retry_budget_spent", "unknown_path"):
+        if code != "endpoint_failed":
             code = "outcome_unknown"
         return refuse(code)
 
@@ -450,17 +454,17 @@
     def refuse(
         self, connection: FrontConnection, refusal: Refusal, request: FrontRequest
     ) -> None:
-        traits = decode_request(request.headers)
+        request_id = decode_request_id(request.headers)
         self.count_refusal(refusal, -1)
         routing = self.beliefs.routing
         log_event(
             "request_refused",
-            request_id=traits.request_id,
+            request_id=request_id,
             code=refusal.code.name,
             target=request.target,
             configuration=routing.version if routing else None,
         )
-        respond_refusal(connection, refusal, traits.request_id)
+        respond_refusal(connection, refusal, request_id)
 
     def count_refusal(self, refusal: Refusal, rank: int) -> None:
         self.metrics.count(
--- a/src/acaciarelay/protocol/http_message.py
+++ b/src/acaciarelay/protocol/http_message.py
@@ -54,4 +54,8 @@
 
 def end_to_end_headers(headers: list[Header]) -> list[Header]:
     """Leave out the fields that hold for one connection only."""
-    return [(name, value) for name, value in headers if name not in HOP_BY_HOP]
+    dropped = set(HOP_BY_HOP)
+    for name, value in headers:
+        if name == "connection":
+            dropped.update(part.strip().lower() for part in value.split(","))
+    return [(name, value) for name, value in headers if name not in dropped]
--- /dev/null
+++ b/src/acaciarelay_standins/front_standin.py
@@ -0,0 +1,31 @@
+"""HTTP server shared by the stand-ins of the users' platform."""
+
+import asyncio
+
+from acaciarelay.protocol.codes import Refusal
+from acaciarelay.state.routing import CallerLimits
+from acaciarelay.transport.front_server import FrontConnection, FrontHandler
+
+__all__ = ["listen"]
+
+# Long, so that the limits under test act first and not those of a stand-in.
+LIMITS = CallerLimits(
+    max_body_bytes=16_777_216, head_timeout_s=600.0, idle_timeout_s=600.0
+)
+
+
+async def listen(handler: FrontHandler, address: str) -> tuple[asyncio.Server, str]:
+    """Serve at ``IP:PORT`` and return the server with the address in use."""
+    loop = asyncio.get_running_loop()
+    host, _, port = address.rpartition(":")
+    connections: set[FrontConnection] = set()
+
+    def build() -> FrontConnection:
+        return FrontConnection(handler, _refuse, lambda: LIMITS, connections)
+
+    server = await loop.create_server(build, host, int(port))
+    return server, f"{host}:{server.sockets[0].getsockname()[1]}"
+
+
+def _refuse(connection: FrontConnection, refusal: Refusal) -> None:
+    connection.respond(refusal.code.status, [], refusal.message.encode())
--- /dev/null
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -0,0 +1,270 @@
+"""Stand-in of a runner on the users' platform: engine or plain service.
+
+It admits requests in order of arrival, runs ``slots`` at once, and makes faults of the
+kinds that the platform's pages list. ``PlatformRunner.runs`` records what ran.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import time
+
+import attrs
+import cattrs
+import orjson
+
+from acaciarelay.transport.endpoint_call import connect
+from acaciarelay.transport.front_server import FrontConnection, FrontRequest
+from acaciarelay_standins.common import add_listen, announce, wait_for_stop
+from acaciarelay_standins.front_standin import listen
+
+__all__ = ["PlatformRunner", "Run", "RunnerFaults", "main"]
+
+FIRST_EVENT = 1
+
+
+@attrs.define
+class RunnerFaults:
+    """Hold the faults in effect; each acts on every request while it is set.
+
+    ``lose`` runs the request and resets; ``cut_after`` resets after that many events;
+    ``torn`` then breaks inside an event; ``shed`` declines; ``error`` answers 500;
+    ``foreign`` answers for another request; ``unsealed`` leaves the seal out;
+    ``short`` ends a body early; ``garbage`` sends bytes that are no answer;
+    ``encoded`` names an encoding; ``silent`` never answers; ``lying`` answers health
+    checks with 200 all the same; ``extra`` sends bytes after a whole answer;
+    ``wrong_endpoint`` says that another endpoint has the address.
+    """
+
+    lose: bool = False
+    cut_after: int = 0
+    torn: bool = False
+    shed: bool = False
+    error: bool = False
+    foreign: bool = False
+    unsealed: bool = False
+    short: bool = False
+    garbage: bool = False
+    encoded: bool = False
+    silent: bool = False
+    extra: bool = False
+    wrong_endpoint: bool = False
+    lying: bool = True
+
+
+@attrs.frozen
+class Run:
+    """Hold one request that arrived; ``ended`` names how its run ended."""
+
+    attempt: str
+    organisation: str
+    target: str
+    body: bytes
+    time_limit_ms: int
+    at: float
+
+
+@attrs.define(eq=False)
+class PlatformRunner:
+    """Serve as one runner; times in seconds."""
+
+    endpoint_id: str
+    slots: int = 8
+    step_s: float = 0.005
+    work_s: float = 0.02
+    events: int = 10
+    faults: RunnerFaults = attrs.Factory(RunnerFaults)
+    runs: list[Run] = attrs.Factory(list)
+    cancelled: list[str] = attrs.Factory(list)
+    headers_seen: list[dict[str, str]] = attrs.Factory(list)
+    running: int = 0
+    _queue: collections.deque[asyncio.Future] = attrs.Factory(collections.deque)
+
+    async def handle(self, connection: FrontConnection, request: FrontRequest) -> None:
+        """Answer one request."""
+        fields = dict(request.headers)
+        if request.target == "/faults":
+            self.faults = cattrs.structure(orjson.loads(request.body), RunnerFaults)
+            return connection.respond(200, [], b"")
+        if request.target == "/runs":
+            runs = [attrs.asdict(run) | {"body": len(run.body)} for run in self.runs]
+            body = {"runs": runs, "cancelled": self.cancelled}
+            return connection.respond(200, [], orjson.dumps(body))
+        if request.target == "/report":
+            return connection.respond(200, [], orjson.dumps(self.report()))
+        if request.target == "/health":
+            return connection.respond(200 if self.faults.lying else 503, [], b"")
+        expected = fields.get("expect-instance", self.endpoint_id)
+        if expected != self.endpoint_id or self.faults.wrong_endpoint:
+            return connection.respond(421, [("Runner-Id", self.endpoint_id)], b"")
+        if self.faults.shed:
+            return connection.respond(503, [("Not-Executed", "1")], b"")
+        self.headers_seen.append(fields)
+        await self.admit(connection, request, fields)
+
+    def report(self) -> dict[str, object]:
+        waiting = len(self._queue)
+        return {
+            "stage": "colocated",
+            "models": [],
+            "busy": False,
+            "seq": 1,
+            "waiting": waiting,
+            "inFlight": self.running,
+            "kvUsed": 0,
+            "kvTotal": 100_000,
+            "handles": 0,
+        }
+
+    async def admit(
+        self,
+        connection: FrontConnection,
+        request: FrontRequest,
+        fields: dict[str, str],
+    ) -> None:
+        if self.running >= self.slots:
+            turn = asyncio.get_running_loop().create_future()
+            self._queue.append(turn)
+            await turn
+        self.running += 1
+        attempt = fields.get("attempt-id", "")
+        run = Run(
+            attempt=attempt,
+            organisation=fields.get("tenant", ""),
+            target=f"{request.method} {request.target}",
+            body=request.body,
+            time_limit_ms=int(fields.get("deadline-ms", 0)),
+            at=time.monotonic(),
+        )
+        self.runs.append(run)
+        try:
+            await self.answer(connection, fields, attempt)
+        except asyncio.CancelledError:
+            self.cancelled.append(attempt)
+            raise
+        finally:
+            self.running -= 1
+            while self._queue:
+                turn = self._queue.popleft()
+                if not turn.done():
+                    turn.set_result(None)
+                    break
+
+    async def answer(
+        self, connection: FrontConnection, fields: dict[str, str], attempt: str
+    ) -> None:
+        faults = self.faults
+        if faults.silent:
+            await asyncio.sleep(3600)
+        if faults.lose:
+            await asyncio.sleep(self.work_s)
+            return connection.abort()
+        if faults.garbage:
+            assert connection.transport is not None
+            connection.transport.write(b"\x00garbage\r\n\r\n")
+            return connection.close()
+        headers = [("Attempt-Id", "other" if faults.foreign else attempt)]
+        if not faults.unsealed:
+            headers.append(("Runner-Seal", f"seal-of-{self.endpoint_id}"))
+        if faults.encoded:
+            headers.append(("Content-Encoding", "gzip"))
+        if "token-usage" in fields:
+            return await self.stream(connection, fields, headers)
+        await asyncio.sleep(self.work_s)
+        status = 500 if faults.error else 200
+        body = f"answer of {self.endpoint_id} to {attempt}".encode()
+        if faults.short:
+            connection.start(status, [*headers, ("Content-Length", "500")])
+            connection.write(body)
+            return connection.abort()
+        connection.respond(status, headers, body)
+        if faults.extra and connection.transport is not None:
+            connection.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+        return None
+
+    async def stream(
+        self,
+        connection: FrontConnection,
+        fields: dict[str, str],
+        headers: list[tuple[str, str]],
+    ) -> None:
+        await asyncio.sleep(self.work_s)
+        if self.faults.error:
+            return connection.respond(500, headers, b"failed")
+        connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
+        first = int(fields.get("last-event-id", FIRST_EVENT - 1)) + 1
+        for count, number in enumerate(range(first, self.events + 1)):
+            if self.faults.cut_after and count >= self.faults.cut_after:
+                if self.faults.torn:
+                    connection.write(f"id: {number}\ndata: pie".encode())
+                await asyncio.sleep(self.step_s)
+                return connection.abort()
+            connection.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            await asyncio.sleep(self.step_s)
+        connection.finish()
+
+
+async def _register(
+    store: str, runner: PlatformRunner, address: str, service: str, zone: str
+) -> None:
+    """Write the registration as a runner does, every second."""
+    sequence = 0
+    born = int(time.time() * 1000)
+    while True:
+        sequence += 1
+        value = {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "version": "v1",
+            "slots": runner.slots,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": sequence,
+            "born": born,
+        }
+        row = {"table": "servers", "key": runner.endpoint_id, "value": value}
+        await _post(store, "/put", orjson.dumps(row))
+        await asyncio.sleep(1.0)
+
+
+async def _post(address: str, path: str, body: bytes) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(2.0):
+            connection = (await connect(address, 1.0)).ok()
+            if connection is None:
+                return
+            headers = [("Host", address), ("Content-Length", str(len(body)))]
+            connection.send("POST", path, headers, body)
+            await connection.next_event()
+            connection.close()
+
+
+async def _run(options: argparse.Namespace) -> None:
+    runner = PlatformRunner(options.id, slots=options.slots, events=options.events)
+    server, bound = await listen(runner.handle, options.listen)
+    announce(bound)
+    task = asyncio.create_task(
+        _register(options.store, runner, bound, options.service, options.zone)
+    )
+    await wait_for_stop()
+    task.cancel()
+    server.close()
+
+
+def main() -> None:
+    """Run one runner until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    add_listen(parser)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--store", required=True, help="IP:PORT of the store")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--zone", default="zone-a")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--events", type=int, default=10)
+    asyncio.run(_run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/relay_rig.py
@@ -0,0 +1,254 @@
+"""One entry's request path in the test's own loop, before stand-in runners."""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+import attrs
+import orjson
+
+from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.place_asker import PlaceAsker
+from acaciarelay.coordination.retry_share import RetryShare
+from acaciarelay.coordination.usage_shares import UsageShares
+from acaciarelay.platform.store import StoreRow
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.programs.relay_beliefs import Beliefs
+from acaciarelay.programs.relay_request import RequestRelay, respond_refusal
+from acaciarelay.state.routing import CallerLimits
+from acaciarelay.transport.front_server import CallerGone, FrontConnection, FrontRequest
+from acaciarelay_standins.front_standin import listen
+from acaciarelay_standins.platform_runner import PlatformRunner
+
+HOST = "shop.example"
+KEY = "key-1"
+
+
+def route(prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
+    """Build a route as the operator writes it."""
+    value = {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeoutMs": 2000,
+        "sloMs": 400,
+        "priority": 1,
+        "service": "orders",
+        "maxAttempts": 2,
+        "anonymous": False,
+        "affinity": False,
+        "resumable": False,
+        "gapTargetMs": 200,
+    }
+    return value | fields
+
+
+def configuration(version: int = 1, **fields: Any) -> dict[str, Any]:
+    """Build a configuration as the operator writes it."""
+    value = {
+        "version": version,
+        "routes": [
+            route("/read/", "idempotent"),
+            route("/order/", "non_idempotent"),
+            route("/chat/", "streaming", service="engine", resumable=True),
+            route("/quote/", "streaming", service="engine", maxAttempts=1),
+        ],
+        "services": [
+            {"name": "orders", "healthPath": "/health", "maxConns": 100},
+            {"name": "engine", "healthPath": "/health", "maxConns": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 8192,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 300,
+            "idleTimeoutMs": 3000,
+        },
+        "tenants": [
+            {
+                "name": "workshop",
+                "apiKeys": [KEY],
+                "priority": 1,
+                "unit": "token_stream",
+                "plainTokens": 200,
+                "ratePerS": 0,
+                "burst": 0,
+            }
+        ],
+    }
+    return value | fields
+
+
+@attrs.define
+class RawAnswer:
+    """Hold an answer as read from the socket; ``whole`` if it was complete."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class RelayRig:
+    """Start runners and an entry's request path; use as a context manager."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.beliefs = Beliefs()
+        self.usage = UsageShares(0.1, 0.0, True)
+        started_long_ago = time.monotonic() - 1000
+        self.retries = RetryShare(0.2, 50.0, 10.0, started_long_ago)
+        rng = random.Random(seed)
+        self.health = EndpointHealth("zone-a", {"zone-a": "region-a"}, rng)
+        self.asker = PlaceAsker()
+        self.relay = RequestRelay(
+            self.beliefs,
+            self.usage,
+            self.retries,
+            self.health,
+            self.asker,
+            Metrics(),
+            rng,
+        )
+        self.runners: list[PlatformRunner] = []
+        self.servers: list[asyncio.Server] = []
+        self.connections: set[FrontConnection] = set()
+        self.version = 0
+        self.address = ""
+
+    async def __aenter__(self) -> "RelayRig":
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(self.build, "127.0.0.1", 0)
+        self.servers.append(server)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.configure(configuration())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for connection in list(self.connections):
+            connection.abort()
+        for server in self.servers:
+            server.close()
+        await asyncio.sleep(0)
+
+    def build(self) -> FrontConnection:
+        return FrontConnection(self.serve, self.refuse, self.limits, self.connections)
+
+    def limits(self) -> CallerLimits:
+        routing = self.beliefs.routing
+        return routing.limits if routing is not None else CallerLimits()
+
+    def refuse(self, connection: FrontConnection, refusal: Any) -> None:
+        respond_refusal(connection, refusal)
+
+    async def serve(self, connection: FrontConnection, request: FrontRequest) -> None:
+        try:
+            await self.relay.handle(connection, request)
+        except CallerGone:
+            return
+
+    def configure(self, value: dict[str, Any]) -> None:
+        """Put a configuration in force."""
+        self.row("op", "config", value)
+
+    def row(self, table: str, key: str, value: Any) -> None:
+        """Apply a row as if the store had sent it; ``None`` removes it."""
+        self.version += 1
+        data = value if isinstance(value, bytes) or value is None else None
+        if data is None and value is not None:
+            data = orjson.dumps(value)
+        row = StoreRow(key=key, value=data, version=self.version)
+        self.beliefs.apply_changes(table, [row], self.version, False)
+
+    async def add_runner(self, service: str, **fields: Any) -> PlatformRunner:
+        """Start a runner and list it."""
+        runner = PlatformRunner(f"i-{len(self.runners) + 1}", **fields)
+        server, address = await listen(runner.handle, "127.0.0.1:0")
+        self.servers.append(server)
+        self.runners.append(runner)
+        self.row("servers", runner.endpoint_id, registration(service, address))
+        return runner
+
+    async def call(
+        self,
+        target: str,
+        method: str = "POST",
+        body: bytes = b"",
+        limit_ms: int = 2000,
+        attempt: str = "a-1",
+        **headers: str,
+    ) -> RawAnswer:
+        """Send one request on a connection of its own and read its answer."""
+        fields = {
+            "Host": HOST,
+            "Attempt-Id": attempt,
+            "Deadline-Ms": str(limit_ms),
+            "Api-Key": KEY,
+            "Content-Length": str(len(body)),
+        }
+        if target.startswith(("/chat/", "/quote/")):
+            fields["Token-Usage"] = "100,30"
+        fields |= {name.replace("_", "-"): text for name, text in headers.items()}
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {text}" for name, text in fields.items()]
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        return await self.exchange(head + body)
+
+    async def exchange(self, data: bytes) -> RawAnswer:
+        """Send raw bytes and read one answer."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(data)
+            async with asyncio.timeout(10):
+                return await read_raw_answer(reader)
+        finally:
+            writer.transport.abort()
+
+    @property
+    def arrivals(self) -> int:
+        """Return how many runs all runners began."""
+        return sum(len(runner.runs) for runner in self.runners)
+
+
+def registration(service: str, address: str, **fields: Any) -> dict[str, Any]:
+    """Build a runner's registration."""
+    value = {
+        "service": service,
+        "address": address,
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+        "born": 1,
+    }
+    return value | fields
+
+
+async def read_raw_answer(reader: asyncio.StreamReader) -> RawAnswer:
+    """Read one answer; a connection that ends early gives one that isn't whole."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return RawAnswer(0, {}, b"", False)
+    first, *lines = head.decode("latin-1").rstrip().split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, text = line.partition(":")
+        headers[name.lower()] = text.strip()
+    status = int(first.split(" ")[1])
+    body = b""
+    try:
+        if headers.get("transfer-encoding") == "chunked":
+            while True:
+                size = int(await reader.readuntil(b"\r\n"), 16)
+                piece = await reader.readexactly(size + 2)
+                if size == 0:
+                    return RawAnswer(status, headers, body, True)
+                body += piece[:-2]
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return RawAnswer(status, headers, body, False)
+    return RawAnswer(status, headers, body, True)
--- /dev/null
+++ b/tests/unit/platform_path/test_relay_request.py
@@ -0,0 +1,276 @@
+"""What a request's kind and each fault of a runner allow: runs, answers, refusals."""
+
+import asyncio
+
+import pytest
+from relay_rig import HOST, RelayRig, configuration, route
+
+from acaciarelay_standins.platform_runner import RunnerFaults
+
+EVENTS = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 11))
+PROMISES = (408, 421, 429, 503)
+
+LOST_FAULTS = [
+    RunnerFaults(lose=True),
+    RunnerFaults(garbage=True),
+    RunnerFaults(foreign=True),
+    RunnerFaults(unsealed=True),
+    RunnerFaults(short=True),
+    RunnerFaults(encoded=True),
+]
+
+
+def named(faults: RunnerFaults) -> str:
+    return next(name for name in RunnerFaults.__slots__ if getattr(faults, name, False))
+
+
+async def test_answer_passes_unchanged_with_its_seal():
+    """Guards against an answer that lost its seal or its bytes on the way."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("orders")
+        answer = await rig.call("/order/a?b=c", body=b"two shelves")
+        assert answer.status == 200 and answer.whole
+        assert answer.headers["runner-seal"] == "seal-of-i-1"
+        assert answer.body == b"answer of i-1 to a-1"
+        run = runner.runs[0]
+        assert (run.target, run.body) == ("POST /order/a?b=c", b"two shelves")
+        assert run.organisation == "workshop"
+        assert 1500 < run.time_limit_ms <= 2000
+        assert "api-key" not in runner.headers_seen[0]
+
+
+@pytest.mark.parametrize("faults", LOST_FAULTS, ids=named)
+async def test_order_runs_once_whatever_its_answer_becomes(faults):
+    """Guards against a second run of an order, and against a refusal that lies."""
+    async with RelayRig() as rig:
+        for _ in range(2):
+            runner = await rig.add_runner("orders")
+            runner.faults = faults
+        answer = await rig.call("/order/a")
+        assert rig.arrivals == 1
+        assert answer.status == 502
+        assert "runner-seal" not in answer.headers
+
+
+@pytest.mark.parametrize("faults", LOST_FAULTS, ids=named)
+async def test_read_runs_again_elsewhere_after_a_lost_answer(faults):
+    """Guards against a failure of one runner that the caller of a lookup sees."""
+    async with RelayRig() as rig:
+        bad = await rig.add_runner("orders")
+        bad.faults = faults
+        await rig.add_runner("orders")
+        for number in range(6):
+            answer = await rig.call("/read/a", "GET", attempt=f"a-{number}")
+            assert answer.status == 200 and answer.whole
+            assert answer.headers["runner-seal"] == "seal-of-i-2"
+
+
+@pytest.mark.parametrize(
+    "faults", [RunnerFaults(shed=True), RunnerFaults(wrong_endpoint=True)], ids=named
+)
+async def test_declined_order_goes_elsewhere(faults):
+    """Guards against a refusal where another runner would have taken the order."""
+    async with RelayRig() as rig:
+        first = await rig.add_runner("orders")
+        first.faults = faults
+        await rig.add_runner("orders")
+        for number in range(4):
+            answer = await rig.call("/order/a", attempt=f"a-{number}")
+            assert answer.status == 200
+        assert len(first.runs) == 0
+
+
+async def test_order_declined_everywhere_is_refused_with_a_time_to_return():
+    """Guards against 502 for an order that certainly did not run."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("orders")
+        runner.faults = RunnerFaults(shed=True)
+        answer = await rig.call("/order/a")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert rig.arrivals == 0
+
+
+async def test_failure_of_the_runner_passes_with_its_seal():
+    """Guards against a sealed failure whose status is changed."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("orders")
+        runner.faults = RunnerFaults(error=True)
+        answer = await rig.call("/order/a")
+        assert (answer.status, answer.headers["runner-seal"]) == (500, "seal-of-i-1")
+        assert rig.arrivals == 1
+
+
+async def test_silent_order_gets_504_at_the_time_limit():
+    """Guards against an order held past its limit, and against 503 for it."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("orders")
+        runner.faults = RunnerFaults(silent=True)
+        began = asyncio.get_running_loop().time()
+        answer = await rig.call("/order/a", limit_ms=400)
+        took = asyncio.get_running_loop().time() - began
+        assert answer.status == 504
+        assert 0.35 < took < 0.9
+
+
+async def test_unreachable_runner_is_no_run():
+    """Guards against counting a failed connect as a run."""
+    async with RelayRig() as rig:
+        await rig.add_runner("orders")
+        rig.servers[-1].close()
+        rig.runners.clear()
+        await rig.add_runner("orders")
+        for number in range(4):
+            answer = await rig.call("/order/a", attempt=f"a-{number}")
+            assert answer.status == 200
+
+
+async def test_stream_passes_whole():
+    """Guards against a lost or joined event."""
+    async with RelayRig() as rig:
+        await rig.add_runner("engine")
+        answer = await rig.call("/chat/a")
+        assert (answer.status, answer.body, answer.whole) == (200, EVENTS, True)
+
+
+@pytest.mark.parametrize("torn", [False, True])
+async def test_broken_stream_resumes_without_gap_or_repeat(torn):
+    """Guards against a gap, a repeat or half an event where a stream goes on."""
+    async with RelayRig() as rig:
+        first = await rig.add_runner("engine")
+        first.faults = RunnerFaults(cut_after=4, torn=torn)
+        second = await rig.add_runner("engine")
+        for number in range(4):
+            answer = await rig.call("/chat/a", attempt=f"a-{number}")
+            assert (answer.status, answer.body, answer.whole) == (200, EVENTS, True)
+        assert first.runs and second.runs
+
+
+async def test_stream_that_may_not_resume_never_looks_whole():
+    """Guards against a cut quote that ends as if it were complete."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("engine")
+        runner.faults = RunnerFaults(cut_after=4)
+        await rig.add_runner("engine", events=10)
+        rig.runners[1].faults = RunnerFaults(cut_after=4)
+        answer = await rig.call("/quote/a")
+        assert answer.status == 200 and not answer.whole
+        assert rig.arrivals == 1
+
+
+async def test_callers_last_event_goes_to_the_runner():
+    """Guards against a resumed stream that starts again from its first event."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("engine")
+        answer = await rig.call("/chat/a", Last_Event_Id="7")
+        assert answer.body.startswith(b"id: 8\n")
+        assert runner.headers_seen[0]["last-event-id"] == "7"
+
+
+async def test_run_is_cancelled_when_the_caller_leaves():
+    """Guards against an engine that works on for a caller that left."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("engine", events=1000, step_s=0.02)
+        task = asyncio.create_task(rig.call("/chat/a"))
+        await asyncio.sleep(0.3)
+        assert runner.runs
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0.3)
+        assert runner.cancelled == ["a-1"]
+
+
+@pytest.mark.parametrize(
+    ("target", "headers", "status"),
+    [
+        ("/unknown/a", {}, 404),
+        ("/order/a", {"Api_Key": "nobody"}, 401),
+        ("/order/a", {"Token_Usage": "many"}, 400),
+        ("/order/a", {"Host": "elsewhere.example"}, 404),
+    ],
+)
+async def test_wrong_requests_reach_no_runner(target, headers, status):
+    """Guards against a wrong request that runs, or waits for its refusal."""
+    async with RelayRig() as rig:
+        await rig.add_runner("orders")
+        answer = await rig.call(target, **headers)
+        assert answer.status == status
+        assert rig.arrivals == 0
+
+
+async def test_system_headers_of_a_caller_are_dropped():
+    """Guards against a caller that sets what the system alone may set."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("orders")
+        forged = {
+            "Tenant": "other",
+            "Expect_Instance": "i-9",
+            "Kv_Hold": "h",
+            "Kv_From": "x",
+            "Kv_Backup": "y",
+            "Pin_Ms": "5",
+        }
+        answer = await rig.call("/order/a", **forged)
+        assert answer.status == 200
+        seen = runner.headers_seen[0]
+        assert (seen["tenant"], seen["expect-instance"]) == ("workshop", "i-1")
+        assert not {"kv-hold", "kv-from", "kv-backup", "pin-ms"} & seen.keys()
+
+
+async def test_headers_named_by_connection_stay_here():
+    """Guards against a header of one connection that is passed on."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("orders")
+        await rig.call("/order/a", Connection="X-Hop", X_Hop="1")
+        assert "x-hop" not in runner.headers_seen[0]
+
+
+async def test_no_configuration_is_503_and_not_404():
+    """Guards against a fresh entry that denies routes and keys it can't know."""
+    async with RelayRig() as rig:
+        rig.beliefs.routing = None
+        answer = await rig.call("/order/a")
+        assert answer.status == 503
+
+
+async def test_longest_prefix_and_host_choose_the_route():
+    """Guards against a shorter prefix or another host's route."""
+    async with RelayRig() as rig:
+        routes = [
+            route("/a/", "non_idempotent"),
+            route("/a/b/", "non_idempotent", service="deep"),
+            route("/a/", "non_idempotent", host="other.example", service="deep"),
+        ]
+        rig.configure(configuration(2, routes=routes))
+        await rig.add_runner("orders")
+        deep = await rig.add_runner("deep")
+        await rig.call("/a/x", attempt="one")
+        await rig.call("/a/b/x", attempt="two")
+        await rig.call("/a/x", attempt="three", Host="other.example:80")
+        assert [run.attempt for run in deep.runs] == ["two", "three"]
+        assert HOST != "other.example"
+
+
+async def test_key_taken_away_while_a_request_waits_stops_it():
+    """Guards against a run for a key that is gone by the time a place is free."""
+    async with RelayRig() as rig:
+        task = asyncio.create_task(rig.call("/order/a"))
+        await asyncio.sleep(0.05)
+        rig.configure(configuration(2, tenants=[]))
+        await rig.add_runner("orders")
+        answer = await task
+        assert answer.status == 401
+        assert rig.arrivals == 0
+
+
+async def test_usage_limit_refuses_with_429_and_a_time():
+    """Guards against tokens beyond an organisation's limit."""
+    async with RelayRig() as rig:
+        value = configuration(2)
+        value["tenants"][0] |= {"ratePerS": 100, "burst": 150}
+        rig.configure(value)
+        await rig.add_runner("engine")
+        first = await rig.call("/chat/a", attempt="one")
+        second = await rig.call("/chat/a", attempt="two")
+        assert (first.status, second.status) == (200, 429)
+        assert 0 < float(second.headers["retry-after"]) <= 2
--- /dev/null
+++ b/tests/unit/platform_path/test_shares.py
@@ -0,0 +1,213 @@
+"""Amounts shared by all processes hold over joins, losses, cuts and restarts."""
+
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from acaciarelay.coordination import usage_shares
+from acaciarelay.coordination.retry_share import RetryShare
+from acaciarelay.coordination.usage_shares import UsageShares
+from acaciarelay.state.routing import Organisation
+
+RATE = 20_000.0
+SLACK = 72_000.0
+EXCESS = 0.1
+WINDOW_S = 8.0
+GOSSIP_S = 0.4
+STEP_S = 0.05
+BOUND = (RATE * WINDOW_S + RATE) * (1 + EXCESS) + SLACK
+
+ORGANISATION = Organisation(
+    name="dealer",
+    rank=None,
+    by_tokens=True,
+    default_tokens=200,
+    rate_per_s=RATE,
+    burst=RATE,
+)
+
+
+class World:
+    """Play processes that share one limit under a flood, with steady time."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.shares = {n: UsageShares(EXCESS, SLACK, True) for n in range(count)}
+        self.cut: set[int] = set()
+        self.down: dict[int, float] = {}
+        self.admitted: list[tuple[float, float]] = []
+        self.next_gossip = self.now
+        for share in self.shares.values():
+            share.known_peers = count - 1
+
+    def step(self) -> None:
+        self.now += STEP_S
+        for name, until in list(self.down.items()):
+            if self.now >= until:
+                del self.down[name]
+                fresh = UsageShares(EXCESS, SLACK, False)
+                fresh.known_peers = len(self.shares) - 1
+                self.shares[name] = fresh
+        for name, share in self.shares.items():
+            if name in self.down:
+                continue
+            for _ in range(self.rng.randrange(4)):
+                cost = float(self.rng.randrange(100, 7000))
+                if share.admit(ORGANISATION, cost, self.now) == 0:
+                    self.admitted.append((self.now, cost))
+        if self.now >= self.next_gossip:
+            self.next_gossip += GOSSIP_S
+            self.gossip()
+
+    def gossip(self) -> None:
+        for name, share in self.shares.items():
+            if name in self.down:
+                continue
+            demand = share.demand(self.now)
+            for other, receiver in self.shares.items():
+                if other == name or other in self.down:
+                    continue
+                if (name in self.cut) != (other in self.cut):
+                    continue
+                receiver.hear(str(name), demand, self.now)
+
+    def lose(self, name: int) -> None:
+        for other, share in self.shares.items():
+            if other != name:
+                share.lose(str(name), self.now)
+
+    def kill(self, name: int, down_s: float) -> None:
+        self.down[name] = self.now + down_s
+        self.lose(name)
+
+    def separate(self, name: int) -> None:
+        self.cut.add(name)
+        self.lose(name)
+        for other in self.shares:
+            if other != name:
+                self.shares[name].lose(str(other), self.now)
+
+    def worst_window(self) -> float:
+        worst = 0.0
+        first = 0
+        total = 0.0
+        for at, cost in self.admitted:
+            total += cost
+            while self.admitted[first][0] < at - WINDOW_S:
+                total -= self.admitted[first][1]
+                first += 1
+            worst = max(worst, total)
+        return worst
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["kill", "cut", "heal", "kill all"]),
+        st.integers(0, 5),
+        st.integers(5, 60),
+    ),
+    max_size=6,
+)
+
+
+@settings(max_examples=25, deadline=None)
+@given(events=EVENTS, seed=st.integers(0, 10_000))
+def test_usage_limit_holds_over_all_processes(events, seed):
+    """Guards against a limit that is granted twice around a loss or a restart."""
+    world = World(6, seed)
+    for _ in range(40):
+        world.step()
+    for kind, name, steps in events:
+        match kind:
+            case "kill":
+                world.kill(name, 0.8)
+            case "cut":
+                world.separate(name)
+            case "heal":
+                world.cut.clear()
+            case "kill all":
+                for each in range(6):
+                    world.kill(each, 0.6)
+        for _ in range(steps):
+            world.step()
+    for _ in range(100):
+        world.step()
+    assert world.worst_window() <= BOUND
+
+
+def test_most_of_a_limit_is_served_under_a_flood():
+    """Guards against shares that refuse what the limit allows."""
+    world = World(6, 1)
+    for _ in range(400):
+        world.step()
+    served = sum(cost for _, cost in world.admitted)
+    assert served >= 0.9 * RATE * 400 * STEP_S
+
+
+def test_demand_moves_the_share():
+    """Guards against equal shares while one process sees all the demand."""
+    shares = UsageShares(0.0, 0.0, True)
+    shares.known_peers = 5
+    now = 100.0
+    served = 0
+    for _ in range(200):
+        now += 0.05
+        for peer in range(5):
+            shares.hear(str(peer), {}, now)
+        if shares.admit(ORGANISATION, 1000.0, now) == 0:
+            served += 1000
+    assert served >= 0.85 * RATE * 10
+    assert usage_shares.EQUAL_PART < 0.5
+
+
+@pytest.mark.parametrize("count", [1, 6, 25])
+def test_retries_stay_within_the_ratio_and_the_reserve(count):
+    """Guards against processes that each spend the common reserve."""
+    rng = random.Random(3)
+    shares = [RetryShare(0.2, 58.0, 10.0, 0.0) for _ in range(count)]
+    for share in shares:
+        share.processes = count
+    firsts: list[float] = []
+    retries: list[float] = []
+    now = 50.0
+    while now < 90.0:
+        now += 0.02
+        share = rng.choice(shares)
+        share.first("orders", now)
+        firsts.append(now)
+        while share.spend("orders", now):
+            retries.append(now)
+    for start in range(50, 80):
+        inside = sum(1 for at in retries if start <= at < start + 10)
+        asked = sum(1 for at in firsts if start <= at < start + 10)
+        before = sum(1 for at in firsts if start - 10 <= at < start)
+        middle = sum(1 for at in firsts if start - 5 <= at < start + 5)
+        assert inside <= 0.2 * max(asked, before, middle) + 58.0
+
+
+def test_restarted_process_withholds_the_reserve():
+    """Guards against a reserve that each restart gives again."""
+    share = RetryShare(0.2, 58.0, 10.0, 100.0)
+    assert not share.spend("orders", 101.0)
+    assert share.spend("orders", 111.0)
+
+
+def test_isolated_process_keeps_to_its_last_share():
+    """Guards against both sides of a cut that take the whole limit."""
+    shares = UsageShares(0.0, 0.0, True)
+    shares.known_peers = 5
+    now = 100.0
+    for peer in range(5):
+        shares.hear(str(peer), {"dealer": 4000.0}, now)
+    served = 0
+    for step in range(400):
+        now += 0.05
+        if step == 100:
+            for peer in range(5):
+                shares.lose(str(peer), now)
+            served = 0
+        if shares.admit(ORGANISATION, 1000.0, now) == 0:
+            served += 1000
+    assert served <= 0.55 * RATE * 15
