Keep usage limits by a ledger that all entries tell each other

Ruled out: the lowered limit alone (other organisations were refused as well). Each entry counts what it admitted, hears its peers' counts five times a second and takes at most its part of the common level between two messages. Behind a cut or with lost peers it refills its group's part only.

--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -12,7 +12,7 @@
 from acaciarelay.coordination.endpoint_health import EndpointHealth
 from acaciarelay.coordination.place_asker import PlaceAsker
 from acaciarelay.coordination.retry_share import RetryShare
-from acaciarelay.coordination.usage_shares import UsageShares
+from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.platform.exchange import READY_PATH
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.logs import log_event
@@ -41,7 +41,7 @@
 
 EXIT_SETTINGS = 2
 METRICS_PORT = 9102
-TICK_S = 0.4
+TICK_S = 0.2
 # Time after a stop request in which the platform still sends new connections.
 UNREADY_S = 2.6
 # Part of the grace time that is kept for the exit itself.
@@ -58,8 +58,8 @@
         self.rng = random.Random(secrets.randbits(64))
         self.metrics = Metrics()
         self.beliefs = Beliefs()
-        self.usage = UsageShares(
-            settings.usage_excess, settings.usage_slack, settings.first_start
+        self.usage = UsageLedger(
+            settings.usage_slack, settings.first_start, time.monotonic()
         )
         self.retries = RetryShare(
             settings.retry_ratio,
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -5,7 +5,7 @@
 import attrs
 
 from acaciarelay.coordination.retry_share import RetryShare
-from acaciarelay.coordination.usage_shares import UsageShares
+from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.platform.configuration import OPERATOR_TABLE
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.relay_beliefs import TABLES, Beliefs
@@ -25,15 +25,13 @@
     dialer: Dialer
     seen_at: float
     alive: bool = False
-    lifetime: str = ""
-    versions: dict[str, int] = attrs.Factory(dict)
 
 
 class Peers:
     """Dial every other entry and exchange what each knows."""
 
     def __init__(
-        self, hello: Hello, beliefs: Beliefs, usage: UsageShares, retries: RetryShare
+        self, hello: Hello, beliefs: Beliefs, usage: UsageLedger, retries: RetryShare
     ) -> None:
         self.hello = hello
         self.beliefs = beliefs
@@ -80,9 +78,8 @@
             return
         peer.alive = True
         peer.seen_at = time.monotonic()
-        peer.lifetime = link.peer.lifetime
         log_event("peer_regained", peer=address, lifetime=link.peer.lifetime)
-        link.send(self.status(peer.versions, False))
+        link.send(self.status(False))
 
     def closed(self, link: MessageLink) -> None:
         assert link.peer is not None
@@ -100,7 +97,7 @@
             link = peer.dialer.link
             if link is not None and link.peer is not None:
                 peer.seen_at = now
-                link.send(self.status(peer.versions, False))
+                link.send(self.status(False))
                 continue
             if now - peer.seen_at > FORGET_S:
                 peer.dialer.close()
@@ -108,22 +105,21 @@
                 log_event("peer_forgotten", peer=address)
         self.count()
 
-    def status(self, known: dict[str, int], answer: bool) -> PeerStatus:
+    def status(self, answer: bool) -> PeerStatus:
+        now = time.monotonic()
         wanted = [OPERATOR_TABLE]
-        age_s = 0.0
         for table in TABLES:
-            age_s = max(age_s, self.beliefs.age_s(table))
             if table != OPERATOR_TABLE and self.beliefs.age_s(table) > CURRENT_S:
                 wanted.append(table)
         return PeerStatus(
             name=self.hello.name,
             lifetime=self.hello.lifetime,
-            age_s=round(age_s, 3),
+            running_s=round(now - self.started_at, 3),
             versions=self.beliefs.versions(),
             wanted=wanted,
             peers=[self.hello.address, *self.addresses()],
-            demand=self.usage.demand(time.monotonic()),
-            suspects={},
+            admitted=self.usage.totals(),
+            demand=self.usage.demand(now),
             rows=[],
             answer=answer,
         )
@@ -132,11 +128,16 @@
         if not isinstance(message, PeerStatus) or link.peer is None:
             return
         address = link.peer.address
-        self.usage.hear(address, message.demand, time.monotonic())
+        now = time.monotonic()
+        self.usage.hear(
+            address,
+            message.lifetime,
+            message.running_s,
+            message.admitted,
+            message.demand,
+            now,
+        )
         self.learn(message.peers)
-        peer = self.peers.get(address)
-        if peer is not None:
-            peer.versions = message.versions
         if message.rows:
             self.beliefs.apply_peer_rows(message.rows, message.versions)
         if message.answer:
@@ -144,8 +145,8 @@
         rows = []
         for table in message.wanted:
             rows.extend(self.beliefs.rows_after(table, message.versions.get(table, 0)))
-        reply = self.status({}, True)
-        link.send(attrs.evolve(reply, rows=rows))
+        if rows:
+            link.send(attrs.evolve(self.status(True), rows=rows))
 
     def close(self) -> None:
         self.server.close()
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -10,7 +10,7 @@
 from acaciarelay.coordination.endpoint_health import EndpointHealth
 from acaciarelay.coordination.place_asker import PlaceAsker
 from acaciarelay.coordination.retry_share import RetryShare
-from acaciarelay.coordination.usage_shares import UsageShares
+from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.platform.exchange import (
     AnswerTraits,
     RequestTraits,
@@ -78,7 +78,7 @@
     def __init__(
         self,
         beliefs: Beliefs,
-        usage: UsageShares,
+        usage: UsageLedger,
         retries: RetryShare,
         health: EndpointHealth,
         asker: PlaceAsker,
@@ -148,6 +148,15 @@
         if organisation is not None:
             missing_s = self.usage.admit(organisation, cost, now)
             if missing_s > 0:
+                log_event(
+                    "usage_limit_reached",
+                    request_id=traits.request_id,
+                    organisation=organisation.name,
+                    rate_per_s=organisation.rate_per_s,
+                    cost=cost,
+                    missing_s=round(missing_s, 3),
+                    **self.usage.explain(organisation.name, now),
+                )
                 return refuse("rate_limited", "", min(missing_s, limit_s / 3))
         rank = route.rank
         if organisation is not None and organisation.rank is not None:
--- a/src/acaciarelay/protocol/relay_messages.py
+++ b/src/acaciarelay/protocol/relay_messages.py
@@ -112,18 +112,19 @@
 class PeerStatus:
     """Tell a peer what the sender knows.
 
-    ``versions`` holds the newest version by table; ``demand`` the tokens a second by
-    organisation that callers ask of the sender; ``rows`` what the peer lacks.
+    ``versions`` holds the newest version by table; ``admitted`` the tokens by
+    organisation that the sender admitted since its start, ``running_s`` ago;
+    ``demand`` the tokens a second that its callers ask; ``rows`` what the peer lacks.
     """
 
     name: str
     lifetime: str
-    age_s: float
+    running_s: float
     versions: dict[str, int]
     wanted: list[str]
     peers: list[str]
+    admitted: dict[str, float]
     demand: dict[str, float]
-    suspects: dict[str, float]
     rows: list[PeerRow]
     answer: bool = False
 
