Run entries and agents over stand-ins of the platform; serve metrics on both

Real processes over a store and runners in the test's loop: whole path, new configuration, drain, planned stop, lost agents, store outage with a restart, forgotten history with stale reads, wrong settings. The metrics address is a setting, since two programs on one host could not start (seen in the tests).

--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -123,6 +123,49 @@
         (),
         "Tokens in service at the endpoint.",
     ),
+    Metric(
+        "acaciarelay_places_granted_total",
+        "counter",
+        ("tier",),
+        "Places that an agent granted.",
+    ),
+    Metric(
+        "acaciarelay_place_wait_seconds",
+        "histogram",
+        ("tier",),
+        "Time that a request waited for its place at an agent, in seconds.",
+    ),
+    Metric(
+        "acaciarelay_places_used",
+        "gauge",
+        (),
+        "Places in use at the engine.",
+    ),
+    Metric(
+        "acaciarelay_places_waiting",
+        "gauge",
+        (),
+        "Requests that wait for a place at the engine.",
+    ),
+    Metric(
+        "acaciarelay_stage_seconds",
+        "histogram",
+        ("route", "stage"),
+        "Time from the request's arrival until it was sent (queue), until the first "
+        "byte of its answer (first) and until its end (whole), in seconds.",
+    ),
+    Metric(
+        "acaciarelay_belief_age_seconds",
+        "gauge",
+        ("table",),
+        "Seconds since a table of the store was last known to be current.",
+    ),
+    Metric(
+        "acaciarelay_peers_reached",
+        "gauge",
+        (),
+        "Peers to which a link is open.",
+    ),
     Metric(
         "acaciarelay_commands_total",
         "counter",
--- /dev/null
+++ b/src/acaciarelay/programs/metrics_server.py
@@ -0,0 +1,31 @@
+"""Serve a program's metrics as text over HTTP."""
+
+import asyncio
+
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.protocol.codes import Refusal
+from acaciarelay.state.routing import CallerLimits
+from acaciarelay.transport.front_server import FrontConnection, FrontRequest
+
+__all__ = ["serve_metrics"]
+
+
+async def serve_metrics(address: str, metrics: Metrics) -> asyncio.Server:
+    """Listen at ``IP:PORT``; raises ``OSError`` when it can't be bound."""
+
+    async def answer(connection: FrontConnection, request: FrontRequest) -> None:
+        body, kind = metrics.render()
+        connection.respond(200, [("Content-Type", kind)], body)
+
+    connections: set[FrontConnection] = set()
+
+    def build() -> FrontConnection:
+        return FrontConnection(answer, _refuse, CallerLimits, connections)
+
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(build, host, int(port))
+
+
+def _refuse(connection: FrontConnection, refusal: Refusal) -> None:
+    connection.respond(refusal.code.status, [], refusal.message.encode())
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -15,6 +15,8 @@
 from acaciarelay.platform.exchange import REPORT_PATH
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.programs.metrics_server import serve_metrics
 from acaciarelay.programs.relay_settings import (
     RelaySettings,
     SettingsError,
@@ -51,6 +53,7 @@
     def __init__(self, settings: RelaySettings) -> None:
         self.settings = settings
         self.loop = asyncio.get_running_loop()
+        self.metrics = Metrics()
         self.queue = PlaceQueue()
         self.hello = Hello(
             name=settings.name,
@@ -72,6 +75,7 @@
             self.loop.add_signal_handler(number, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
         await self.server.listen(self.settings.host, self.settings.agent_port)
+        metrics = await serve_metrics(self.settings.metrics_address, self.metrics)
         log_event("started", engine=self.settings.engine_address, always=True)
         while not self.stopping.is_set():
             if time.monotonic() < self.unknown_until:
@@ -83,6 +87,7 @@
                 continue
         log_event("stopped", places=len(self.queue.granted), always=True)
         self.server.close()
+        metrics.close()
         return 0
 
     async def look_for_unknown_runs(self) -> None:
@@ -168,6 +173,12 @@
             link = holder.owner
             assert isinstance(link, MessageLink)
             link.send(GrantPlace(request=holder.ask.request))
+            self.metrics.count("places_granted_total", tier=holder.ask.rank)
+            self.metrics.observe(
+                "place_wait_seconds",
+                time.monotonic() - holder.asked_at,
+                tier=holder.ask.rank,
+            )
         self.tell_soon()
 
     def tell_soon(self) -> None:
@@ -191,6 +202,8 @@
         if state == self.last_state:
             return
         self.last_state = state
+        self.metrics.set("places_used", state.used)
+        self.metrics.set("places_waiting", state.waiting)
         for link in self.links:
             link.send(state)
 
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -17,7 +17,8 @@
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
-from acaciarelay.programs.relay_beliefs import Beliefs
+from acaciarelay.programs.metrics_server import serve_metrics
+from acaciarelay.programs.relay_beliefs import TABLES, Beliefs
 from acaciarelay.programs.relay_peers import Peers
 from acaciarelay.programs.relay_request import RequestRelay, respond_refusal
 from acaciarelay.programs.relay_settings import (
@@ -40,7 +41,6 @@
 __all__ = ["RelayEntry", "main"]
 
 EXIT_SETTINGS = 2
-METRICS_PORT = 9102
 TICK_S = 0.2
 # Time after a stop request in which the platform still sends new connections.
 UNREADY_S = 2.6
@@ -104,6 +104,7 @@
         while not self.stopping.is_set():
             self.peers.tick()
             self.beliefs.expire_endpoints()
+            self.measure()
             try:
                 async with asyncio.timeout(TICK_S):
                     await self.stopping.wait()
@@ -112,6 +113,17 @@
         await self.drain()
         return 0
 
+    def measure(self) -> None:
+        """Set the gauges of what is believed and how old that is."""
+        routing = self.beliefs.routing
+        if routing is not None:
+            self.metrics.set("config_generation", routing.version)
+        for table in TABLES:
+            self.metrics.set(
+                "belief_age_seconds", self.beliefs.age_s(table), table=table
+            )
+        self.metrics.set("peers_reached", len(self.peers.addresses()))
+
     async def listen(self) -> None:
         host, port = _split(self.settings.caller_address)
         self.servers.append(
@@ -120,9 +132,7 @@
         host, port = _split(self.settings.ready_address)
         self.servers.append(await self.loop.create_server(self.build_ready, host, port))
         self.servers.append(
-            await self.loop.create_server(
-                self.build_metrics, self.settings.host, METRICS_PORT
-            )
+            await serve_metrics(self.settings.metrics_address, self.metrics)
         )
         await self.peers.listen(self.settings.host, self.settings.peer_port)
         self.learn_seeds()
@@ -141,9 +151,6 @@
     def build_ready(self) -> FrontConnection:
         return FrontConnection(self.answer_ready, self.refuse, CallerLimits, set())
 
-    def build_metrics(self) -> FrontConnection:
-        return FrontConnection(self.answer_metrics, self.refuse, CallerLimits, set())
-
     async def serve(self, connection: FrontConnection, request: FrontRequest) -> None:
         if self.stopping.is_set():
             connection.last_request = True
@@ -174,12 +181,6 @@
         status = 404 if not known else 200 if self.ready else 503
         connection.respond(status, [], b"")
 
-    async def answer_metrics(
-        self, connection: FrontConnection, request: FrontRequest
-    ) -> None:
-        body, kind = self.metrics.render()
-        connection.respond(200, [("Content-Type", kind)], body)
-
     # Agents.
 
     def reconcile_agents(self) -> None:
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -492,6 +492,15 @@
         self.metrics.count(
             "requests_total", tier=run.rank, organisation_class="", outcome=outcome
         )
+        stages = {"queue": run.first_sent_at, "first": run.first_event_at, "whole": now}
+        for stage, at in stages.items():
+            if at is not None:
+                self.metrics.observe(
+                    "stage_seconds",
+                    at - run.arrived_at,
+                    route=run.route.name,
+                    stage=stage,
+                )
         log_event(
             "request_ended",
             request_id=run.traits.request_id,
--- a/src/acaciarelay/programs/relay_settings.py
+++ b/src/acaciarelay/programs/relay_settings.py
@@ -34,6 +34,7 @@
     zones: dict[str, str]
     caller_address: str
     ready_address: str
+    metrics_address: str
     ports: list[int]
     seeds: list[str]
     store_address: str
--- /dev/null
+++ b/tests/integration/platform_fleet.py
@@ -0,0 +1,232 @@
+"""Entries and agents as real processes, before stand-ins in the test's own loop."""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+from relay_rig import (
+    KEY,
+    RawAnswer,
+    configuration,
+    read_raw_answer,
+    registration,
+    route,
+)
+
+from acaciarelay_standins.fleet import free_port
+from acaciarelay_standins.front_standin import listen
+from acaciarelay_standins.platform_runner import PlatformRunner
+from acaciarelay_standins.platform_store import PlatformStore
+
+ROOT = Path(__file__).resolve().parents[2]
+START_S = 15.0
+STOP_GRACE_S = 4.0
+BEAT_S = 0.4
+
+
+@attrs.define(eq=False)
+class Program:
+    """Hold one started entry or agent."""
+
+    name: str
+    settings: dict[str, Any]
+    folder: Path
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def log_path(self) -> Path:
+        return self.folder / f"{self.name}.log"
+
+    async def start(self) -> None:
+        path = self.folder / f"{self.name}.json"
+        path.write_bytes(orjson.dumps(self.settings))
+        kind = "relay_entry" if self.settings["caller_address"] else "relay_agent"
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "src" / f"{kind}.py"),
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"ACACIARELAY_CONFIG": str(path)},
+            )
+
+    async def stop(self, number: int = signal.SIGKILL) -> int:
+        """Send a signal and return the exit code."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        async with asyncio.timeout(15):
+            return await self.process.wait()
+
+    def log(self) -> list[dict[str, Any]]:
+        """Return the log lines."""
+        lines = []
+        for line in self.log_path.read_bytes().splitlines():
+            if line.startswith(b"{"):
+                lines.append(orjson.loads(line))
+        return lines
+
+
+class PlatformFleet:
+    """Start a store, runners, agents and entries; use as a context manager."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = PlatformStore()
+        self.store_address = ""
+        self.store_server: asyncio.Server | None = None
+        self.first_port = free_port()
+        self.programs: dict[str, Program] = {}
+        self.runners: dict[str, PlatformRunner] = {}
+        self.servers: dict[str, asyncio.Server] = {}
+        self.beats: dict[str, asyncio.Task] = {}
+        self.states: dict[str, str] = {}
+
+    async def __aenter__(self) -> "PlatformFleet":
+        await self.open_store()
+        routes = [
+            route("/read/", "idempotent"),
+            route("/order/", "non_idempotent"),
+            route("/chat/", "streaming", service="engine", resumable=True),
+        ]
+        value = configuration(1, routes=routes)
+        value["services"][1]["engine"] = {"slots": 8, "kvTokens": 100_000}
+        self.configure(value)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.beats.values():
+            task.cancel()
+        for program in self.programs.values():
+            if program.process is not None:
+                await program.stop()
+        for server in self.servers.values():
+            server.close()
+        await self.close_store()
+
+    async def open_store(self) -> None:
+        address = self.store_address or "127.0.0.1:0"
+        self.store_server, self.store_address = await listen(self.store.handle, address)
+
+    async def close_store(self) -> None:
+        if self.store_server is not None:
+            self.store_server.close()
+            self.store_server = None
+
+    def configure(self, value: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.store.put("op", "config", value)
+
+    async def add_runner(self, service: str, number: int, **fields: Any) -> None:
+        """Start a runner at 127.0.2.NUMBER that writes its registration."""
+        name = f"i-{number}"
+        runner = PlatformRunner(name, **fields)
+        server, address = await listen(runner.handle, f"127.0.2.{number}:0")
+        self.runners[name] = runner
+        self.servers[name] = server
+        self.states[name] = "ready"
+        self.beats[name] = asyncio.create_task(self.beat(name, service, address))
+
+    async def beat(self, name: str, service: str, address: str) -> None:
+        sequence = 0
+        while True:
+            sequence += 1
+            state = self.states[name]
+            value = registration(service, address, seq=sequence, state=state)
+            self.store.put("servers", name, value)
+            await asyncio.sleep(BEAT_S)
+
+    def settings(self, name: str, host: str, **fields: Any) -> dict[str, Any]:
+        seeds = [f"127.0.1.{number}:1" for number in (1, 2)]
+        value = {
+            "name": name,
+            "host": host,
+            "zone": "zone-a",
+            "zones": {"zone-a": "region-a"},
+            "caller_address": "",
+            "ready_address": "",
+            "metrics_address": f"{host}:{self.first_port + 22}",
+            "ports": [self.first_port, self.first_port + 15],
+            "seeds": seeds,
+            "store_address": self.store_address,
+            "engine_address": "",
+            "stop_grace_s": STOP_GRACE_S,
+            "retry_ratio": 0.2,
+            "retry_reserve": 50,
+            "retry_window_s": 10,
+            "usage_slack": 0,
+            "first_start": True,
+        }
+        return value | fields
+
+    async def add_entry(self, number: int) -> Program:
+        """Start an entry at 127.0.1.NUMBER and wait until it is ready."""
+        host = f"127.0.1.{number}"
+        name = f"entry-{number}"
+        settings = self.settings(
+            name,
+            host,
+            caller_address=f"{host}:{self.first_port + 20}",
+            ready_address=f"{host}:{self.first_port + 21}",
+        )
+        program = Program(name, settings, self.folder)
+        self.programs[name] = program
+        await program.start()
+        await self.until_ready(name)
+        return program
+
+    async def add_agent(self, number: int) -> Program:
+        """Start the agent beside the runner at 127.0.2.NUMBER."""
+        sockets = self.servers[f"i-{number}"].sockets
+        host, port = sockets[0].getsockname()
+        name = f"agent-{number}"
+        settings = self.settings(name, host, engine_address=f"{host}:{port}")
+        program = Program(name, settings, self.folder)
+        self.programs[name] = program
+        await program.start()
+        return program
+
+    async def ready(self, entry: str) -> bool:
+        address = self.programs[entry].settings["ready_address"]
+        try:
+            answer = await exchange(address, b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        except OSError:
+            return False
+        return answer.status == 200
+
+    async def until_ready(self, entry: str) -> None:
+        end_at = time.monotonic() + START_S
+        while not await self.ready(entry):
+            assert time.monotonic() < end_at, f"{entry} is not ready"
+            await asyncio.sleep(0.05)
+
+    async def call(
+        self, entry: str, target: str, attempt: str = "a-1", method: str = "POST"
+    ) -> RawAnswer:
+        """Send one request to an entry and read its answer."""
+        address = self.programs[entry].settings["caller_address"]
+        tokens = "Token-Usage: 100,30\r\n" if target.startswith("/chat/") else ""
+        head = (
+            f"{method} {target} HTTP/1.1\r\nHost: shop.example\r\nApi-Key: {KEY}\r\n"
+            f"Attempt-Id: {attempt}\r\nDeadline-Ms: 2000\r\n{tokens}"
+            "Content-Length: 0\r\n\r\n"
+        )
+        return await exchange(address, head.encode())
+
+
+async def exchange(address: str, data: bytes) -> RawAnswer:
+    """Send raw bytes and read one answer; raises ``OSError`` without a connection."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        async with asyncio.timeout(10):
+            return await read_raw_answer(reader)
+    finally:
+        writer.transport.abort()
--- /dev/null
+++ b/tests/integration/test_platform_path.py
@@ -0,0 +1,156 @@
+"""Entries and agents over the platform's stand-ins: the path, changes and losses."""
+
+import asyncio
+import signal
+import time
+
+import orjson
+from integration.platform_fleet import PlatformFleet, Program
+from relay_rig import configuration, route
+
+APPLY_S = 2.5
+
+
+async def whole_fleet(fleet: PlatformFleet) -> None:
+    """Start two entries before two engines with agents and one plain service."""
+    await fleet.add_runner("engine", 1)
+    await fleet.add_runner("engine", 2)
+    await fleet.add_runner("orders", 3)
+    for number in (1, 2):
+        await fleet.add_agent(number)
+    for number in (1, 2):
+        await fleet.add_entry(number)
+    await until(fleet, lambda: agents_linked(fleet))
+
+
+def agents_linked(fleet: PlatformFleet) -> bool:
+    for name in ("entry-1", "entry-2"):
+        regained = [
+            line
+            for line in fleet.programs[name].log()
+            if line["message_type"] == "agent_regained"
+        ]
+        if len(regained) < 2:
+            return False
+    return True
+
+
+async def until(fleet, condition, limit_s=10.0):
+    end_at = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end_at, "not seen in time"
+        await asyncio.sleep(0.05)
+
+
+async def test_whole_path_and_a_new_configuration(tmp_path):
+    """Guards against a part that works alone and not with the others."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await whole_fleet(fleet)
+        for entry in ("entry-1", "entry-2"):
+            stream = await fleet.call(entry, "/chat/a")
+            assert stream.status == 200 and stream.whole
+            assert stream.body.count(b"data: piece") == 10
+            order = await fleet.call(entry, "/order/a", attempt=f"order-{entry}")
+            assert order.status == 200
+        value = configuration(7, routes=[route("/new/", "non_idempotent")])
+        fleet.configure(value)
+        changed_at = time.monotonic()
+        for entry in ("entry-1", "entry-2"):
+            while (await fleet.call(entry, "/new/a", attempt="n")).status != 200:
+                assert time.monotonic() - changed_at < APPLY_S
+                await asyncio.sleep(0.02)
+            assert (await fleet.call(entry, "/order/a")).status == 404
+
+
+async def test_draining_runner_gets_no_new_requests(tmp_path):
+    """Guards against work that reaches a runner after its notice of leaving."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await whole_fleet(fleet)
+        await fleet.add_runner("orders", 4)
+        await asyncio.sleep(1.0)
+        fleet.states["i-3"] = "draining"
+        await asyncio.sleep(2.0)
+        before = len(fleet.runners["i-3"].runs)
+        for number in range(20):
+            answer = await fleet.call("entry-1", "/order/a", attempt=f"a-{number}")
+            assert answer.status == 200
+        assert len(fleet.runners["i-3"].runs) == before
+
+
+async def test_stopping_entry_cuts_nothing(tmp_path):
+    """Guards against requests lost in a planned stop."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await whole_fleet(fleet)
+        for name in ("i-1", "i-2"):
+            fleet.runners[name].events = 100
+            fleet.runners[name].step_s = 0.01
+        calls = [
+            asyncio.create_task(fleet.call("entry-1", "/chat/a", attempt=f"a-{n}"))
+            for n in range(6)
+        ]
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(fleet.programs["entry-1"].stop(signal.SIGTERM))
+        await asyncio.sleep(0.1)
+        assert not await fleet.ready("entry-1")
+        late = await fleet.call("entry-1", "/order/a", attempt="late")
+        assert late.status == 200
+        assert late.headers["connection"] == "close"
+        for answer in await asyncio.gather(*calls):
+            assert answer.status == 200 and answer.whole
+        assert await stopping == 0
+
+
+async def test_lost_agent_does_not_stop_its_engine(tmp_path):
+    """Guards against an engine that is out of use without its agent."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await whole_fleet(fleet)
+        for number in (1, 2):
+            await fleet.programs[f"agent-{number}"].stop()
+        await asyncio.sleep(0.3)
+        for number in range(5):
+            answer = await fleet.call("entry-1", "/chat/a", attempt=f"a-{number}")
+            assert answer.status == 200 and answer.whole
+
+
+async def test_store_outage_is_survived_and_a_restarted_entry_asks_its_peer(tmp_path):
+    """Guards against an entry that needs the store to serve or to start."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await whole_fleet(fleet)
+        fleet.store.faults.status = 503
+        await asyncio.sleep(1.5)
+        assert (await fleet.call("entry-1", "/order/a")).status == 200
+        await fleet.programs["entry-2"].stop()
+        await fleet.programs["entry-2"].start()
+        await fleet.until_ready("entry-2")
+        await until(fleet, lambda: agents_linked(fleet))
+        answer = await fleet.call("entry-2", "/chat/a", attempt="after")
+        assert answer.status == 200 and answer.whole
+
+
+async def test_forgotten_history_and_stale_reads_change_nothing_back(tmp_path):
+    """Guards against a configuration that goes back after the history is lost."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await whole_fleet(fleet)
+        fleet.configure(configuration(5, routes=[route("/new/", "non_idempotent")]))
+        await asyncio.sleep(0.5)
+        assert (await fleet.call("entry-1", "/new/a")).status == 200
+        fleet.store.faults.stale_versions = fleet.store.version - 1
+        fleet.store.compact()
+        end_at = time.monotonic() + 3.0
+        while time.monotonic() < end_at:
+            assert (await fleet.call("entry-1", "/new/a")).status == 200
+            await asyncio.sleep(0.1)
+
+
+async def test_settings_errors_name_all_problems(tmp_path):
+    """Guards against a start with settings that can't work."""
+    async with PlatformFleet(tmp_path) as fleet:
+        settings = fleet.settings("entry-9", "127.0.1.9", caller_address="x:1")
+        del settings["zone"], settings["ports"]
+        path = tmp_path / "bad.json"
+        path.write_bytes(orjson.dumps(settings))
+        program = Program("entry-9", settings, tmp_path)
+        await program.start()
+        assert await program.stop(signal.SIGCONT) == 2
+        text = program.log_path.read_text()
+        assert "zone" in text and "ports" in text
