Refuse at once when the expected wait is too long

The expected wait counts a request in part at each agent that was asked, and what more urgent ranks take of the engine.

--- a/src/acaciarelay/coordination/place_queue.py
+++ b/src/acaciarelay/coordination/place_queue.py
@@ -1,6 +1,7 @@
 """Places at one engine, granted by rank and fairly among organisations."""
 
 import collections
+import math
 
 import attrs
 
@@ -11,6 +12,10 @@
 # Weight of the newest observation in the mean time for which a place is held.
 HOLD_WEIGHT = 0.1
 FIRST_HOLD_S = 0.3
+# Time over which the rate of grants is averaged.
+RATE_S = 1.0
+# Part of the engine that is reckoned with for the least urgent work at least.
+LEAST_PART = 0.05
 
 
 @attrs.define(eq=False)
@@ -35,6 +40,8 @@
         # Virtual time of each organisation: the tokens that it was granted so far.
         self._served: dict[str, float] = collections.defaultdict(float)
         self._floor = 0.0
+        # Grants a second by rank, fading with time.
+        self._rates: dict[int, tuple[float, float]] = {}
 
     def ask(self, owner: object, ask: AskPlace, now: float) -> None:
         """Add a request."""
@@ -72,6 +79,8 @@
             if now - holder.asked_at > holder.ask.time_left_s:
                 continue
             self._charge(holder.ask)
+            rank = holder.ask.rank
+            self._rates[rank] = (self._rate(rank, now) + 1.0 / RATE_S, now)
             holder.granted_at = now
             self.granted[key] = holder
             grants.append(holder)
@@ -87,16 +96,28 @@
         self._floor = max(self._floor, self._served[ask.organisation])
         self._served[ask.organisation] += tokens
 
-    def expected_waits(self, ranks: int) -> list[float]:
-        """Return the wait in seconds of a new request for each rank below ``ranks``."""
-        by_rank = [0] * ranks
+    def _rate(self, rank: int, now: float) -> float:
+        rate, at = self._rates.get(rank, (0.0, now))
+        return rate * math.exp(-(now - at) / RATE_S)
+
+    def expected_waits(self, ranks: int, now: float) -> list[float]:
+        """Return the wait in seconds of a new request for each rank below ``ranks``.
+
+        A request that asked several agents counts in part at each of them, and what
+        more urgent requests take of the engine is not there for less urgent ones.
+        """
+        by_rank = [0.0] * ranks
         for holder in self.waiting.values():
-            by_rank[min(holder.ask.rank, ranks - 1)] += 1
+            rank = min(holder.ask.rank, ranks - 1)
+            by_rank[rank] += 1.0 / max(1, holder.ask.asked)
         free = self.limit - len(self.granted)
-        pace_s = self.hold_s / max(1, self.limit)
+        pace = max(1, self.limit) / self.hold_s
         waits = []
-        ahead = 0
-        for count in by_rank:
+        ahead = 0.0
+        urgent = 0.0
+        for rank, count in enumerate(by_rank):
             ahead += count
-            waits.append(max(0.0, (ahead + 1 - free) * pace_s))
+            left = max(pace * LEAST_PART, pace - urgent)
+            waits.append(max(0.0, ahead + 1 - free) / left)
+            urgent += self._rate(rank, now)
         return waits
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -188,6 +188,7 @@
     def tell(self) -> None:
         """Tell the entries how loaded the engine is, when that changed."""
         self.state_timer = None
+        now = time.monotonic()
         entries = []
         for link in self.links:
             if link.peer is not None:
@@ -197,7 +198,7 @@
             limit=self.queue.limit,
             waiting=len(self.queue.waiting),
             entries=sorted(entries),
-            waits_s=[round(w, 3) for w in self.queue.expected_waits(RANKS)],
+            waits_s=[round(w, 3) for w in self.queue.expected_waits(RANKS, now)],
         )
         if state == self.last_state:
             return
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -20,6 +20,8 @@
 ASKED_AGENTS = 3
 # Part of the objective that a request may wait for a place.
 WAIT_PART = 0.6
+# A request whose expected wait is above this part of what it may wait is refused.
+HOPE_PART = 1.0
 # Wait for a place after a break, when the caller already has a part of the answer.
 RESUME_WAIT_S = 1.0
 # Seconds of expected wait that a distance or a failure counts as.
@@ -77,8 +79,14 @@
                     return Placement(endpoint, None)
             else:
                 agents = self._nearest(run, by_host, now)
+                budget_s = wait_until - loop.time()
+                expected_s = min(a.expected_wait_s(run.rank, now) for a in agents)
+                if expected_s > budget_s * HOPE_PART:
+                    # Refused at once, since the wait would most likely be in vain.
+                    run.steps.append(f"expected wait {expected_s:.3f} s")
+                    return None
                 place = await self.asker.ask(
-                    agents, self._ask(run), max(0.0, wait_until - loop.time())
+                    agents, self._ask(run, len(agents)), max(0.0, budget_s)
                 )
                 if place is not None:
                     placed = by_host[place.agent.host]
@@ -104,7 +112,7 @@
         costs.sort()
         return [self.asker.agents[host] for _, host in costs[:ASKED_AGENTS]]
 
-    def _ask(self, run: RelayRun) -> AskPlace:
+    def _ask(self, run: RelayRun, asked: int) -> AskPlace:
         loop = asyncio.get_running_loop()
         service = run.routing.services.get(run.service)
         engine = service.engine if service is not None else None
@@ -118,6 +126,7 @@
             output_tokens=run.traits.expected_output or run.traits.output_tokens or 0,
             slots=engine.slots if engine is not None else 1,
             memory_tokens=engine.memory_tokens if engine is not None else 0,
+            asked=asked,
         )
 
     def relief_s(self, run: RelayRun) -> float:
--- a/src/acaciarelay/protocol/relay_messages.py
+++ b/src/acaciarelay/protocol/relay_messages.py
@@ -49,7 +49,8 @@
 class AskPlace:
     """Ask an agent for a place at its engine; times in seconds.
 
-    ``slots`` and ``memory_tokens`` are the engine's capacity by the configuration.
+    ``slots`` and ``memory_tokens`` are the engine's capacity by the configuration;
+    ``asked`` is how many agents are asked for this request.
     """
 
     request: str
@@ -61,6 +62,7 @@
     output_tokens: int
     slots: int
     memory_tokens: int
+    asked: int
 
 
 @attrs.frozen(kw_only=True)
