Use only the newest lifetime at an address; explain a request from its logs

Ruled out: usage limits and places lost by agents. A retry reserve that was withheld for a window after a restart refused some of them as well; now each lifetime uses half of it. The test with two lifetimes at one address failed first.

--- a/src/acaciarelay/coordination/endpoint_health.py
+++ b/src/acaciarelay/coordination/endpoint_health.py
@@ -15,8 +15,8 @@
 AVOID_FAILURES = 2.5
 # Extra requests in flight that a failure, a zone or a region counts as.
 FAILURE_COST = 4.0
-ZONE_COST = 0.3
-REGION_COST = 1.5
+ZONE_COST = 0.5
+REGION_COST = 4.0
 
 
 @attrs.define(eq=False)
--- a/src/acaciarelay/coordination/retry_share.py
+++ b/src/acaciarelay/coordination/retry_share.py
@@ -9,6 +9,9 @@
 # Part of the budget that is used, so that processes which count differently for a
 # moment stay within it together.
 USED_PART = 0.8
+# Part of the reserve that one lifetime of a process uses; the rest is for a process
+# that is started again within the window and doesn't know what it used before.
+LIFETIME_PART = 0.5
 
 
 class _Window:
@@ -40,17 +43,14 @@
 class RetryShare:
     """Allow retries as a share of own requests plus a part of the common reserve.
 
-    ``reserve`` is shared equally among the processes. For one window after the start
-    the reserve is withheld, since an earlier lifetime may have used it.
+    ``reserve`` is the number of retries in a window beyond the share; it is divided
+    equally among the processes.
     """
 
-    def __init__(
-        self, ratio: float, reserve: float, window_s: float, started_at: float
-    ) -> None:
+    def __init__(self, ratio: float, reserve: float, window_s: float) -> None:
         self.ratio = ratio
-        self.reserve = reserve
+        self.reserve = reserve * LIFETIME_PART
         self.window_s = window_s
-        self.started_at = started_at
         self.processes = 1
         self._firsts: dict[str, _Window] = {}
         self._retries: dict[str, _Window] = {}
@@ -75,8 +75,6 @@
     def allows(self, service: str, now: float) -> bool:
         """Return whether one more retry fits."""
         firsts = self._window(self._firsts, service).count(now)
-        allowed = self.ratio * firsts
-        if now - self.started_at > self.window_s:
-            allowed += self.reserve / max(1, self.processes)
+        allowed = self.ratio * firsts + self.reserve / max(1, self.processes)
         used = self._window(self._retries, service).count(now)
         return used + 1 <= allowed * USED_PART
--- /dev/null
+++ b/src/acaciarelay/programs/ctl_explain.py
@@ -0,0 +1,111 @@
+"""Print the way of one request from the log lines of entries and agents."""
+
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import orjson
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from acaciarelay.programs.ctl_client import ExitCode
+
+__all__ = ["ExplainCommand", "explain", "read_lines"]
+
+# What a process believed around the request, as far as it changes decisions.
+BELIEFS = frozenset(
+    [
+        "configuration_applied",
+        "endpoint_changed",
+        "endpoint_removed",
+        "endpoint_missing",
+        "store_lost",
+        "store_regained",
+        "store_history_gone",
+        "agent_lost",
+        "agent_regained",
+        "peer_lost",
+        "peer_regained",
+        "log_lines_left_out",
+        "started",
+        "stopping",
+    ]
+)
+# Seconds before the request's first line from which beliefs are shown.
+BEFORE_S = 3.0
+HIDDEN = frozenset(["timestamp", "message_type", "program", "name", "pid"])
+
+
+def read_lines(texts: Iterable[str]) -> list[dict[str, Any]]:
+    """Decode log lines; anything before the first brace of a line is dropped."""
+    lines = []
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            line = orjson.loads(text[start:])
+        except orjson.JSONDecodeError:
+            # Output of other programs may share the file.
+            continue
+        if isinstance(line, dict) and "timestamp" in line:
+            lines.append(line)
+    lines.sort(key=lambda line: line["timestamp"])
+    return lines
+
+
+def explain(lines: list[dict[str, Any]], request_id: str) -> list[str]:
+    """Return the request's way in order, among what its processes came to believe."""
+    own = [line for line in lines if line.get("request_id") == request_id]
+    if not own:
+        return []
+    names = {line.get("name") for line in own}
+    first = own[0]["timestamp"] - own[0].get("whole_s", 0.0)
+    last = own[-1]["timestamp"]
+    shown = []
+    for line in lines:
+        at = line["timestamp"] - first
+        if line.get("request_id") == request_id:
+            shown.append(_format(line, at, "*"))
+            continue
+        known = line.get("message_type") in BELIEFS and line.get("name") in names
+        if known and -BEFORE_S <= at <= last - first:
+            shown.append(_format(line, at, " "))
+    return shown
+
+
+def _format(line: dict[str, Any], at: float, mark: str) -> str:
+    fields = [
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in HIDDEN and value not in (None, [])
+    ]
+    head = f"{mark} {at:+9.3f} s  {line.get('name', '')}  {line['message_type']}"
+    return f"{head}  {' '.join(fields)}"
+
+
+class ExplainCommand(Command):
+    name = "explain"
+    description = "Print a request's way from log files, or from standard input."
+    arguments = [
+        argument("id", "The request's id."),
+        argument("files", "Log files.", optional=True, multiple=True),
+    ]
+
+    def handle(self) -> int:
+        texts: list[str] = []
+        for path in self.argument("files"):
+            try:
+                texts.extend(Path(path).read_text(errors="replace").splitlines())
+            except OSError as error:
+                print(f"can't read {path}: {error}", file=sys.stderr)
+                return ExitCode.USAGE
+        if not self.argument("files"):
+            texts = sys.stdin.read().splitlines()
+        shown = explain(read_lines(texts), self.argument("id"))
+        if not shown:
+            print("no log line names this request", file=sys.stderr)
+            return ExitCode.REFUSED
+        print("\n".join(shown))
+        return ExitCode.OK
--- a/src/acaciarelay/programs/ctl_main.py
+++ b/src/acaciarelay/programs/ctl_main.py
@@ -4,6 +4,7 @@
 import sys
 
 from cleo.application import Application
+from cleo.commands.command import Command
 from cleo.exceptions import CleoError
 from cleo.helpers import option
 from cleo.io.inputs.argv_input import ArgvInput
@@ -11,13 +12,14 @@
 from acaciarelay.programs.ctl_claims import CLAIM_COMMANDS
 from acaciarelay.programs.ctl_client import ExitCode
 from acaciarelay.programs.ctl_commands import COMMANDS
+from acaciarelay.programs.ctl_explain import ExplainCommand
 from acaciarelay.programs.ctl_output import format_table
 from acaciarelay.programs.settings import CTL_OPTIONS
 
 __all__ = ["main", "overview"]
 
 PROGRAM = "acaciarelayctl"
-ALL_COMMANDS = [*COMMANDS, *CLAIM_COMMANDS]
+ALL_COMMANDS: list[type[Command]] = [*COMMANDS, *CLAIM_COMMANDS, ExplainCommand]
 
 EXIT_CODES = [
     (ExitCode.OK, "done"),
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -65,7 +65,6 @@
             settings.retry_ratio,
             settings.retry_reserve,
             settings.retry_window_s,
-            time.monotonic(),
         )
         self.health = EndpointHealth(settings.zone, settings.zones, self.rng)
         self.asker = PlaceAsker()
--- a/src/acaciarelay/state/endpoints.py
+++ b/src/acaciarelay/state/endpoints.py
@@ -71,12 +71,21 @@
         return listed.endpoint if listed is not None else None
 
     def of_service(self, service: str) -> list[Endpoint]:
-        """List the endpoints of a service that may get new work."""
-        found = []
+        """List the endpoints of a service that may get new work.
+
+        Of several lifetimes at one address only the newest can be there.
+        """
+        newest: dict[str, Endpoint] = {}
         for listed in self._listed.values():
-            if listed.endpoint.service != service or listed.endpoint.draining:
+            endpoint = listed.endpoint
+            known = newest.get(endpoint.address)
+            if known is None or endpoint.started_ms >= known.started_ms:
+                newest[endpoint.address] = endpoint
+        found = []
+        for endpoint in newest.values():
+            if endpoint.service != service or endpoint.draining:
                 continue
-            found.append(listed.endpoint)
+            found.append(endpoint)
         return found
 
     def all(self) -> list[Endpoint]:
--- a/tests/unit/platform_path/test_relay_beliefs.py
+++ b/tests/unit/platform_path/test_relay_beliefs.py
@@ -75,6 +75,20 @@
     assert beliefs.endpoints.of_service("orders") == []
 
 
+def test_newer_lifetime_at_an_address_replaces_the_older_one():
+    """Guards against requests for a lifetime whose machine has started again."""
+    beliefs = Beliefs()
+    old = registration("orders", "127.0.0.1:1", born=10)
+    new = registration("orders", "127.0.0.1:1", born=20)
+    other = registration("deep", "127.0.0.1:1", born=30)
+    rows = [row("i-2", 4, new), row("i-1", 5, old)]
+    beliefs.apply_changes("servers", rows, 5, False)
+    usable = beliefs.endpoints.of_service("orders")
+    assert [endpoint.endpoint_id for endpoint in usable] == ["i-2"]
+    beliefs.apply_changes("servers", [row("i-3", 6, other)], 6, False)
+    assert beliefs.endpoints.of_service("orders") == []
+
+
 CHANGES = st.lists(
     st.tuples(st.sampled_from(["i-1", "i-2", "i-3"]), st.sampled_from("aDx")),
     min_size=1,
