Promise no wait at an engine that was not used yet; allow larger bursts of usage

Cause: an agent learns its engine's capacity from the first request. The fault came with the refusal by expected wait. Bursts of an organisation may use half of the tolerated excess of a window.

--- a/src/acaciarelay/coordination/place_queue.py
+++ b/src/acaciarelay/coordination/place_queue.py
@@ -106,6 +106,9 @@
         A request that asked several agents counts in part at each of them, and what
         more urgent requests take of the engine is not there for less urgent ones.
         """
+        if self.limit == 0:
+            # The first request brings the engine's capacity with it.
+            return [0.0] * ranks
         by_rank = [0.0] * ranks
         for holder in self.waiting.values():
             rank = min(holder.ask.rank, ranks - 1)
--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -13,7 +13,7 @@
 
 from acaciarelay.state.routing import Organisation
 
-__all__ = ["UsageLedger"]
+__all__ = ["UsageLedger", "UsageTolerance"]
 
 # Time constant over which demand is averaged.
 DEMAND_S = 1.5
@@ -24,9 +24,9 @@
 SILENT_S = 1.0
 # Part of the tolerated excess that is used; the rest covers what several processes
 # admit at the same moment.
-USED_PART = 0.4
+USED_PART = 0.5
 # A process may take this many times its part of the level between two messages.
-PART_MARGIN = 1.5
+PART_MARGIN = 1.25
 # An organisation without a stated burst may use this many seconds of its rate at once.
 DEFAULT_BURST_S = 1.0
 
@@ -57,16 +57,33 @@
     lost_at: float | None = None
 
 
+@attrs.frozen(kw_only=True)
+class UsageTolerance:
+    """Hold by how much all processes together may exceed a limit in a window.
+
+    ``excess`` is a part of what the limit allows, ``slack`` a number of tokens.
+    """
+
+    window_s: float
+    excess: float
+    slack: float
+
+    def tokens(self, rate: float, burst: float) -> float:
+        """Return the tolerated excess over one window."""
+        return self.excess * (rate * self.window_s + burst) + self.slack
+
+
 class UsageLedger:
     """Admit requests against limits that all processes share.
 
-    ``slack`` is the number of tokens in a window by which all processes together may
-    exceed a limit. A bucket starts empty unless ``first_start``: an earlier lifetime
-    of this process may have spent it.
+    A bucket starts empty unless ``first_start``: an earlier lifetime of this process
+    may have spent it.
     """
 
-    def __init__(self, slack: float, first_start: bool, started_at: float) -> None:
-        self.slack = slack * USED_PART
+    def __init__(
+        self, tolerance: UsageTolerance, first_start: bool, started_at: float
+    ) -> None:
+        self.tolerance = tolerance
         self.first_start = first_start
         self.started_at = started_at
         # Other processes known to exist, whether they were heard of or not.
@@ -132,7 +149,8 @@
         rate = organisation.rate_per_s
         if rate <= 0:
             return 0.0
-        burst = (organisation.burst or rate * DEFAULT_BURST_S) + self.slack
+        burst = organisation.burst or rate * DEFAULT_BURST_S
+        burst += self.tolerance.tokens(rate, burst) * USED_PART
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
             level = burst if self.first_start else 0.0
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -12,7 +12,7 @@
 from acaciarelay.coordination.endpoint_health import EndpointHealth
 from acaciarelay.coordination.place_asker import PlaceAsker
 from acaciarelay.coordination.retry_share import RetryShare
-from acaciarelay.coordination.usage_ledger import UsageLedger
+from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.exchange import READY_PATH
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.logs import log_event
@@ -59,7 +59,13 @@
         self.metrics = Metrics()
         self.beliefs = Beliefs()
         self.usage = UsageLedger(
-            settings.usage_slack, settings.first_start, time.monotonic()
+            UsageTolerance(
+                window_s=settings.usage_window_s,
+                excess=settings.usage_excess,
+                slack=settings.usage_slack,
+            ),
+            settings.first_start,
+            time.monotonic(),
         )
         self.retries = RetryShare(
             settings.retry_ratio,
--- a/src/acaciarelay/programs/relay_settings.py
+++ b/src/acaciarelay/programs/relay_settings.py
@@ -23,8 +23,8 @@
     ``zones`` maps each zone to its region. ``ports`` are the first and last port for
     links between the system's own processes. ``retry_reserve`` is the number of retries
     in a window beyond ``retry_ratio`` of the requests, over all processes.
-    ``usage_slack`` is the number of tokens in a window by which all processes together
-    may exceed a rate limit. ``first_start`` is true when
+    All processes together may exceed a rate limit in a window by the part
+    ``usage_excess`` and by ``usage_slack`` tokens. ``first_start`` is true when
     the whole system starts for the first time.
     """
 
@@ -43,6 +43,8 @@
     retry_ratio: float
     retry_reserve: float
     retry_window_s: float
+    usage_window_s: float
+    usage_excess: float
     usage_slack: float
     first_start: bool
 
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -160,6 +160,8 @@
             "retry_ratio": 0.2,
             "retry_reserve": 50,
             "retry_window_s": 10,
+            "usage_window_s": 8,
+            "usage_excess": 0.1,
             "usage_slack": 0,
             "first_start": True,
         }
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -11,7 +11,7 @@
 from acaciarelay.coordination.endpoint_health import EndpointHealth
 from acaciarelay.coordination.place_asker import PlaceAsker
 from acaciarelay.coordination.retry_share import RetryShare
-from acaciarelay.coordination.usage_ledger import UsageLedger
+from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.store import StoreRow
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_beliefs import Beliefs
@@ -23,6 +23,7 @@
 
 HOST = "shop.example"
 KEY = "key-1"
+NO_TOLERANCE = UsageTolerance(window_s=8.0, excess=0.0, slack=0.0)
 
 
 def route(prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
@@ -95,7 +96,7 @@
 
     def __init__(self, seed: int = 1) -> None:
         self.beliefs = Beliefs()
-        self.usage = UsageLedger(0.0, True, time.monotonic())
+        self.usage = UsageLedger(NO_TOLERANCE, True, time.monotonic())
         self.retries = RetryShare(0.2, 50.0, 10.0)
         rng = random.Random(seed)
         self.health = EndpointHealth("zone-a", {"zone-a": "region-a"}, rng)
--- a/tests/unit/platform_path/test_shares.py
+++ b/tests/unit/platform_path/test_shares.py
@@ -4,9 +4,10 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
+from relay_rig import NO_TOLERANCE
 
 from acaciarelay.coordination.retry_share import RetryShare
-from acaciarelay.coordination.usage_ledger import UsageLedger
+from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.state.routing import Organisation
 
 RATE = 20_000.0
@@ -15,6 +16,7 @@
 WINDOW_S = 8.0
 GOSSIP_S = 0.2
 STEP_S = 0.05
+TOLERANCE = UsageTolerance(window_s=WINDOW_S, excess=EXCESS, slack=SLACK)
 BOUND = (RATE * WINDOW_S + RATE) * (1 + EXCESS) + SLACK
 
 ORGANISATION = Organisation(
@@ -44,7 +46,7 @@
         self.next_gossip = self.now
 
     def start(self, first: bool) -> UsageLedger:
-        share = UsageLedger(SLACK, first, self.now)
+        share = UsageLedger(TOLERANCE, first, self.now)
         share.known_peers = self.count - 1
         return share
 
@@ -161,7 +163,7 @@
 
 def test_one_process_may_use_the_whole_limit():
     """Guards against equal shares while one process sees all the demand."""
-    shares = UsageLedger(0.0, True, 0.0)
+    shares = UsageLedger(NO_TOLERANCE, True, 0.0)
     shares.known_peers = 5
     now = 100.0
     served = 0
@@ -215,7 +217,7 @@
 
 def test_isolated_process_keeps_to_its_part():
     """Guards against both sides of a cut that use the whole limit."""
-    shares = UsageLedger(0.0, True, 0.0)
+    shares = UsageLedger(NO_TOLERANCE, True, 0.0)
     shares.known_peers = 5
     now = 100.0
     for peer in range(5):
--- /dev/null
+++ b/tests/unit/test_ctl_explain.py
@@ -0,0 +1,42 @@
+"""Guard against an explanation that misses lines, or shows those of other processes."""
+
+import orjson
+
+from acaciarelay.programs.ctl_explain import explain, read_lines
+from acaciarelay.programs.ctl_main import main
+
+
+def line(at, name, kind, **fields):
+    head = {"timestamp": at, "name": name, "message_type": kind, "pid": 1}
+    return orjson.dumps(head | fields).decode()
+
+
+LINES = [
+    line(10.0, "entry-1", "configuration_applied", version=3),
+    line(10.1, "entry-2", "configuration_applied", version=4),
+    line(11.5, "entry-1", "request_ended", request_id="a", whole_s=0.5, code="shed"),
+    line(11.2, "entry-1", "endpoint_removed", endpoint="i-1"),
+    line(11.3, "entry-1", "request_ended", request_id="b", whole_s=0.1),
+    line(5.0, "entry-1", "endpoint_removed", endpoint="i-0"),
+    "not a log line",
+    "{broken",
+]
+
+
+def test_request_is_shown_among_its_process_beliefs():
+    shown = explain(read_lines(LINES), "a")
+    assert [text.split()[-1] for text in shown] == [
+        "version=3",
+        "endpoint=i-1",
+        "code=shed",
+    ]
+    assert shown[-1].startswith("*")
+
+
+def test_command_reads_files(tmp_path, capsys):
+    path = tmp_path / "entry.log"
+    path.write_text("\n".join(f"12.5 entry-1 {text}" for text in LINES))
+    assert main(["explain", "b", str(path)]) == 0
+    assert "request_id=b" in capsys.readouterr().out
+    assert main(["explain", "unknown", str(path)]) == 1
+    assert main(["explain", "b", str(tmp_path / "missing")]) == 2
