Let requests that may run again leave a silent runner

Cause: a lookup or a resumable stream at a runner that went dark waited until its caller left. After half of the route's time, at most 1 s, it goes to another runner within its attempts and the retry budget; with nowhere to go it stays.

--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -37,7 +37,12 @@
     RelayRun,
 )
 from acaciarelay.state.routing import Organisation, Route, RoutingTable
-from acaciarelay.transport.endpoint_call import CallFault, EndpointConnection, connect
+from acaciarelay.transport.endpoint_call import (
+    CallFault,
+    EndpointConnection,
+    FaultKind,
+    connect,
+)
 from acaciarelay.transport.event_stream import EventSplitter, StreamEvent
 from acaciarelay.transport.front_server import (
     CallerGone,
@@ -50,6 +55,10 @@
 CONNECT_TIMEOUT_S = 0.6
 # Endpoints that may decline one request before it is refused.
 MAX_DECLINED = 3
+# Silence after which a request that may run again goes to another endpoint: a part of
+# the route's time, and at most so many seconds.
+SILENCE_PART = 0.5
+MAX_SILENCE_S = 1.0
 # Failures that a declined request and one for an endpoint that has left count as.
 DECLINED_FAILURES = 0.5
 GONE_FAILURES = 5.0
@@ -309,7 +318,7 @@
     async def read_answer(
         self, connection: FrontConnection, run: RelayRun, call: EndpointConnection
     ) -> AttemptOutcome:
-        event = await call.next_event()
+        event = await self.next_event(run, call)
         if isinstance(event, CallFault):
             return Broken(str(event))
         assert isinstance(event, h11.Response)
@@ -335,6 +344,30 @@
             )
         return await self.pass_whole(connection, run, call, event, headers)
 
+    async def next_event(
+        self, run: RelayRun, call: EndpointConnection
+    ) -> h11.Event | CallFault:
+        """Wait for the answer; a silent endpoint ends where another one may go on."""
+        if not self.may_move(run):
+            return await call.next_event()
+        silence_s = min(MAX_SILENCE_S, SILENCE_PART * run.route.timeout_s)
+        try:
+            async with asyncio.timeout(silence_s):
+                return await call.next_event()
+        except TimeoutError:
+            return CallFault(FaultKind.SILENT, f"nothing for {silence_s:g} s")
+
+    def may_move(self, run: RelayRun) -> bool:
+        """Return whether a request may leave its endpoint for another one."""
+        if not self.may_repeat(run):
+            return False
+        if not self.retries.allows(run.service, time.monotonic()):
+            return False
+        for endpoint in self.beliefs.endpoints.of_service(run.service):
+            if endpoint.endpoint_id not in run.tried:
+                return True
+        return False
+
     def note_load(self, run: RelayRun, traits: AnswerTraits) -> None:
         if traits.load is None or run.endpoint is None:
             return
@@ -353,7 +386,7 @@
         pieces: list[bytes] = []
         size = 0
         while True:
-            match await call.next_event():
+            match await self.next_event(run, call):
                 case h11.Data(data=data):
                     size += len(data)
                     if size > MAX_ANSWER_BYTES:
@@ -386,7 +419,7 @@
         """Pass on whole events; the first runner's head stays through a resumption."""
         splitter = EventSplitter()
         while True:
-            match await call.next_event():
+            match await self.next_event(run, call):
                 case h11.Data(data=data):
                     events = splitter.feed(bytes(data))
                     fresh = self.fresh_events(run, events)
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -27,6 +27,7 @@
     RESET = "reset"
     CLOSED = "closed"
     MALFORMED = "malformed"
+    SILENT = "silent"
 
 
 @attrs.frozen
--- a/tests/unit/platform_path/test_relay_request.py
+++ b/tests/unit/platform_path/test_relay_request.py
@@ -113,6 +113,29 @@
         assert 0.35 < took < 0.9
 
 
+@pytest.mark.parametrize(
+    ("target", "service"), [("/read/a", "orders"), ("/chat/a", "engine")]
+)
+async def test_request_that_may_repeat_leaves_a_silent_runner(target, service):
+    """Guards against a lookup or a stream that waits on a dark runner to its end."""
+    async with RelayRig() as rig:
+        silent = await rig.add_runner(service)
+        silent.faults = RunnerFaults(silent=True)
+        await rig.add_runner(service)
+        for number in range(3):
+            answer = await rig.call(target, attempt=f"a-{number}", limit_ms=1900)
+            assert answer.status == 200 and answer.whole
+        await asyncio.sleep(0.1)
+        assert len(silent.cancelled) == len(silent.runs) > 0
+
+
+async def test_silence_alone_ends_no_request_that_has_nowhere_to_go():
+    """Guards against a lookup given up while its only runner still works on it."""
+    async with RelayRig() as rig:
+        await rig.add_runner("orders", work_s=1.4)
+        assert (await rig.call("/read/a")).status == 200
+
+
 async def test_unreachable_runner_is_no_run():
     """Guards against counting a failed connect as a run."""
     async with RelayRig() as rig:
