--- a/src/acaciarelay/coordination/endpoint_health.py
+++ b/src/acaciarelay/coordination/endpoint_health.py
@@ -43,9 +43,6 @@
         """Return the judgement of an endpoint."""
         return self._judgements.setdefault(endpoint_id, Judgement())
 
-    def forget(self, endpoint_id: str) -> None:
-        self._judgements.pop(endpoint_id, None)
-
     def fail(self, endpoint_id: str, now: float, weight: float = 1.0) -> None:
         """Record a failure."""
         judgement = self.of(endpoint_id)
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -20,7 +20,8 @@
 from acaciarelay.programs.metrics_server import serve_metrics
 from acaciarelay.programs.relay_beliefs import TABLES, Beliefs
 from acaciarelay.programs.relay_peers import Peers
-from acaciarelay.programs.relay_request import RequestRelay, respond_refusal
+from acaciarelay.programs.relay_refusal import respond_refusal
+from acaciarelay.programs.relay_request import RequestRelay
 from acaciarelay.programs.relay_settings import (
     RelaySettings,
     SettingsError,
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -8,7 +8,6 @@
 from acaciarelay.coordination.endpoint_health import EndpointHealth
 from acaciarelay.coordination.place_asker import AgentLink, Place, PlaceAsker
 from acaciarelay.coordination.retry_share import RetryShare
-from acaciarelay.platform.configuration import ENDPOINT_TABLE
 from acaciarelay.programs.relay_beliefs import Beliefs
 from acaciarelay.protocol.relay_messages import AskPlace
 from acaciarelay.state.endpoints import Endpoint
@@ -140,7 +139,3 @@
         if not waits:
             return LEAST_RETRY_S * 4
         return max(LEAST_RETRY_S, min(waits))
-
-    @property
-    def endpoint_age_s(self) -> float:
-        return self.beliefs.age_s(ENDPOINT_TABLE)
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -17,7 +17,6 @@
 UNACKNOWLEDGED_S = 4.0
 # Reading pauses above this many events, so that a slow caller holds back its endpoint.
 MAX_QUEUED_EVENTS = 64
-KEEP_ALIVE = "keep-alive"
 
 
 class FaultKind(enum.StrEnum):
@@ -49,11 +48,7 @@
         self.transport: asyncio.Transport | None = None
         self.events: collections.deque[h11.Event | CallFault] = collections.deque()
         self.waiter: asyncio.Future | None = None
-        self.written = 0
         self.broken: CallFault | None = None
-        self.requests = 0
-        self.idle_limit_s: float | None = None
-        self.idle_since = 0.0
         self.paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -131,8 +126,6 @@
             h11.Request(method=method, target=target, headers=list(headers))
         )
         assert head is not None
-        self.written += 1
-        self.requests += 1
         if body:
             data = self.http.send(h11.Data(data=body))
             self.transport.write(head + (data or b""))
@@ -159,11 +152,8 @@
             self.transport.resume_reading()
         return event
 
-    def start_next(self, idle_limit_s: float | None = None) -> None:
-        """Prepare for another request, or close when the connection can't take one.
-
-        ``idle_limit_s`` is how long the endpoint keeps an idle connection.
-        """
+    def start_next(self) -> None:
+        """Prepare for another request, or close when the connection can't take one."""
         done = (
             self.http.our_state is h11.DONE
             and self.http.their_state is h11.DONE
@@ -174,8 +164,6 @@
             self.close()
             return
         self.http.start_next_cycle()
-        self.idle_limit_s = idle_limit_s
-        self.idle_since = asyncio.get_running_loop().time()
 
     @property
     def unsent(self) -> int:
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -15,7 +15,8 @@
 from acaciarelay.platform.store import StoreRow
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_beliefs import Beliefs
-from acaciarelay.programs.relay_request import RequestRelay, respond_refusal
+from acaciarelay.programs.relay_refusal import respond_refusal
+from acaciarelay.programs.relay_request import RequestRelay
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.front_server import CallerGone, FrontConnection, FrontRequest
 from acaciarelay_standins.front_standin import listen
