--- a/tests/integration/test_operations_page.py
+++ b/tests/integration/test_operations_page.py
@@ -19,7 +19,7 @@
 from acaciarelay_standins.fleet import HOST, OPERATOR_KEY, Fleet, free_port
 
 ROOT = Path(__file__).parents[2]
-PAGE = (ROOT / "docs" / "operations.md").read_text()
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
 EXAMPLE_KEY = "example-caller-key"
 BLOCK = re.compile(r"^```sh run\n(.*?)^```$", re.MULTILINE | re.DOTALL)
 BLOCK_TIMEOUT_S = 90
