--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 demo: install
 	$(PYTHON) tools/demo.py
+	$(PYTHON) tools/demo_platform.py
 
 test: install
 	$(PYTHON) -m pytest -n $(TEST_WORKERS) --dist loadfile
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -123,11 +124,22 @@
         """Write a configuration as the operator does."""
         self.store.put("op", "config", value)
 
-    async def add_runner(self, service: str, number: int, **fields: Any) -> None:
-        """Start a runner at 127.0.2.NUMBER that writes its registration."""
+    async def add_runner(
+        self,
+        service: str,
+        number: int,
+        through: Callable[[str, str], Awaitable[str]] | None = None,
+        **fields: Any,
+    ) -> None:
+        """Start a runner at 127.0.2.NUMBER that writes its registration.
+
+        ``through`` opens a proxy before it and returns the proxy's address.
+        """
         name = f"i-{number}"
         runner = PlatformRunner(name, **fields)
         server, address = await listen(runner.handle, f"127.0.2.{number}:0")
+        if through is not None:
+            address = await through(name, address)
         self.runners[name] = runner
         self.servers[name] = server
         self.states[name] = "ready"
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,373 @@
+"""Randomized soak: entries and agents under faults from outside, promises checked.
+
+``python tests/soak.py --seeds 50 --first 1`` runs seeds by hand; a short seeded run is
+a part of the test suite. All that is random follows from the seed; what the kernel
+schedules does not.
+"""
+
+import argparse
+import asyncio
+import collections
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import attrs
+from integration.platform_fleet import PlatformFleet
+from relay_rig import HOST, KEY, RawAnswer, configuration, read_raw_answer, route
+
+from acaciarelay_standins.platform_runner import RunnerFaults
+from acaciarelay_standins.platform_store import StoreFaults
+from acaciarelay_standins.proxy import Faults as LinkFaults, Proxy
+
+__all__ = ["Soak", "main"]
+
+ENTRIES = ("entry-1", "entry-2")
+ENGINES = (1, 2)
+SERVICES = (3, 4)
+CALLERS = 8
+CALL_LIMIT_S = 2.0
+RECOVERY_S = 12.0
+APPLY_S = 2.5
+PROMISES = (408, 421, 429, 503)
+EVENTS = [f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 11)]
+RUNNER_FAULTS = (
+    "lose",
+    "shed",
+    "error",
+    "foreign",
+    "unsealed",
+    "short",
+    "garbage",
+    "silent",
+    "extra",
+    "wrong_endpoint",
+)
+
+
+@attrs.frozen
+class Call:
+    """Hold one call with its answer; ``None`` when the connection failed."""
+
+    attempt: str
+    target: str
+    answer: RawAnswer | None
+
+
+class Soak:
+    """Run one seed for some seconds and collect broken promises."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.fleet = PlatformFleet(folder)
+        self.calls: list[Call] = []
+        self.broken: list[str] = []
+        self.history: list[str] = []
+        self.proxies: dict[str, Proxy] = {}
+        self.version = 1
+        self.extra_route = False
+        self.began = 0.0
+        self.busy: set[str] = set()
+
+    def say(self, text: str) -> None:
+        self.history.append(f"{time.monotonic() - self.began:7.3f} s  {text}")
+
+    async def run(self) -> list[str]:
+        """Return the broken promises."""
+        async with self.fleet:
+            await self.start()
+            self.began = time.monotonic()
+            stop_at = self.began + self.seconds
+            callers = [
+                asyncio.create_task(self.call_often(number, stop_at))
+                for number in range(CALLERS)
+            ]
+            series = [asyncio.create_task(self.disturb(stop_at)) for _ in range(3)]
+            await asyncio.gather(*callers, *series)
+            await self.check_recovery()
+            await self.check_configuration()
+            self.check_calls()
+        for proxy in self.proxies.values():
+            await proxy.close()
+        return self.broken
+
+    async def start(self) -> None:
+        fleet = self.fleet
+        store = Proxy(fleet.store_address)
+        port = await store.listen("127.0.0.1", 0)
+        self.proxies["store"] = store
+        fleet.store_address = f"127.0.0.1:{port}"
+        for number in (*ENGINES, *SERVICES):
+            service = "engine" if number in ENGINES else "orders"
+            await fleet.add_runner(service, number, through=self.open_proxy)
+        for number in ENGINES:
+            await fleet.add_agent(number)
+        for number in range(1, len(ENTRIES) + 1):
+            await fleet.add_entry(number)
+
+    async def open_proxy(self, name: str, address: str) -> str:
+        proxy = Proxy(address)
+        host = address.rpartition(":")[0]
+        port = await proxy.listen(host, 0)
+        self.proxies[name] = proxy
+        return f"{host}:{port}"
+
+    # Callers.
+
+    async def call_often(self, number: int, stop_at: float) -> None:
+        rng = random.Random(self.rng.random())
+        count = 0
+        reader: asyncio.StreamReader | None = None
+        writer: asyncio.StreamWriter | None = None
+        while time.monotonic() < stop_at:
+            count += 1
+            target = rng.choice(("/read/a", "/order/a", "/chat/a", "/extra/a"))
+            attempt = f"c{number}-{count}"
+            entry = rng.choice(ENTRIES)
+            answer = None
+            try:
+                if writer is None:
+                    address = self.fleet.programs[entry].settings["caller_address"]
+                    host, _, port = address.rpartition(":")
+                    async with asyncio.timeout(1.0):
+                        reader, writer = await asyncio.open_connection(host, int(port))
+                assert reader is not None
+                writer.write(request_bytes(target, attempt))
+                async with asyncio.timeout(CALL_LIMIT_S + 1.0):
+                    answer = await read_raw_answer(reader)
+            except (OSError, TimeoutError):
+                answer = None
+            self.calls.append(Call(attempt, target, answer))
+            closing = answer is not None and answer.headers.get("connection") == "close"
+            if answer is None or not answer.whole or closing or rng.random() < 0.3:
+                if writer is not None:
+                    writer.transport.abort()
+                reader = writer = None
+            await asyncio.sleep(rng.random() * 0.05)
+        if writer is not None:
+            writer.transport.abort()
+
+    # Disturbances.
+
+    async def disturb(self, stop_at: float) -> None:
+        kinds: list[Callable[[], Awaitable[None]]] = [
+            self.disturb_link,
+            self.disturb_store,
+            self.disturb_runner,
+            self.pause_program,
+            self.restart_program,
+            self.change_configuration,
+        ]
+        while time.monotonic() < stop_at:
+            await asyncio.sleep(self.rng.uniform(0.1, 0.6))
+            await self.rng.choice(kinds)()
+
+    async def disturb_link(self) -> None:
+        name = self.rng.choice(sorted(self.proxies))
+        faults = self.rng.choice(
+            [
+                LinkFaults(cut=True),
+                LinkFaults(silent=True),
+                LinkFaults(one_way="to_upstream", all_connections=True),
+                LinkFaults(one_way="to_client", all_connections=True),
+                LinkFaults(delay_s=0.1),
+                LinkFaults(refuse=True, cut=True),
+            ]
+        )
+        self.say(f"link {name}: {faults}")
+        await self.proxies[name].set_faults(faults)
+        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        await self.proxies[name].set_faults(LinkFaults())
+
+    async def disturb_store(self) -> None:
+        if self.rng.random() < 0.3:
+            self.say("store: history forgotten")
+            self.fleet.store.compact()
+            return
+        faults = self.rng.choice(
+            [
+                StoreFaults(status=503),
+                StoreFaults(status=429),
+                StoreFaults(silent=True),
+                StoreFaults(slow_s=0.4),
+                StoreFaults(stale_versions=8),
+            ]
+        )
+        self.say(f"store: {faults}")
+        self.fleet.store.faults = faults
+        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        self.fleet.store.faults = StoreFaults()
+
+    async def disturb_runner(self) -> None:
+        name = self.rng.choice(sorted(self.fleet.runners))
+        faults = RunnerFaults()
+        if self.rng.random() < 0.3:
+            faults.cut_after = self.rng.randrange(1, 9)
+            faults.torn = self.rng.random() < 0.5
+        else:
+            setattr(faults, self.rng.choice(RUNNER_FAULTS), True)
+        self.say(f"runner {name}: {faults}")
+        self.fleet.runners[name].faults = faults
+        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        self.fleet.runners[name].faults = RunnerFaults()
+
+    async def pause_program(self) -> None:
+        name = self.rng.choice(sorted(self.fleet.programs))
+        program = self.fleet.programs[name]
+        if name in self.busy or program.process is None:
+            return
+        self.busy.add(name)
+        self.say(f"pause {name}")
+        program.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.2, 2.5))
+        program.process.send_signal(signal.SIGCONT)
+        self.busy.discard(name)
+
+    async def restart_program(self) -> None:
+        name = self.rng.choice(sorted(self.fleet.programs))
+        if name in self.busy:
+            return
+        self.busy.add(name)
+        number = self.rng.choice((signal.SIGKILL, signal.SIGTERM))
+        self.say(f"{number.name} {name}")
+        program = self.fleet.programs[name]
+        program.settings["first_start"] = False
+        code = await program.stop(number)
+        if number is signal.SIGTERM and code != 0:
+            self.broken.append(f"{name} ended with {code} after SIGTERM")
+        await asyncio.sleep(self.rng.uniform(0.0, 0.5))
+        await program.start()
+        self.busy.discard(name)
+
+    async def change_configuration(self) -> None:
+        self.version += self.rng.randrange(1, 4)
+        self.extra_route = not self.extra_route
+        self.say(f"configuration {self.version}, extra route {self.extra_route}")
+        self.fleet.configure(self.wanted())
+
+    def wanted(self) -> dict:
+        routes = [
+            route("/read/", "idempotent"),
+            route("/order/", "non_idempotent"),
+            route("/chat/", "streaming", service="engine", resumable=True),
+        ]
+        if self.extra_route:
+            routes.append(route("/extra/", "non_idempotent"))
+        value = configuration(self.version, routes=routes)
+        value["services"][1]["engine"] = {"slots": 8, "kvTokens": 100_000}
+        return value
+
+    # Promises.
+
+    async def check_recovery(self) -> None:
+        """Each entry serves all kinds again once nothing disturbs it."""
+        end_at = time.monotonic() + RECOVERY_S
+        for entry in ENTRIES:
+            for target in ("/read/a", "/order/a", "/chat/a"):
+                served = False
+                while not served and time.monotonic() < end_at:
+                    attempt = f"after-{len(self.calls)}"
+                    try:
+                        answer = await self.fleet.call(entry, target, attempt)
+                    except (OSError, TimeoutError):
+                        answer = None
+                    self.calls.append(Call(attempt, target, answer))
+                    served = answer is not None and answer.status == 200
+                    if not served:
+                        await asyncio.sleep(0.1)
+                if not served:
+                    self.broken.append(f"{entry} does not serve {target} again")
+
+    async def check_configuration(self) -> None:
+        """The newest configuration is in force everywhere."""
+        await asyncio.sleep(APPLY_S)
+        for entry in ENTRIES:
+            answer = await self.fleet.call(entry, "/extra/a", f"last-{entry}")
+            found = answer.status != 404
+            if found != self.extra_route:
+                self.broken.append(f"{entry} is not at version {self.version}")
+
+    def check_calls(self) -> None:
+        runs: collections.Counter[str] = collections.Counter()
+        for runner in self.fleet.runners.values():
+            runs.update(run.attempt for run in runner.runs)
+        for call in self.calls:
+            problem = judge(call, runs[call.attempt])
+            if problem:
+                self.broken.append(f"{call.attempt} {call.target}: {problem}")
+
+
+def request_bytes(target: str, attempt: str) -> bytes:
+    """Build a request as a caller sends it."""
+    tokens = "Token-Usage: 100,30\r\n" if target.startswith("/chat/") else ""
+    limit_ms = int(CALL_LIMIT_S * 1000)
+    return (
+        f"POST {target} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
+        f"Attempt-Id: {attempt}\r\nDeadline-Ms: {limit_ms}\r\n{tokens}"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
+def judge(call: Call, runs: int) -> str:
+    """Return the promise that a call's answer breaks, or an empty text."""
+    once = call.target.startswith(("/order/", "/extra/"))
+    if once and runs > 1:
+        return f"ran {runs} times"
+    answer = call.answer
+    if answer is None or answer.status == 0:
+        return ""
+    if once and answer.status in PROMISES and runs:
+        return f"refused with {answer.status} and ran"
+    if not 200 <= answer.status < 300:
+        return ""
+    if "runner-seal" not in answer.headers:
+        return "success without a seal"
+    if not call.target.startswith("/chat/"):
+        own = answer.body.endswith(f" to {call.attempt}".encode())
+        return "" if own or not answer.whole else "the answer of another request"
+    if answer.whole and answer.body != b"".join(EVENTS):
+        return "a stream that looks complete and is not"
+    if not b"".join(EVENTS).startswith(answer.body):
+        return "a gap, a repeat or a foreign event"
+    return ""
+
+
+async def run_seed(seed: int, seconds: float) -> bool:
+    """Run one seed and print what it broke; ``True`` when nothing."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, seconds, Path(folder))
+        broken = await soak.run()
+        statuses = collections.Counter(
+            call.answer.status if call.answer else None for call in soak.calls
+        )
+        print(f"seed {seed}: {len(soak.calls)} calls {dict(statuses)}", flush=True)
+        for text in broken:
+            print(f"  broken: {text}", flush=True)
+        if broken:
+            for text in soak.history:
+                print(f"    {text}", flush=True)
+        return not broken
+
+
+def main() -> int:
+    """Run seeds by hand."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    options = parser.parse_args()
+    failed = []
+    for seed in range(options.first, options.first + options.seeds):
+        if not asyncio.run(run_seed(seed, options.seconds)):
+            failed.append(seed)
+    print(f"{options.seeds} seeds, failed: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
