--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -40,6 +40,15 @@
     folder: Path
     process: asyncio.subprocess.Process | None = None
 
+    @property
+    def serving(self) -> bool:
+        """Return whether the present process has begun to listen."""
+        assert self.process is not None
+        for line in self.log():
+            if line["pid"] == self.process.pid and line["message_type"] == "started":
+                return True
+        return False
+
     @property
     def log_path(self) -> Path:
         return self.folder / f"{self.name}.log"
