--- /dev/null
+++ b/tests/unit/test_decision_log.py
@@ -0,0 +1,66 @@
+"""Guard against logs that block the loop, grow without bound or lose their origin."""
+
+import os
+
+import orjson
+import pytest
+
+from acaciarelay.programs import decision_log
+from acaciarelay.programs.decision_log import DecisionLog
+
+ORIGIN = {"timestamp": 1.0, "program": "entry", "name": "entry-1", "pid": 7}
+
+
+@pytest.fixture
+def pipe(monkeypatch):
+    monkeypatch.setattr(decision_log.time, "monotonic", lambda: 5.0)
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    os.set_blocking(writer, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def message(number):
+    return {"message_type": "request_ended", "number": number} | ORIGIN
+
+
+def read_lines(reader):
+    try:
+        return [orjson.loads(line) for line in os.read(reader, 1_000_000).splitlines()]
+    except BlockingIOError:
+        return []
+
+
+def overflow(pipe, monkeypatch):
+    reader, writer = pipe
+    log = DecisionLog(writer)
+    for number in range(decision_log.MAX_LINES_PER_S + 15):
+        log.write(message(number))
+    monkeypatch.setattr(decision_log.time, "monotonic", lambda: 6.0)
+    log.write(message(999))
+    return read_lines(reader)
+
+
+def test_lines_beyond_the_rate_are_counted(pipe, monkeypatch):
+    lines = overflow(pipe, monkeypatch)
+    assert len(lines) == decision_log.MAX_LINES_PER_S + 2
+    assert lines[-2]["message_type"] == "log_lines_left_out"
+    assert lines[-2]["over_rate"] == 15
+    assert lines[-1]["number"] == 999
+
+
+def test_count_of_lines_left_out_names_its_process(pipe, monkeypatch):
+    """Guards against a count that no process can be told from."""
+    note = overflow(pipe, monkeypatch)[-2]
+    assert {"timestamp", "program", "name", "pid"} <= note.keys()
+
+
+def test_output_that_nobody_reads_never_blocks(pipe):
+    reader, writer = pipe
+    log = DecisionLog(writer)
+    for number in range(20):
+        log.write(message(number) | {"text": "x" * 100_000})
+    assert log.blocked > 0
+    assert len(log.buffer) <= decision_log.MAX_BUFFER_BYTES
