--- a/tests/unit/platform_path/test_shares.py
+++ b/tests/unit/platform_path/test_shares.py
@@ -32,7 +32,7 @@
 class World:
     """Play processes that share one limit under a flood, with steady time."""
 
-    def __init__(self, count: int, seed: int, flood: float = 8.0) -> None:
+    def __init__(self, count: int, seed: int, flood: float = 31.0) -> None:
         self.rng = random.Random(seed)
         self.now = 100.0
         self.count = count
