--- a/src/acaciarelay/coordination/place_asker.py
+++ b/src/acaciarelay/coordination/place_asker.py
@@ -15,7 +15,7 @@
 )
 from acaciarelay.transport.message_link import MessageLink
 
-__all__ = ["AgentLink", "Place", "PlaceAsker"]
+__all__ = ["AgentLink", "NoPlace", "Place", "PlaceAsker"]
 
 # An agent that was silent for longer may have another load than it last told.
 STATE_FRESH_S = 1.2
@@ -58,11 +58,28 @@
         self.agent.link.send(EndPlace(request=self.request))
 
 
+@attrs.frozen
+class NoPlace:
+    """Say that no place was granted; ``refused`` if no agent expects to have one."""
+
+    refused: bool
+
+
 @attrs.define(eq=False)
 class _Pending:
+    """Hold a request that waits; the future gets a ``Place`` or ``NoPlace``."""
+
     future: asyncio.Future
     asked: list[AgentLink]
 
+    def drop(self, agent: AgentLink, refused: bool) -> None:
+        """Take an agent off; the last one decides."""
+        if agent not in self.asked:
+            return
+        self.asked.remove(agent)
+        if not self.asked and not self.future.done():
+            self.future.set_result(NoPlace(refused))
+
 
 class PlaceAsker:
     """Keep the links to agents by host and the requests that wait for a place."""
@@ -83,11 +100,7 @@
             return
         del self.agents[host]
         for pending in list(self._pending.values()):
-            if agent not in pending.asked:
-                continue
-            pending.asked.remove(agent)
-            if not pending.asked and not pending.future.done():
-                pending.future.set_result(None)
+            pending.drop(agent, False)
 
     def receive(self, host: str, message: RelayMessage) -> None:
         """Take a message from the agent at a host."""
@@ -106,16 +119,13 @@
                 pending.future.set_result(Place(agent, request))
             case RefusePlace(request=request):
                 pending = self._pending.get(request)
-                if pending is None or agent not in pending.asked:
-                    return
-                pending.asked.remove(agent)
-                if not pending.asked and not pending.future.done():
-                    pending.future.set_result(None)
+                if pending is not None:
+                    pending.drop(agent, True)
 
     async def ask(
         self, agents: list[AgentLink], ask: AskPlace, wait_s: float
-    ) -> Place | None:
-        """Ask agents and return the first place, or ``None`` after ``wait_s``."""
+    ) -> Place | NoPlace:
+        """Ask agents and return the first place granted within ``wait_s`` seconds."""
         request = f"{ask.request}.{next(self._numbers)}"
         ask = attrs.evolve(ask, request=request)
         future = asyncio.get_running_loop().create_future()
@@ -123,21 +133,21 @@
         self._pending[request] = pending
         for agent in agents:
             agent.link.send(ask)
-        granted: Place | None = None
+        result: Place | NoPlace | None = None
         try:
             async with asyncio.timeout(wait_s):
-                granted = await future
+                result = await future
         except TimeoutError:
             pass
         finally:
             del self._pending[request]
-            if granted is None and future.done() and not future.cancelled():
+            if result is None and future.done() and not future.cancelled():
                 # The caller left in the very turn in which the place was granted.
-                late = future.result()
-                if late is not None:
-                    late.end()
-                    pending.asked = [a for a in pending.asked if a is not late.agent]
+                match future.result():
+                    case Place() as late:
+                        late.end()
+                        pending.asked.remove(late.agent)
             for agent in pending.asked:
-                if granted is None or agent is not granted.agent:
+                if not isinstance(result, Place) or agent is not result.agent:
                     agent.link.send(EndPlace(request=request))
-        return granted
+        return result if result is not None else NoPlace(False)
--- /dev/null
+++ b/src/acaciarelay/coordination/place_forecast.py
@@ -0,0 +1,78 @@
+"""Learn how an engine's places are asked for and held, and predict waits from it."""
+
+import collections
+import math
+from collections.abc import Mapping
+
+import attrs
+
+__all__ = ["PlaceForecast"]
+
+# Weight of the newest observation in the mean time for which a place is held.
+HOLD_WEIGHT = 0.1
+FIRST_HOLD_S = 0.3
+# Time over which rates are averaged.
+RATE_S = 1.0
+# Part of the engine's pace that is reckoned with for the least urgent work at least.
+LEAST_PART = 0.05
+
+
+@attrs.define(eq=False)
+class _Rate:
+    """Average events a second, fading with time."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def add(self, weight: float, now: float) -> None:
+        self.value = self.read(now) + weight / RATE_S
+        self.at = now
+
+    def read(self, now: float) -> float:
+        return self.value * math.exp(-max(0.0, now - self.at) / RATE_S)
+
+
+class PlaceForecast:
+    """Keep rates of requests and holding times by rank; lower ranks are more urgent."""
+
+    def __init__(self) -> None:
+        self._hold_s: dict[int, float] = {}
+        self._asked: dict[int, _Rate] = collections.defaultdict(_Rate)
+        self._granted: dict[int, _Rate] = collections.defaultdict(_Rate)
+
+    def ask(self, rank: int, weight: float, now: float) -> None:
+        """Note a request; ``weight`` is below 1 if several agents were asked for it."""
+        self._asked[rank].add(weight, now)
+
+    def grant(self, rank: int, now: float) -> None:
+        """Note that a request got a place."""
+        self._granted[rank].add(1.0, now)
+
+    def end(self, rank: int, held_s: float) -> None:
+        """Note for how long a place was held."""
+        before = self._hold_s.get(rank, held_s)
+        self._hold_s[rank] = before + HOLD_WEIGHT * (held_s - before)
+
+    def hold_s(self, rank: int) -> float:
+        """Return the mean time in seconds for which a rank holds a place."""
+        return max(0.001, self._hold_s.get(rank, FIRST_HOLD_S))
+
+    def urgent_places(self, rank: int, now: float) -> float:
+        """Return how many places the requests more urgent than a rank take on average.
+
+        By Little's law it is their rate times the time for which they hold a place.
+        """
+        places = 0.0
+        for other, rate in self._asked.items():
+            if other < rank:
+                places += rate.read(now) * self.hold_s(other)
+        return places
+
+    def pace(self, rank: int, granted: Mapping[int, int], now: float) -> float:
+        """Return the places a second that more urgent requests leave to a rank."""
+        freed = sum(count / self.hold_s(other) for other, count in granted.items())
+        urgent = 0.0
+        for other, rate in self._granted.items():
+            if other < rank:
+                urgent += rate.read(now)
+        return max(freed * LEAST_PART, freed - urgent, 0.001)
--- a/src/acaciarelay/coordination/place_queue.py
+++ b/src/acaciarelay/coordination/place_queue.py
@@ -1,21 +1,18 @@
 """Places at one engine, granted by rank and fairly among organisations."""
 
 import collections
-import math
 
 import attrs
 
+from acaciarelay.coordination.place_forecast import PlaceForecast
 from acaciarelay.protocol.relay_messages import AskPlace
 
 __all__ = ["Holder", "PlaceQueue"]
 
-# Weight of the newest observation in the mean time for which a place is held.
-HOLD_WEIGHT = 0.1
-FIRST_HOLD_S = 0.3
-# Time over which the rate of grants is averaged.
-RATE_S = 1.0
-# Part of the engine that is reckoned with for the least urgent work at least.
-LEAST_PART = 0.05
+# Part of the places that a rank may take whatever more urgent ones need.
+LEAST_PLACES_PART = 0.25
+# A predicted wait beyond this multiple of what a request may wait counts as hopeless.
+HOPELESS = 1.0
 
 
 @attrs.define(eq=False)
@@ -25,30 +22,38 @@
     ask: AskPlace
     owner: object
     asked_at: float
-    share_start: float
     granted_at: float | None = None
 
+    @property
+    def weight(self) -> float:
+        """Return how much of the request waits here, if several agents were asked."""
+        return 1.0 / max(1, self.ask.asked)
+
 
 class PlaceQueue:
-    """Decide which waiting request gets the next place."""
+    """Decide which waiting request gets the next place.
+
+    Requests are granted by rank, then those that can still be on time, then the
+    organisation that was granted least, then by arrival. Engines can't interrupt a run,
+    so less urgent ranks leave as many places free as more urgent ones take on average.
+    """
 
     def __init__(self) -> None:
         self.limit = 0
         self.waiting: dict[tuple[int, str], Holder] = {}
         self.granted: dict[tuple[int, str], Holder] = {}
-        self.hold_s = FIRST_HOLD_S
+        self.forecast = PlaceForecast()
         # Virtual time of each organisation: the tokens that it was granted so far.
         self._served: dict[str, float] = collections.defaultdict(float)
         self._floor = 0.0
-        # Grants a second by rank, fading with time.
-        self._rates: dict[int, tuple[float, float]] = {}
 
     def ask(self, owner: object, ask: AskPlace, now: float) -> None:
         """Add a request."""
         start = max(self._served[ask.organisation], self._floor)
         self._served[ask.organisation] = start
-        key = (id(owner), ask.request)
-        self.waiting[key] = Holder(ask, owner, now, start)
+        holder = Holder(ask, owner, now)
+        self.waiting[(id(owner), ask.request)] = holder
+        self.forecast.ask(ask.rank, holder.weight, now)
 
     def end(self, owner: object, request: str, now: float) -> None:
         """Remove a waiting request or free its place."""
@@ -58,8 +63,7 @@
         holder = self.granted.pop(key, None)
         if holder is None or holder.granted_at is None:
             return
-        held = now - holder.granted_at
-        self.hold_s += HOLD_WEIGHT * (held - self.hold_s)
+        self.forecast.end(holder.ask.rank, now - holder.granted_at)
 
     def end_all(self, owner: object) -> int:
         """Remove all that came over a link which is gone; return how many places."""
@@ -74,53 +78,99 @@
         """Grant the free places; ``foreign`` counts runs that no place stands for."""
         grants = []
         while self.waiting and len(self.granted) + foreign < self.limit:
-            key = min(self.waiting, key=self._order)
+            key = self._next_key(now, foreign)
+            if key is None:
+                break
             holder = self.waiting.pop(key)
             if now - holder.asked_at > holder.ask.time_left_s:
                 continue
             self._charge(holder.ask)
-            rank = holder.ask.rank
-            self._rates[rank] = (self._rate(rank, now) + 1.0 / RATE_S, now)
+            self.forecast.grant(holder.ask.rank, now)
             holder.granted_at = now
             self.granted[key] = holder
             grants.append(holder)
         return grants
 
-    def _order(self, key: tuple[int, str]) -> tuple[float, float, float]:
+    def _next_key(self, now: float, foreign: int) -> tuple[int, str] | None:
+        open_ranks = {}
+        best = None
+        for key, holder in self.waiting.items():
+            rank = holder.ask.rank
+            if rank not in open_ranks:
+                open_ranks[rank] = self._room(rank, now, foreign) >= 1
+            if not open_ranks[rank]:
+                continue
+            if best is None or self._order(key) < self._order(best):
+                best = key
+        return best
+
+    def _room(self, rank: int, now: float, foreign: int) -> float:
+        """Return the places that a rank may take now, more urgent ones left aside."""
+        taken = foreign
+        for holder in self.granted.values():
+            taken += holder.ask.rank >= rank
+        allowed = self.limit - self.forecast.urgent_places(rank, now)
+        allowed = max(allowed, self.limit * LEAST_PLACES_PART, 1.0)
+        free = self.limit - len(self.granted) - foreign
+        return min(free, allowed - taken)
+
+    def _order(self, key: tuple[int, str]) -> tuple[int, bool, float, float]:
         holder = self.waiting[key]
-        served = self._served[holder.ask.organisation]
-        return holder.ask.rank, served, holder.asked_at
+        ask = holder.ask
+        return ask.rank, ask.late, self._served[ask.organisation], holder.asked_at
 
     def _charge(self, ask: AskPlace) -> None:
         tokens = ask.prompt_tokens + 10.0 * ask.output_tokens
         self._floor = max(self._floor, self._served[ask.organisation])
         self._served[ask.organisation] += tokens
 
-    def _rate(self, rank: int, now: float) -> float:
-        rate, at = self._rates.get(rank, (0.0, now))
-        return rate * math.exp(-(now - at) / RATE_S)
-
-    def expected_waits(self, ranks: int, now: float) -> list[float]:
-        """Return the wait in seconds of a new request for each rank below ``ranks``.
-
-        A request that asked several agents counts in part at each of them, and what
-        more urgent requests take of the engine is not there for less urgent ones.
-        """
+    # Predictions.
+
+    def _granted_by_rank(self) -> dict[int, int]:
+        counts: dict[int, int] = collections.Counter()
+        for holder in self.granted.values():
+            counts[holder.ask.rank] += 1
+        return counts
+
+    def _wait_s(
+        self, rank: int, ahead: float, granted: dict[int, int], now: float, foreign: int
+    ) -> float:
+        """Predict the wait of a request with ``ahead`` others before it."""
+        missing = ahead + 1.0 - max(0.0, self._room(rank, now, foreign))
+        if missing <= 0:
+            return 0.0
+        return missing / self.forecast.pace(rank, granted, now)
+
+    def expected_waits(self, ranks: int, now: float, foreign: int = 0) -> list[float]:
+        """Return the wait in seconds of a new request for each rank below ``ranks``."""
         if self.limit == 0:
             # The first request brings the engine's capacity with it.
             return [0.0] * ranks
         by_rank = [0.0] * ranks
         for holder in self.waiting.values():
-            rank = min(holder.ask.rank, ranks - 1)
-            by_rank[rank] += 1.0 / max(1, holder.ask.asked)
-        free = self.limit - len(self.granted)
-        pace = max(1, self.limit) / self.hold_s
+            by_rank[min(holder.ask.rank, ranks - 1)] += holder.weight
+        granted = self._granted_by_rank()
         waits = []
         ahead = 0.0
-        urgent = 0.0
         for rank, count in enumerate(by_rank):
             ahead += count
-            left = max(pace * LEAST_PART, pace - urgent)
-            waits.append(max(0.0, ahead + 1 - free) / left)
-            urgent += self._rate(rank, now)
+            waits.append(self._wait_s(rank, ahead, granted, now, foreign))
         return waits
+
+    def take_hopeless(self, now: float, foreign: int = 0) -> list[Holder]:
+        """Remove the waiting requests that most likely get no place in time."""
+        if self.limit == 0:
+            return []
+        granted = self._granted_by_rank()
+        hopeless = []
+        ahead = 0.0
+        for key in sorted(self.waiting, key=self._order):
+            holder = self.waiting[key]
+            left_s = holder.asked_at + holder.ask.wait_s - now
+            wait_s = self._wait_s(holder.ask.rank, ahead, granted, now, foreign)
+            if wait_s > left_s * HOPELESS:
+                del self.waiting[key]
+                hopeless.append(holder)
+                continue
+            ahead += holder.weight
+        return hopeless
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -129,6 +129,12 @@
         ("tier",),
         "Places that an agent granted.",
     ),
+    Metric(
+        "acaciarelay_places_refused_total",
+        "counter",
+        ("tier",),
+        "Requests that an agent refused a place because none would come in time.",
+    ),
     Metric(
         "acaciarelay_place_wait_seconds",
         "histogram",
--- a/src/acaciarelay/programs/relay_admission.py
+++ b/src/acaciarelay/programs/relay_admission.py
@@ -28,6 +28,8 @@
         self.beliefs = beliefs
         self.usage = usage
         self.rng = rng
+        # The longest time limit that callers of a route gave, by its name.
+        self._full_limits: dict[str, float] = {}
 
     def admit(self, request: FrontRequest) -> RelayRun | Refusal:
         """Check a request against the configuration in force."""
@@ -86,10 +88,25 @@
             cost=cost,
             arrived_at=request.arrived_at,
             limit_at=request.arrived_at + limit_s,
+            objective_at=request.arrived_at
+            + route.objective_s
+            - self.spent_s(route, traits),
             service=self.pick_service(route),
             last_event=traits.last_event,
         )
 
+    def spent_s(self, route: Route, traits: RequestTraits) -> float:
+        """Infer the seconds that earlier attempts of the caller took.
+
+        A caller's time limit runs on from its first attempt, so one that is shorter
+        than others of the route belongs to a request that was refused before.
+        """
+        if traits.time_limit_s is None:
+            return 0.0
+        full_s = max(self._full_limits.get(route.name, 0.0), traits.time_limit_s)
+        self._full_limits[route.name] = full_s
+        return full_s - traits.time_limit_s
+
     def pick_service(self, route: Route) -> str:
         if len(route.targets) == 1:
             return route.targets[0].service
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -10,7 +10,7 @@
 import h11
 from result import Err, Ok
 
-from acaciarelay.coordination.place_queue import PlaceQueue
+from acaciarelay.coordination.place_queue import Holder, PlaceQueue
 from acaciarelay.platform.configuration import FormatError
 from acaciarelay.platform.endpoints import EngineReport, decode_report
 from acaciarelay.platform.exchange import REPORT_PATH
@@ -31,6 +31,7 @@
     EntryList,
     GrantPlace,
     Hello,
+    RefusePlace,
     RelayMessage,
 )
 from acaciarelay.transport.endpoint_call import CallFault, connect
@@ -181,18 +182,23 @@
         self.grant()
 
     def grant(self) -> None:
-        for holder in self.queue.next_grants(time.monotonic(), self.foreign):
-            link = holder.owner
-            assert isinstance(link, MessageLink)
-            link.send(GrantPlace(request=holder.ask.request))
+        """Grant free places, and refuse at once what can't have one in time."""
+        now = time.monotonic()
+        for holder in self.queue.next_grants(now, self.foreign):
+            self.answer(holder, GrantPlace(request=holder.ask.request))
             self.metrics.count("places_granted_total", tier=holder.ask.rank)
             self.metrics.observe(
-                "place_wait_seconds",
-                time.monotonic() - holder.asked_at,
-                tier=holder.ask.rank,
+                "place_wait_seconds", now - holder.asked_at, tier=holder.ask.rank
             )
+        for holder in self.queue.take_hopeless(now, self.foreign):
+            self.answer(holder, RefusePlace(request=holder.ask.request))
+            self.metrics.count("places_refused_total", tier=holder.ask.rank)
         self.tell_soon()
 
+    def answer(self, holder: Holder, message: RelayMessage) -> None:
+        assert isinstance(holder.owner, MessageLink)
+        holder.owner.send(message)
+
     def tell_soon(self) -> None:
         if self.state_timer is None:
             self.state_timer = self.loop.call_later(STATE_INTERVAL_S, self.tell)
@@ -201,9 +207,14 @@
         """Tell the entries how long the wait is, when that changed."""
         self.state_timer = None
         now = time.monotonic()
+        if self.queue.waiting:
+            # Time alone can make a waiting request hopeless or open a place to it.
+            self.grant()
         self.metrics.set("places_used", len(self.queue.granted) + self.foreign)
         self.metrics.set("places_waiting", len(self.queue.waiting))
-        state = EngineState(waits_s=coarse_waits(self.queue.expected_waits(RANKS, now)))
+        state = EngineState(
+            waits_s=coarse_waits(self.queue.expected_waits(RANKS, now, self.foreign))
+        )
         for link, told in self.links.items():
             if told.state == state:
                 continue
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -6,7 +6,7 @@
 import attrs
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
-from acaciarelay.coordination.place_asker import AgentLink, Place, PlaceAsker
+from acaciarelay.coordination.place_asker import AgentLink, NoPlace, Place, PlaceAsker
 from acaciarelay.coordination.retry_share import RetryShare
 from acaciarelay.programs.relay_beliefs import Beliefs
 from acaciarelay.protocol.relay_messages import AskPlace
@@ -84,16 +84,20 @@
                     # Refused at once, since the wait would most likely be in vain.
                     run.steps.append(f"expected wait {expected_s:.3f} s")
                     return None
-                place = await self.asker.ask(
-                    agents, self._ask(run, len(agents)), max(0.0, budget_s)
-                )
-                if place is not None:
-                    placed = by_host[place.agent.host]
-                    current = self.beliefs.endpoints.get(placed.endpoint_id)
-                    if current is not None and not current.draining:
-                        return Placement(current, place)
-                    place.end()
-                    continue
+                budget_s = max(0.0, budget_s)
+                match await self.asker.ask(
+                    agents, self._ask(run, len(agents), budget_s), budget_s
+                ):
+                    case Place() as place:
+                        placed = by_host[place.agent.host]
+                        current = self.beliefs.endpoints.get(placed.endpoint_id)
+                        if current is not None and not current.draining:
+                            return Placement(current, place)
+                        place.end()
+                        continue
+                    case NoPlace(refused=True):
+                        run.steps.append(f"no place in time at {len(agents)} agents")
+                        return None
             if loop.time() >= wait_until - 0.001:
                 return None
             await asyncio.sleep(min(0.02, max(0.0, wait_until - loop.time())))
@@ -111,7 +115,7 @@
         costs.sort()
         return [self.asker.agents[host] for _, host in costs[:ASKED_AGENTS]]
 
-    def _ask(self, run: RelayRun, asked: int) -> AskPlace:
+    def _ask(self, run: RelayRun, asked: int, wait_s: float) -> AskPlace:
         loop = asyncio.get_running_loop()
         service = run.routing.services.get(run.service)
         engine = service.engine if service is not None else None
@@ -119,14 +123,12 @@
             request=run.traits.request_id,
             organisation=run.organisation.name if run.organisation else "",
             rank=run.rank,
-            objective_left_s=round(
-                run.arrived_at + run.route.objective_s - loop.time(), 4
-            ),
+            late=loop.time() > run.objective_at,
+            wait_s=round(wait_s, 4),
             time_left_s=round(run.limit_at - loop.time(), 4),
             prompt_tokens=run.traits.prompt_tokens or 0,
             output_tokens=run.traits.expected_output or run.traits.output_tokens or 0,
             slots=engine.slots if engine is not None else 1,
-            memory_tokens=engine.memory_tokens if engine is not None else 0,
             asked=asked,
         )
 
--- a/src/acaciarelay/protocol/relay_messages.py
+++ b/src/acaciarelay/protocol/relay_messages.py
@@ -55,19 +55,20 @@
 class AskPlace:
     """Ask an agent for a place at its engine; times in seconds.
 
-    ``slots`` and ``memory_tokens`` are the engine's capacity by the configuration;
-    ``asked`` is how many agents are asked for this request.
+    ``wait_s`` is how long the request may wait for a place; ``late`` tells that it
+    can't be on time any more. ``slots`` is the engine's capacity by the configuration,
+    and ``asked`` is how many agents are asked for this request.
     """
 
     request: str
     organisation: str
     rank: int
-    objective_left_s: float
+    late: bool
+    wait_s: float
     time_left_s: float
     prompt_tokens: int
     output_tokens: int
     slots: int
-    memory_tokens: int
     asked: int
 
 
@@ -80,7 +81,7 @@
 
 @attrs.frozen(kw_only=True)
 class RefusePlace:
-    """Say that a request can't get a place here."""
+    """Say that a request would most likely get no place here in time."""
 
     request: str
 
--- a/src/acaciarelay/state/relay_run.py
+++ b/src/acaciarelay/state/relay_run.py
@@ -72,6 +72,7 @@
     cost: float
     arrived_at: float
     limit_at: float
+    objective_at: float
     service: str = ""
     runs: int = 0
     declined: int = 0
--- a/tests/unit/platform_path/test_place_queue.py
+++ b/tests/unit/platform_path/test_place_queue.py
@@ -6,17 +6,25 @@
 from acaciarelay.protocol.relay_messages import AskPlace
 
 
-def ask(request, rank=1, organisation="workshop", tokens=100, left_s=5.0):
+def ask(
+    request,
+    rank=1,
+    organisation="workshop",
+    tokens=100,
+    left_s=5.0,
+    wait_s=5.0,
+    late=False,
+):
     return AskPlace(
         request=request,
         organisation=organisation,
         rank=rank,
-        objective_left_s=0.4,
+        late=late,
+        wait_s=wait_s,
         time_left_s=left_s,
         prompt_tokens=tokens,
         output_tokens=0,
         slots=2,
-        memory_tokens=1000,
         asked=1,
     )
 
@@ -64,6 +72,82 @@
     assert granted(places) == ["c"]
 
 
+def test_request_that_can_be_on_time_goes_before_a_late_one():
+    """Guards against on-time answers lost to requests that are late in any case."""
+    places = queue()
+    places.ask("one", ask("late", late=True), 0.0)
+    places.ask("one", ask("fresh"), 0.1)
+    assert granted(places) == ["fresh"]
+
+
+def serve(places, rank, count, every_s, hold_s, start=0.0):
+    """Let requests of one rank come and go; return when the last one came."""
+    ending = []
+    at = start
+    for number in range(count):
+        at = start + number * every_s
+        while ending and ending[0][0] <= at:
+            ended_at, request = ending.pop(0)
+            places.end("one", request, ended_at)
+        request = f"{rank}-{number}"
+        places.ask("one", ask(request, rank=rank), at)
+        for holder in places.next_grants(at):
+            ending.append((at + hold_s, holder.ask.request))
+    for _, request in list(places.waiting):
+        places.end("one", request, at)
+    for ended_at, request in ending:
+        places.end("one", request, ended_at)
+    return at
+
+
+def test_long_runs_of_low_rank_leave_places_to_urgent_ones():
+    """Guards against an engine full of long chats while urgent requests come."""
+    places = queue(8)
+    # 10 a second that hold a place for 0.4 s take 4 places on average.
+    now = serve(places, 0, 40, 0.1, 0.4)
+    for number in range(8):
+        places.ask("one", ask(f"chat-{number}", rank=2), now)
+    chats = granted(places, now)
+    assert 3 <= len(chats) <= 5
+
+
+def test_low_rank_keeps_some_places_under_a_flood_of_urgent_ones():
+    """Guards against a kind of request that starves."""
+    places = queue(8)
+    now = serve(places, 0, 400, 0.01, 0.4)
+    for number in range(8):
+        places.ask("one", ask(f"chat-{number}", rank=2), now)
+    assert len(granted(places, now)) == 2
+
+
+def test_low_rank_gets_all_places_when_nothing_urgent_comes():
+    """Guards against places left empty for nobody."""
+    places = queue(8)
+    for number in range(9):
+        places.ask("one", ask(f"chat-{number}", rank=2), 0.0)
+    assert len(granted(places)) == 8
+
+
+def test_hopeless_request_is_refused_before_its_wait_is_over():
+    """Guards against callers held for a place that can't come in time."""
+    places = queue(1)
+    now = serve(places, 1, 20, 1.0, 0.9)
+    places.ask("one", ask("running"), now)
+    granted(places, now)
+    places.ask("one", ask("patient", wait_s=3.0), now)
+    places.ask("one", ask("short", wait_s=0.2), now)
+    hopeless = [holder.ask.request for holder in places.take_hopeless(now)]
+    assert hopeless == ["short"]
+    assert ["patient"] == [h.ask.request for h in places.waiting.values()]
+
+
+def test_nothing_is_hopeless_while_places_are_free():
+    """Guards against refusals beside an idle engine."""
+    places = queue(2)
+    places.ask("one", ask("a", wait_s=0.01), 0.0)
+    assert places.take_hopeless(0.0) == []
+
+
 def test_runs_without_a_place_count():
     """Guards against a restarted agent that fills a full engine."""
     places = queue(2)
--- a/tests/unit/platform_path/test_relay_messages.py
+++ b/tests/unit/platform_path/test_relay_messages.py
@@ -23,12 +23,12 @@
     request="9c41d07be2a35f68.17",
     organisation="hule930",
     rank=9,
-    objective_left_s=0.3998,
+    late=False,
+    wait_s=0.2398,
     time_left_s=5.9998,
     prompt_tokens=2890,
     output_tokens=52,
     slots=8,
-    memory_tokens=397800,
     asked=3,
 )
 MESSAGES = [
