--- a/src/acaciarelay/coordination/place_asker.py
+++ b/src/acaciarelay/coordination/place_asker.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from acaciarelay.coordination.engine_model import EngineSpeed
 from acaciarelay.protocol.relay_messages import (
     AskPlace,
     EndPlace,
@@ -29,7 +30,6 @@
     host: str
     link: MessageLink
     state: EngineState | None = None
-    places: int = 0
 
     def expected_wait_s(self, rank: int, now: float) -> float:
         """Return the wait that a new request of a rank must expect here."""
@@ -40,6 +40,13 @@
             return UNKNOWN_WAIT_S
         return waits[min(rank, len(waits) - 1)] + self.link.round_trip_s
 
+    @property
+    def speed(self) -> EngineSpeed:
+        """Return how fast the engine is; unknown while the agent has told nothing."""
+        if self.state is None:
+            return EngineSpeed()
+        return EngineSpeed(first_s=self.state.first_s, event_s=self.state.event_s)
+
 
 @attrs.define(eq=False)
 class Place:
@@ -49,13 +56,19 @@
     request: str
     open: bool = True
 
-    def end(self) -> None:
-        """Give the place back; further calls do nothing."""
+    def end(self, first_s: float = 0.0, stream_s: float = 0.0, events: int = 0) -> None:
+        """Give the place back with what was seen; further calls do nothing."""
         if not self.open:
             return
         self.open = False
-        self.agent.places -= 1
-        self.agent.link.send(EndPlace(request=self.request))
+        self.agent.link.send(
+            EndPlace(
+                request=self.request,
+                first_s=round(first_s, 4),
+                stream_s=round(stream_s, 4),
+                events=events,
+            )
+        )
 
 
 @attrs.frozen
@@ -115,7 +128,6 @@
                 if pending is None or pending.future.done():
                     agent.link.send(EndPlace(request=request))
                     return
-                agent.places += 1
                 pending.future.set_result(Place(agent, request))
             case RefusePlace(request=request):
                 pending = self._pending.get(request)
--- a/src/acaciarelay/coordination/place_forecast.py
+++ b/src/acaciarelay/coordination/place_forecast.py
@@ -1,4 +1,4 @@
-"""Learn how an engine's places are asked for and held, and predict waits from it."""
+"""Learn for how long an engine's places are held, and predict waits from it."""
 
 import collections
 import math
@@ -33,17 +33,12 @@
 
 
 class PlaceForecast:
-    """Keep rates of requests and holding times by rank; lower ranks are more urgent."""
+    """Keep rates of grants and holding times by rank; lower ranks are more urgent."""
 
     def __init__(self) -> None:
         self._hold_s: dict[int, float] = {}
-        self._asked: dict[int, _Rate] = collections.defaultdict(_Rate)
         self._granted: dict[int, _Rate] = collections.defaultdict(_Rate)
 
-    def ask(self, rank: int, weight: float, now: float) -> None:
-        """Note a request; ``weight`` is below 1 if several agents were asked for it."""
-        self._asked[rank].add(weight, now)
-
     def grant(self, rank: int, now: float) -> None:
         """Note that a request got a place."""
         self._granted[rank].add(1.0, now)
@@ -57,17 +52,6 @@
         """Return the mean time in seconds for which a rank holds a place."""
         return max(0.001, self._hold_s.get(rank, FIRST_HOLD_S))
 
-    def urgent_places(self, rank: int, now: float) -> float:
-        """Return how many places the requests more urgent than a rank take on average.
-
-        By Little's law it is their rate times the time for which they hold a place.
-        """
-        places = 0.0
-        for other, rate in self._asked.items():
-            if other < rank:
-                places += rate.read(now) * self.hold_s(other)
-        return places
-
     def pace(self, rank: int, granted: Mapping[int, int], now: float) -> float:
         """Return the places a second that more urgent requests leave to a rank."""
         freed = sum(count / self.hold_s(other) for other, count in granted.items())
--- a/src/acaciarelay/coordination/place_queue.py
+++ b/src/acaciarelay/coordination/place_queue.py
@@ -9,10 +9,9 @@
 
 __all__ = ["Holder", "PlaceQueue"]
 
-# Part of the places that a rank may take whatever more urgent ones need.
-LEAST_PLACES_PART = 0.25
-# A predicted wait beyond this multiple of what a request may wait counts as hopeless.
-HOPELESS = 1.0
+# A predicted wait beyond this multiple of what a request may wait counts as hopeless:
+# the prediction is a mean, and some places come sooner.
+HOPELESS = 2.0
 
 
 @attrs.define(eq=False)
@@ -34,8 +33,7 @@
     """Decide which waiting request gets the next place.
 
     Requests are granted by rank, then those that can still be on time, then the
-    organisation that was granted least, then by arrival. Engines can't interrupt a run,
-    so less urgent ranks leave as many places free as more urgent ones take on average.
+    organisation that was granted least, then by arrival.
     """
 
     def __init__(self) -> None:
@@ -51,19 +49,17 @@
         """Add a request."""
         start = max(self._served[ask.organisation], self._floor)
         self._served[ask.organisation] = start
-        holder = Holder(ask, owner, now)
-        self.waiting[(id(owner), ask.request)] = holder
-        self.forecast.ask(ask.rank, holder.weight, now)
+        self.waiting[(id(owner), ask.request)] = Holder(ask, owner, now)
 
-    def end(self, owner: object, request: str, now: float) -> None:
-        """Remove a waiting request or free its place."""
+    def end(self, owner: object, request: str, now: float) -> Holder | None:
+        """Remove a waiting request or free its place; return who had a place."""
         key = (id(owner), request)
         if self.waiting.pop(key, None) is not None:
-            return
+            return None
         holder = self.granted.pop(key, None)
-        if holder is None or holder.granted_at is None:
-            return
-        self.forecast.end(holder.ask.rank, now - holder.granted_at)
+        if holder is not None and holder.granted_at is not None:
+            self.forecast.end(holder.ask.rank, now - holder.granted_at)
+        return holder
 
     def end_all(self, owner: object) -> int:
         """Remove all that came over a link which is gone; return how many places."""
@@ -78,9 +74,7 @@
         """Grant the free places; ``foreign`` counts runs that no place stands for."""
         grants = []
         while self.waiting and len(self.granted) + foreign < self.limit:
-            key = self._next_key(now, foreign)
-            if key is None:
-                break
+            key = min(self.waiting, key=self._order)
             holder = self.waiting.pop(key)
             if now - holder.asked_at > holder.ask.time_left_s:
                 continue
@@ -91,29 +85,6 @@
             grants.append(holder)
         return grants
 
-    def _next_key(self, now: float, foreign: int) -> tuple[int, str] | None:
-        open_ranks = {}
-        best = None
-        for key, holder in self.waiting.items():
-            rank = holder.ask.rank
-            if rank not in open_ranks:
-                open_ranks[rank] = self._room(rank, now, foreign) >= 1
-            if not open_ranks[rank]:
-                continue
-            if best is None or self._order(key) < self._order(best):
-                best = key
-        return best
-
-    def _room(self, rank: int, now: float, foreign: int) -> float:
-        """Return the places that a rank may take now, more urgent ones left aside."""
-        taken = foreign
-        for holder in self.granted.values():
-            taken += holder.ask.rank >= rank
-        allowed = self.limit - self.forecast.urgent_places(rank, now)
-        allowed = max(allowed, self.limit * LEAST_PLACES_PART, 1.0)
-        free = self.limit - len(self.granted) - foreign
-        return min(free, allowed - taken)
-
     def _order(self, key: tuple[int, str]) -> tuple[int, bool, float, float]:
         holder = self.waiting[key]
         ask = holder.ask
@@ -136,7 +107,7 @@
         self, rank: int, ahead: float, granted: dict[int, int], now: float, foreign: int
     ) -> float:
         """Predict the wait of a request with ``ahead`` others before it."""
-        missing = ahead + 1.0 - max(0.0, self._room(rank, now, foreign))
+        missing = ahead + 1.0 - (self.limit - len(self.granted) - foreign)
         if missing <= 0:
             return 0.0
         return missing / self.forecast.pace(rank, granted, now)
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -10,6 +10,7 @@
 import h11
 from result import Err, Ok
 
+from acaciarelay.coordination.engine_model import EngineModel
 from acaciarelay.coordination.place_queue import Holder, PlaceQueue
 from acaciarelay.platform.configuration import FormatError
 from acaciarelay.platform.endpoints import EngineReport, decode_report
@@ -69,6 +70,7 @@
         self.loop = asyncio.get_running_loop()
         self.metrics = Metrics()
         self.queue = PlaceQueue()
+        self.model = EngineModel()
         self.hello = Hello(
             name=settings.name,
             lifetime=secrets.token_hex(6),
@@ -175,12 +177,23 @@
             case AskPlace():
                 self.queue.limit = message.slots + EXTRA_PLACES
                 self.queue.ask(link, message, now)
-            case EndPlace(request=request):
-                self.queue.end(link, request, now)
+            case EndPlace():
+                self.end(link, message, now)
             case _:
                 return
         self.grant()
 
+    def end(self, link: MessageLink, message: EndPlace, now: float) -> None:
+        """Free a place, and learn from the answer that its request got."""
+        holder = self.queue.end(link, message.request, now)
+        if holder is not None:
+            self.model.observe(
+                holder.ask.prompt_tokens,
+                message.first_s,
+                message.stream_s,
+                message.events,
+            )
+
     def grant(self) -> None:
         """Grant free places, and refuse at once what can't have one in time."""
         now = time.monotonic()
@@ -212,8 +225,12 @@
             self.grant()
         self.metrics.set("places_used", len(self.queue.granted) + self.foreign)
         self.metrics.set("places_waiting", len(self.queue.waiting))
+        speed = self.model.speed()
+        waits_s = self.queue.expected_waits(RANKS, now, self.foreign)
         state = EngineState(
-            waits_s=coarse_waits(self.queue.expected_waits(RANKS, now, self.foreign))
+            waits_s=coarse_waits(waits_s),
+            first_s=speed.first_s,
+            event_s=speed.event_s,
         )
         for link, told in self.links.items():
             if told.state == state:
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -94,7 +94,8 @@
             evidence = run.evidence
             run.runs += 1
             run.evidence = Evidence.MAY_HAVE_RUN
-            run.first_sent_at = run.first_sent_at or self.loop.time()
+            run.sent_at = self.loop.time()
+            run.first_sent_at = run.first_sent_at or run.sent_at
             call.send(request.method, request.target, headers, request.body)
             outcome = await self.read_answer(connection, run, call)
             if isinstance(outcome, NotRun):
@@ -224,6 +225,7 @@
                         return Broken("events out of order")
                     if not fresh:
                         continue
+                    run.events += len(fresh)
                     if not run.head_sent:
                         run.head_sent = True
                         run.first_event_at = self.loop.time()
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -26,6 +26,9 @@
 # Seconds of expected wait that a distance or a failure counts as.
 DISTANCE_S = 0.02
 FAILURE_S = 0.1
+# Part that the pace of a stream counts: a long one on a slow engine is likely to pause
+# for longer than callers accept.
+STREAM_PART = 0.03
 LEAST_RETRY_S = 0.05
 
 
@@ -36,10 +39,17 @@
     endpoint: Endpoint
     place: Place | None
 
-    def end(self) -> None:
-        """Give the place back."""
-        if self.place is not None:
+    def end(self, run: RelayRun | None = None) -> None:
+        """Give the place back, with what ``run`` saw of the engine if it succeeded."""
+        if self.place is None:
+            return
+        if run is None or run.first_event_at is None or run.sent_at is None:
             self.place.end()
+            return
+        now = asyncio.get_running_loop().time()
+        self.place.end(
+            run.first_event_at - run.sent_at, now - run.first_event_at, run.events
+        )
 
 
 class Placer:
@@ -111,6 +121,8 @@
             cost = agent.expected_wait_s(run.rank, now)
             cost += DISTANCE_S * self.health.distance_cost(endpoint.zone)
             cost += FAILURE_S * self.health.failures(endpoint.endpoint_id, now)
+            cost += agent.speed.first_event_s(run.traits.prompt_tokens or 0)
+            cost += STREAM_PART * agent.speed.event_s * _output_tokens(run)
             costs.append((cost + self.health.rng.random() * 0.002, host))
         costs.sort()
         return [self.asker.agents[host] for _, host in costs[:ASKED_AGENTS]]
@@ -127,7 +139,7 @@
             wait_s=round(wait_s, 4),
             time_left_s=round(run.limit_at - loop.time(), 4),
             prompt_tokens=run.traits.prompt_tokens or 0,
-            output_tokens=run.traits.expected_output or run.traits.output_tokens or 0,
+            output_tokens=_output_tokens(run),
             slots=engine.slots if engine is not None else 1,
             asked=asked,
         )
@@ -143,3 +155,7 @@
         if not waits:
             return LEAST_RETRY_S * 4
         return max(LEAST_RETRY_S, min(waits))
+
+
+def _output_tokens(run: RelayRun) -> int:
+    return run.traits.expected_output or run.traits.output_tokens or 0
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -35,9 +35,6 @@
 
 # Endpoints that may decline one request before it is refused.
 MAX_DECLINED = 3
-# Part of the longest time to return that a caller is told at least; the spread keeps
-# callers from coming back together.
-SHORTEST_RETURN_PART = 0.6
 
 
 class RequestRelay:
@@ -57,7 +54,6 @@
         self.admission = Admission(beliefs, usage, rng)
         self.retries = retries
         self.metrics = metrics
-        self.rng = rng
         self.placer = Placer(beliefs, health, asker, retries)
         self.attempts = Attempts(health, self.may_move)
         self.loop = asyncio.get_running_loop()
@@ -103,6 +99,8 @@
                 outcome = await self.attempts.attempt(
                     connection, request, run, placement.endpoint
                 )
+                if isinstance(outcome, Delivered) and run.runs == 1:
+                    placement.end(run)
             finally:
                 placement.end()
             run.steps.append(_describe(outcome, placement))
@@ -155,16 +153,9 @@
         return refuse("outcome_late")
 
     def retry_after(self, run: RelayRun) -> float:
-        """Return when a place is likely, or later if the objective is lost by then.
-
-        Callers that come back too soon into the same load are only refused again.
-        """
-        now = self.loop.time()
-        longest_s = max(0.0, run.limit_at - now) / 3
-        relief_s = self.placer.relief_s(run)
-        if now + relief_s > run.objective_at:
-            relief_s = longest_s * self.rng.uniform(SHORTEST_RETURN_PART, 1.0)
-        return min(longest_s, relief_s)
+        """Return when a place is likely to be free, within a third of the time left."""
+        left_s = max(0.0, run.limit_at - self.loop.time())
+        return min(left_s / 3, self.placer.relief_s(run))
 
     def conclude(
         self, connection: FrontConnection, run: RelayRun, refusal: Refusal | None
--- a/src/acaciarelay/state/relay_run.py
+++ b/src/acaciarelay/state/relay_run.py
@@ -83,7 +83,9 @@
     failure: Answered | None = None
     endpoint: Endpoint | None = None
     first_sent_at: float | None = None
+    sent_at: float | None = None
     first_event_at: float | None = None
+    events: int = 0
     steps: list[str] = attrs.Factory(list)
 
     @property
