Send heartbeats only on quiet links and engine states less often; hold back a limit's part while peers are unknown

Of about 22,600 messages a second among own processes, 9,400 were pings and 5,700 engine states (reckoned from intervals and links). A silent runner's successor was also looked for at each event of a stream.

--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -185,10 +185,14 @@
         bucket.updated_at = now
 
     def _part(self, name: str, bucket: _Bucket, now: float) -> float:
-        """Return this process's part of the demand, an equal part at least."""
+        """Return this process's part of the demand, an equal part at least.
+
+        A process that was not heard of yet may have as much demand as this one.
+        """
         own = _decayed(bucket, now)
         others = sum(peer.demand.get(name, 0.0) for peer in self._peers.values())
         by_demand = own / (own + others) if own + others > 0 else 0.0
+        by_demand *= (1 + len(self._peers)) / self.processes
         return max(by_demand, 1.0 / self.processes)
 
     def group_part(self, now: float) -> float:
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -41,10 +41,12 @@
 __all__ = ["RelayAgent", "main"]
 
 EXIT_SETTINGS = 2
-STATE_INTERVAL_S = 0.05
-FAR_STATE_INTERVAL_S = 0.25
+# How often waiting requests are looked at again.
+CHECK_INTERVAL_S = 0.05
+STATE_INTERVAL_S = 0.1
+FAR_STATE_INTERVAL_S = 0.5
 # Steps in which waits are told.
-WAIT_STEP_S = 0.005
+WAIT_STEP_S = 0.02
 # Places beyond the engine's slots, so that the next request is there when one ends.
 EXTRA_PLACES = 1
 RANKS = 16
@@ -221,7 +223,7 @@
 
     def tell_soon(self) -> None:
         if self.state_timer is None:
-            self.state_timer = self.loop.call_later(STATE_INTERVAL_S, self.tell)
+            self.state_timer = self.loop.call_later(CHECK_INTERVAL_S, self.tell)
 
     def tell(self) -> None:
         """Tell the entries how long the wait is, when that changed."""
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -157,14 +157,16 @@
         self, run: RelayRun, call: EndpointConnection
     ) -> h11.Event | CallFault:
         """Wait for the answer; a silent endpoint ends where another one may go on."""
-        if not self.may_move(run):
+        if call.events:
             return await call.next_event()
         silence_s = min(MAX_SILENCE_S, SILENCE_PART * run.route.timeout_s)
-        try:
-            async with asyncio.timeout(silence_s):
-                return await call.next_event()
-        except TimeoutError:
-            return CallFault(FaultKind.SILENT, f"nothing for {silence_s:g} s")
+        while True:
+            try:
+                async with asyncio.timeout(silence_s):
+                    return await call.next_event()
+            except TimeoutError:
+                if self.may_move(run):
+                    return CallFault(FaultKind.SILENT, f"nothing for {silence_s:g} s")
 
     def note_load(self, run: RelayRun, traits: AnswerTraits) -> None:
         if traits.load is None or run.endpoint is None:
--- a/src/acaciarelay/protocol/relay_messages.py
+++ b/src/acaciarelay/protocol/relay_messages.py
@@ -16,6 +16,7 @@
     "EndPlace",
     "EntryList",
     "GrantPlace",
+    "Heartbeat",
     "Hello",
     "MessageError",
     "PeerRow",
@@ -43,9 +44,14 @@
     zone: str
 
 
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """Show that the sender lives when it has nothing else to say."""
+
+
 @attrs.frozen(kw_only=True)
 class Ping:
-    """Show that the sender's end of the link works; answered with the same number."""
+    """Measure the round trip; answered with the same number."""
 
     number: int
     answer: bool = False
@@ -161,6 +167,7 @@
 
 RelayMessage = (
     Hello
+    | Heartbeat
     | Ping
     | AskPlace
     | GrantPlace
@@ -174,6 +181,7 @@
 
 _KINDS: dict[str, Any] = {
     "hello": Hello,
+    "beat": Heartbeat,
     "ping": Ping,
     "ask": AskPlace,
     "grant": GrantPlace,
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -1,10 +1,16 @@
-"""Links between the system's own processes, with pings that end silent ones."""
+"""Links between the system's own processes, with heartbeats that end silent ones.
+
+Each side sends a heartbeat when it had nothing else to send for a while, so that a busy
+link carries none. The dialling side now and then asks for an answer, to measure the
+round trip.
+"""
 
 import asyncio
 import contextlib
 from collections.abc import Callable
 
 from acaciarelay.protocol.relay_messages import (
+    Heartbeat,
     Hello,
     MessageError,
     Ping,
@@ -16,8 +22,9 @@
 
 __all__ = ["Dialer", "LinkServer", "MessageLink"]
 
-PING_INTERVAL_S = 0.5
+HEARTBEAT_S = 0.5
 SILENCE_S = 1.6
+ROUND_TRIP_INTERVAL_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 REDIAL_S = 0.25
 MAX_REDIAL_S = 2.0
@@ -35,8 +42,10 @@
         on_message: Callable[["MessageLink", RelayMessage], None],
         on_open: Callable[["MessageLink"], None],
         on_close: Callable[["MessageLink"], None],
+        dialled: bool = False,
     ) -> None:
         self.hello = hello
+        self.dialled = dialled
         self.on_message = on_message
         self.on_open = on_open
         self.on_close = on_close
@@ -46,7 +55,8 @@
         self.peer_host = ""
         self.buffer = bytearray()
         self.heard_at = self.loop.time()
-        self.ping_timer: asyncio.TimerHandle | None = None
+        self.sent_at = 0.0
+        self.timer: asyncio.TimerHandle | None = None
         self.pings = 0
         self.ping_sent_at = 0.0
         self.round_trip_s = 0.0
@@ -67,10 +77,14 @@
         if now - self.heard_at > SILENCE_S:
             self.close()
             return
-        self.pings += 1
-        self.ping_sent_at = now
-        self.send(Ping(number=self.pings))
-        self.ping_timer = self.loop.call_later(PING_INTERVAL_S, self.tick)
+        if self.dialled and now - self.ping_sent_at >= ROUND_TRIP_INTERVAL_S:
+            self.pings += 1
+            self.ping_sent_at = now
+            self.send(Ping(number=self.pings))
+        elif now - self.sent_at >= HEARTBEAT_S:
+            self.send(Heartbeat())
+        due_s = max(0.01, self.sent_at + HEARTBEAT_S - now)
+        self.timer = self.loop.call_later(due_s, self.tick)
 
     def data_received(self, data: bytes) -> None:
         self.heard_at = self.loop.time()
@@ -99,13 +113,15 @@
                     self.round_trip_s = self.loop.time() - self.ping_sent_at
             case Ping(number=number):
                 self.send(Ping(number=number, answer=True))
+            case Heartbeat():
+                return
             case _:
                 if self.peer is not None:
                     self.on_message(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self.ping_timer is not None:
-            self.ping_timer.cancel()
+        if self.timer is not None:
+            self.timer.cancel()
         if not self.closed.done():
             self.closed.set_result(None)
         if self.peer is not None:
@@ -115,6 +131,7 @@
         """Send a message; lost when the link breaks."""
         if self.transport is None or self.transport.is_closing():
             return
+        self.sent_at = self.loop.time()
         self.transport.write(encode_message(message))
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.close()
@@ -198,7 +215,9 @@
             await asyncio.sleep(pause_s)
 
     def build(self) -> MessageLink:
-        return MessageLink(self.hello, self.on_message, self.on_open, self.on_close)
+        return MessageLink(
+            self.hello, self.on_message, self.on_open, self.on_close, dialled=True
+        )
 
     def close(self) -> None:
         """Close the link and stop dialling."""
--- a/tests/unit/platform_path/test_relay_messages.py
+++ b/tests/unit/platform_path/test_relay_messages.py
@@ -8,6 +8,7 @@
     EngineState,
     EntryList,
     GrantPlace,
+    Heartbeat,
     Hello,
     MessageError,
     PeerRow,
@@ -33,6 +34,7 @@
 )
 MESSAGES = [
     Hello(name="entry-1", lifetime="aa", address="10.1.0.2:7601", zone="zone-a"),
+    Heartbeat(),
     Ping(number=3, answer=True),
     ASK,
     GrantPlace(request="a.1"),
--- a/tests/unit/platform_path/test_shares.py
+++ b/tests/unit/platform_path/test_shares.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 from relay_rig import NO_TOLERANCE
 
 from acaciarelay.coordination.retry_share import RetryShare
@@ -129,6 +129,8 @@
 
 @settings(max_examples=25, deadline=None)
 @given(events=EVENTS, seed=st.integers(0, 10_000))
+# A flood in the moment of the first start, before processes have heard of each other.
+@example(events=[("kill all", 0, 5), ("kill", 0, 5)], seed=655)
 def test_usage_limit_holds_over_all_processes(events, seed):
     """Guards against a limit that is granted twice around a loss or a restart."""
     world = World(6, seed)
