Keep token limits over 25 processes; judge engines by the time a token takes

Three faults: a process compared its rising demand with what peers had told earlier, and so took most of the level for its part; each process could admit one request after each message of any peer; a bucket used for the first time started full although peers had served the organisation. Ruled out: the coarser demand. Now parts follow what was told, a round lasts until all peers know, a request beyond the part is paid from saved credit while the level is low, and what peers took before is remembered. A slow engine now costs a long answer 0.08 s of wait at most, unless it can't end the answer within its time limit.

--- a/src/acaciarelay/coordination/place_asker.py
+++ b/src/acaciarelay/coordination/place_asker.py
@@ -45,7 +45,7 @@
         """Return how fast the engine is; unknown while the agent has told nothing."""
         if self.state is None:
             return EngineSpeed()
-        return EngineSpeed(first_s=self.state.first_s, event_s=self.state.event_s)
+        return EngineSpeed(first_s=self.state.first_s, token_s=self.state.token_s)
 
 
 @attrs.define(eq=False)
@@ -56,7 +56,7 @@
     request: str
     open: bool = True
 
-    def end(self, first_s: float = 0.0, stream_s: float = 0.0, events: int = 0) -> None:
+    def end(self, first_s: float = 0.0, stream_s: float = 0.0) -> None:
         """Give the place back with what was seen; further calls do nothing."""
         if not self.open:
             return
@@ -66,7 +66,6 @@
                 request=self.request,
                 first_s=round(first_s, 4),
                 stream_s=round(stream_s, 4),
-                events=events,
             )
         )
 
--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -7,6 +7,7 @@
 other side of a cut does the same.
 """
 
+import collections
 import math
 
 import attrs
@@ -25,8 +26,16 @@
 # Part of the tolerated excess that is used; the rest covers what several processes
 # admit at the same moment.
 USED_PART = 0.5
-# A process may take this many times its part of the level between two messages.
+# A process may take this many times its part of the level in a round, after which all
+# peers know what it took.
 PART_MARGIN = 1.25
+ROUND_S = 0.25
+# Above this part of a full bucket the first request of a round is admitted whatever the
+# process's part of the level is. Below, it must save credit for it, since as many
+# processes as there are may do the same.
+PLENTY_PART = 0.5
+# Amounts that are remembered of an organisation that has not called here yet.
+MAX_UNSEEN = 200
 # An organisation without a stated burst may use this many seconds of its rate at once.
 DEFAULT_BURST_S = 1.0
 
@@ -35,8 +44,11 @@
 class _Bucket:
     """Hold the common bucket of one organisation as known here.
 
-    ``admitted`` is the total that this process admitted since its start; ``taken`` is
-    what it took since the last message of a peer, from ``shown``, the level then.
+    ``admitted`` is the total that this process admitted since its start. ``taken`` is
+    what it took since ``round_at``, when the level was ``shown``; peers know of all
+    that was taken before. ``told`` is the demand at that time, about what peers were
+    told. ``credit`` is this process's part of the rate that it has not used, at most
+    ``wanted``.
     """
 
     level: float
@@ -46,6 +58,13 @@
     shown: float = 0.0
     demand: float = 0.0
     demand_at: float = 0.0
+    told: float = 0.0
+    round_at: float = -math.inf
+    credit: float = 0.0
+    wanted: float = 0.0
+
+
+_Unseen = collections.deque[tuple[float, float]]
 
 
 @attrs.define(eq=False)
@@ -89,6 +108,8 @@
         # Other processes known to exist, whether they were heard of or not.
         self.known_peers = 0
         self._buckets: dict[str, _Bucket] = {}
+        # What peers took from buckets that were not used here yet, and when.
+        self._unseen: dict[str, _Unseen] = {}
         self._peers: dict[str, _Peer] = {}
 
     # What peers say.
@@ -113,13 +134,14 @@
         for organisation, total in totals.items():
             before = known.get(organisation, 0.0) if known is not None else 0.0
             bucket = self._buckets.get(organisation)
-            if bucket is None:
-                continue
-            bucket.level -= total - before
+            if bucket is not None:
+                bucket.level -= total - before
+            elif total != before:
+                unseen = self._unseen.setdefault(
+                    organisation, _Unseen(maxlen=MAX_UNSEEN)
+                )
+                unseen.append((now, total - before))
         self._peers[name] = _Peer(lifetime, totals, demand, now)
-        for bucket in self._buckets.values():
-            bucket.taken = 0.0
-            bucket.shown = bucket.level
 
     def lose(self, name: str, now: float) -> None:
         """Note that a peer is out of reach."""
@@ -153,23 +175,41 @@
         burst += self.tolerance.tokens(rate, burst) * USED_PART
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            level = burst if self.first_start else 0.0
+            level = self._first_level(organisation.name, rate, burst, now)
             bucket = _Bucket(level, now, shown=level)
             self._buckets[organisation.name] = bucket
         bucket.demand = _decayed(bucket, now) + cost / DEMAND_S
         bucket.demand_at = now
-        self._refill(bucket, rate * self.group_part(now), burst, now)
+        self._refill(organisation.name, bucket, rate, burst, now)
         missing = min(cost, burst) - bucket.level
-        if missing <= 0 and bucket.taken > 0:
-            part = self._part(organisation.name, bucket, now) * PART_MARGIN
-            missing = bucket.taken + cost - max(0.0, bucket.shown) * min(1.0, part)
+        if missing <= 0 and not self._within_part(organisation.name, bucket, cost):
+            if bucket.level < burst * PLENTY_PART and bucket.credit < cost:
+                missing = cost - bucket.credit
+                bucket.wanted = max(bucket.wanted, cost)
+            elif bucket.taken > 0:
+                missing = cost
         if missing > 0:
             return missing / rate
         bucket.level -= cost
         bucket.taken += cost
         bucket.admitted += cost
+        bucket.credit = max(0.0, bucket.credit - cost)
         return 0.0
 
+    def _first_level(self, name: str, rate: float, burst: float, now: float) -> float:
+        """Return the level of a bucket that is used here for the first time."""
+        level = burst if self.first_start else 0.0
+        at = self.started_at
+        for heard_at, taken in self._unseen.pop(name, ()):
+            level = min(burst, level + rate * (heard_at - at)) - taken
+            at = heard_at
+        return min(burst, level + rate * (now - at))
+
+    def _within_part(self, name: str, bucket: _Bucket, cost: float) -> bool:
+        """Return whether a request fits into this process's part of the level."""
+        part = min(1.0, self._part(name, bucket) * PART_MARGIN)
+        return bucket.taken + cost <= max(0.0, bucket.shown) * part
+
     def refund(self, organisation: Organisation, cost: float) -> None:
         """Give back the charge of a request that did not run."""
         bucket = self._buckets.get(organisation.name)
@@ -178,20 +218,31 @@
         bucket.level += cost
         bucket.admitted -= cost
 
-    def _refill(self, bucket: _Bucket, rate: float, burst: float, now: float) -> None:
-        added = max(0.0, now - bucket.updated_at) * rate
+    def _refill(
+        self, name: str, bucket: _Bucket, rate: float, burst: float, now: float
+    ) -> None:
+        added = max(0.0, now - bucket.updated_at) * rate * self.group_part(now)
         bucket.shown += added
         bucket.level = min(burst, bucket.level + added)
         bucket.updated_at = now
+        part = min(1.0, self._part(name, bucket) * PART_MARGIN)
+        bucket.credit = min(bucket.wanted, bucket.credit + added * part)
+        if now - bucket.round_at >= ROUND_S:
+            bucket.round_at = now
+            bucket.taken = 0.0
+            bucket.shown = bucket.level
+            bucket.told = bucket.demand
 
-    def _part(self, name: str, bucket: _Bucket, now: float) -> float:
+    def _part(self, name: str, bucket: _Bucket) -> float:
         """Return this process's part of the demand, an equal part at least.
 
-        A process that was not heard of yet may have as much demand as this one.
+        It compares what processes told each other, since a demand that rises
+        everywhere at once would seem to rise only here.
         """
-        own = _decayed(bucket, now)
         others = sum(peer.demand.get(name, 0.0) for peer in self._peers.values())
-        by_demand = own / (own + others) if own + others > 0 else 0.0
+        total = bucket.told + others
+        by_demand = bucket.told / total if total > 0 else 0.0
+        # A process that was not heard of yet may have as much demand as this one.
         by_demand *= (1 + len(self._peers)) / self.processes
         return max(by_demand, 1.0 / self.processes)
 
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -196,7 +196,7 @@
             "first_event_error_seconds", abs(message.first_s - predicted_s)
         )
         self.model.observe(
-            prompt_tokens, message.first_s, message.stream_s, message.events
+            prompt_tokens, holder.ask.output_tokens, message.first_s, message.stream_s
         )
 
     def grant(self) -> None:
@@ -239,7 +239,7 @@
         state = EngineState(
             waits_s=coarse_waits(waits_s),
             first_s=speed.first_s,
-            event_s=speed.event_s,
+            token_s=speed.token_s,
         )
         for link, told in self.links.items():
             if told.state == state:
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -227,7 +227,6 @@
                         return Broken("events out of order")
                     if not fresh:
                         continue
-                    run.events += len(fresh)
                     if not run.head_sent:
                         run.head_sent = True
                         run.first_event_at = self.loop.time()
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -26,9 +26,13 @@
 # Seconds of expected wait that a distance or a failure counts as.
 DISTANCE_S = 0.02
 FAILURE_S = 0.1
-# Part that the pace of a stream counts: a long one on a slow engine is likely to pause
-# for longer than callers accept.
-STREAM_PART = 0.03
+# Seconds of expected wait that an engine twice as slow as the fastest counts as for a
+# long answer, whose events are likely to come too late there, and the most that counts.
+SLOW_S = 0.04
+MOST_SLOW_S = 0.08
+LONG_OUTPUT_TOKENS = 200
+# The same for an engine that would not end the answer within the time limit.
+UNFINISHED_S = 10.0
 LEAST_RETRY_S = 0.05
 
 
@@ -47,9 +51,7 @@
             self.place.end()
             return
         now = asyncio.get_running_loop().time()
-        self.place.end(
-            run.first_event_at - run.sent_at, now - run.first_event_at, run.events
-        )
+        self.place.end(run.first_event_at - run.sent_at, now - run.first_event_at)
 
 
 class Placer:
@@ -115,14 +117,25 @@
     def _nearest(
         self, run: RelayRun, by_host: dict[str, Endpoint], now: float
     ) -> list[AgentLink]:
+        """Choose the agents to ask: free soon, near, sound and fast enough."""
+        prompt = run.traits.prompt_tokens or 0
+        output = _output_tokens(run)
+        speeds = {host: self.asker.agents[host].speed for host in by_host}
+        known = [speed.token_s for speed in speeds.values() if speed.token_s]
+        fastest_s = min(known, default=0.0)
+        left_s = run.limit_at - asyncio.get_running_loop().time()
         costs = []
         for host, endpoint in by_host.items():
-            agent = self.asker.agents[host]
-            cost = agent.expected_wait_s(run.rank, now)
+            speed = speeds[host]
+            cost = self.asker.agents[host].expected_wait_s(run.rank, now)
             cost += DISTANCE_S * self.health.distance_cost(endpoint.zone)
             cost += FAILURE_S * self.health.failures(endpoint.endpoint_id, now)
-            cost += agent.speed.first_event_s(run.traits.prompt_tokens or 0)
-            cost += STREAM_PART * agent.speed.event_s * _output_tokens(run)
+            cost += speed.first_event_s(prompt)
+            if speed.token_s > fastest_s > 0:
+                slow_s = SLOW_S * (speed.token_s / fastest_s - 1)
+                cost += min(MOST_SLOW_S, slow_s) * min(1.0, output / LONG_OUTPUT_TOKENS)
+            if speed.stream_s(output) > left_s:
+                cost += UNFINISHED_S
             costs.append((cost + self.health.rng.random() * 0.002, host))
         costs.sort()
         return [self.asker.agents[host] for _, host in costs[:ASKED_AGENTS]]
--- a/src/acaciarelay/protocol/relay_messages.py
+++ b/src/acaciarelay/protocol/relay_messages.py
@@ -97,14 +97,13 @@
     """Withdraw a request or give back its place.
 
     ``first_s`` is the time in seconds from sending the request to the first event of
-    its answer, ``stream_s`` the time from there to the last one, ``events`` their
-    number; all are 0 where there was no whole answer.
+    its answer, ``stream_s`` the time from there to the end; both are 0 where there was
+    no whole answer.
     """
 
     request: str
     first_s: float = 0.0
     stream_s: float = 0.0
-    events: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -113,12 +112,12 @@
 
     ``waits_s`` holds the wait for a place in seconds that a new request must expect,
     for each rank from 0; the last one also holds for all ranks after it. ``first_s``
-    and ``event_s`` are those of ``EngineSpeed``.
+    and ``token_s`` are those of ``EngineSpeed``.
     """
 
     waits_s: list[float]
     first_s: float = 0.0
-    event_s: float = 0.0
+    token_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/acaciarelay/state/relay_run.py
+++ b/src/acaciarelay/state/relay_run.py
@@ -85,7 +85,6 @@
     first_sent_at: float | None = None
     sent_at: float | None = None
     first_event_at: float | None = None
-    events: int = 0
     steps: list[str] = attrs.Factory(list)
 
     @property
--- a/tests/unit/platform_path/test_relay_messages.py
+++ b/tests/unit/platform_path/test_relay_messages.py
@@ -39,8 +39,8 @@
     ASK,
     GrantPlace(request="a.1"),
     RefusePlace(request="a.1"),
-    EndPlace(request="a.1", first_s=0.05, stream_s=0.4, events=13),
-    EngineState(waits_s=[0.0, 0.05], first_s=0.03, event_s=0.025),
+    EndPlace(request="a.1", first_s=0.05, stream_s=0.4),
+    EngineState(waits_s=[0.0, 0.05], first_s=0.03, token_s=0.025),
     EntryList(entries=["10.1.0.2:7601"]),
     PeerStatus(
         running_s=1.5,
--- a/tests/unit/platform_path/test_relay_placement.py
+++ b/tests/unit/platform_path/test_relay_placement.py
@@ -73,6 +73,7 @@
     placer = Placer(None, EndpointHealth("near", ZONES, random.Random(1)), asker, None)
     run = types.SimpleNamespace(
         rank=0,
+        limit_at=asyncio.get_running_loop().time() + 15.0,
         traits=types.SimpleNamespace(
             prompt_tokens=prompt, expected_output=output, output_tokens=output
         ),
@@ -84,23 +85,32 @@
 
 async def test_fast_engine_goes_before_a_slow_one():
     """Guards against equal shares for engines of unlike speed."""
-    fast = EngineState(waits_s=[0.0], first_s=0.02, event_s=0.02)
-    slow = EngineState(waits_s=[0.0], first_s=0.1, event_s=0.06)
+    fast = EngineState(waits_s=[0.0], first_s=0.02, token_s=0.005)
+    slow = EngineState(waits_s=[0.0], first_s=0.1, token_s=0.015)
     asker = asker_with(slow=slow, fast=fast)
     assert order(asker, [endpoint("slow"), endpoint("fast")])[0] == "fast"
 
 
 async def test_slow_engine_goes_before_a_long_wait():
     """Guards against fast engines that are asked whatever waits there."""
-    fast = EngineState(waits_s=[0.5], first_s=0.02, event_s=0.02)
-    slow = EngineState(waits_s=[0.0], first_s=0.1, event_s=0.06)
+    fast = EngineState(waits_s=[0.5], first_s=0.02, token_s=0.005)
+    slow = EngineState(waits_s=[0.0], first_s=0.1, token_s=0.015)
     asker = asker_with(slow=slow, fast=fast)
     assert order(asker, [endpoint("slow"), endpoint("fast")])[0] == "slow"
 
 
+async def test_long_answer_goes_where_it_ends_in_time():
+    """Guards against long answers cut by their time limit on a slow engine."""
+    fast = EngineState(waits_s=[0.5], first_s=0.02, token_s=0.005)
+    slow = EngineState(waits_s=[0.0], first_s=0.1, token_s=0.015)
+    asker = asker_with(slow=slow, fast=fast)
+    endpoints = [endpoint("slow"), endpoint("fast")]
+    assert order(asker, endpoints, output=1500)[0] == "fast"
+
+
 async def test_near_engine_goes_before_an_equal_one_far_away():
     """Guards against paid traffic between regions for nothing."""
-    state = EngineState(waits_s=[0.0], first_s=0.05, event_s=0.03)
+    state = EngineState(waits_s=[0.0], first_s=0.05, token_s=0.03)
     asker = asker_with(away=state, here=state)
     assert order(asker, [endpoint("away", "far"), endpoint("here")])[0] == "here"
 
@@ -142,10 +152,8 @@
     assert two.link.sent[-1] == EndPlace(request=request)
     asker.receive("two", GrantPlace(request=request))
     assert two.link.sent[-1] == EndPlace(request=request)
-    place.end(0.1, 0.4, 13)
-    assert one.link.sent[-1] == EndPlace(
-        request=request, first_s=0.1, stream_s=0.4, events=13
-    )
+    place.end(0.1, 0.4)
+    assert one.link.sent[-1] == EndPlace(request=request, first_s=0.1, stream_s=0.4)
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/platform_path/test_shares.py
+++ b/tests/unit/platform_path/test_shares.py
@@ -129,7 +129,7 @@
 
 @settings(max_examples=25, deadline=None)
 @given(events=EVENTS, seed=st.integers(0, 10_000))
-# A flood in the moment of the first start, before processes have heard of each other.
+# A flood whose demand rises faster than processes tell each other.
 @example(events=[("kill all", 0, 5), ("kill", 0, 5)], seed=655)
 def test_usage_limit_holds_over_all_processes(events, seed):
     """Guards against a limit that is granted twice around a loss or a restart."""
@@ -234,3 +234,25 @@
         if shares.admit(ORGANISATION, 1000.0, now) == 0:
             served += 1000
     assert served <= RATE / 6 * 15 + RATE
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_limit_holds_over_25_processes_under_a_flood(seed):
+    """Guards against one request too many at each of many processes at once."""
+    world = World(25, seed, flood=7.5)
+    for _ in range(40):
+        world.step()
+    world.kill(seed, 0.8)
+    for _ in range(160):
+        world.step()
+    assert world.worst_window() <= BOUND
+
+
+def test_organisation_that_is_new_here_was_served_elsewhere():
+    """Guards against a full bucket at each process that an organisation comes to."""
+    share = UsageLedger(NO_TOLERANCE, True, 100.0)
+    share.known_peers = 1
+    share.hear("1", "a", 50.0, {}, {}, 100.0)
+    share.hear("1", "a", 50.2, {"dealer": RATE}, {}, 100.2)
+    assert share.admit(ORGANISATION, 5000.0, 100.3) > 0
+    assert share.admit(ORGANISATION, 5000.0, 101.5) == 0
