--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -28,7 +28,6 @@
 from acaciarelay.transport.endpoint_call import (
     CallFault,
     EndpointConnection,
-    FaultKind,
     connect,
 )
 from acaciarelay.transport.event_stream import EventSplitter, StreamEvent
@@ -97,6 +96,10 @@
             run.sent_at = self.loop.time()
             run.first_sent_at = run.first_sent_at or run.sent_at
             call.send(request.method, request.target, headers, request.body)
+            call.end_silence(
+                min(MAX_SILENCE_S, SILENCE_PART * run.route.timeout_s),
+                lambda: self.may_move(run),
+            )
             outcome = await self.read_answer(connection, run, call)
             if isinstance(outcome, NotRun):
                 run.runs -= 1
@@ -127,7 +130,7 @@
     async def read_answer(
         self, connection: FrontConnection, run: RelayRun, call: EndpointConnection
     ) -> AttemptOutcome:
-        event = await self.next_event(run, call)
+        event = await call.next_event()
         if isinstance(event, CallFault):
             return Broken(str(event))
         assert isinstance(event, h11.Response)
@@ -153,21 +156,6 @@
             )
         return await self.pass_whole(connection, run, call, event, headers)
 
-    async def next_event(
-        self, run: RelayRun, call: EndpointConnection
-    ) -> h11.Event | CallFault:
-        """Wait for the answer; a silent endpoint ends where another one may go on."""
-        if call.events:
-            return await call.next_event()
-        silence_s = min(MAX_SILENCE_S, SILENCE_PART * run.route.timeout_s)
-        while True:
-            try:
-                async with asyncio.timeout(silence_s):
-                    return await call.next_event()
-            except TimeoutError:
-                if self.may_move(run):
-                    return CallFault(FaultKind.SILENT, f"nothing for {silence_s:g} s")
-
     def note_load(self, run: RelayRun, traits: AnswerTraits) -> None:
         if traits.load is None or run.endpoint is None:
             return
@@ -186,7 +174,7 @@
         pieces: list[bytes] = []
         size = 0
         while True:
-            match await self.next_event(run, call):
+            match await call.next_event():
                 case h11.Data(data=data):
                     size += len(data)
                     if size > MAX_ANSWER_BYTES:
@@ -219,7 +207,7 @@
         """Pass on whole events; the first runner's head stays through a resumption."""
         splitter = EventSplitter()
         while True:
-            match await self.next_event(run, call):
+            match await call.next_event():
                 case h11.Data(data=data):
                     events = splitter.feed(bytes(data))
                     fresh = self.fresh_events(run, events)
@@ -230,9 +218,14 @@
                     if not run.head_sent:
                         run.head_sent = True
                         run.first_event_at = self.loop.time()
-                        connection.start(status, answer_headers(headers))
-                    connection.write(b"".join(event.data for event in fresh))
-                    await connection.drain()
+                        connection.start(status, answer_headers(headers), flush=False)
+                    last = bool(call.events) and not splitter.partial
+                    last = last and isinstance(call.events[0], h11.EndOfMessage)
+                    connection.write(
+                        b"".join(event.data for event in fresh), flush=not last
+                    )
+                    if not last:
+                        await connection.drain()
                 case h11.EndOfMessage():
                     if splitter.partial:
                         return Broken("stream ended inside an event")
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 import h11
@@ -50,6 +50,8 @@
         self.waiter: asyncio.Future | None = None
         self.broken: CallFault | None = None
         self.paused = False
+        self.heard_at = 0.0
+        self.silence_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -57,6 +59,8 @@
         guard_socket(transport, UNACKNOWLEDGED_S)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self.silence_timer is not None:
+            self.silence_timer.cancel()
         if exc is None and self.broken is None:
             self._receive(b"")
         if self.broken is None:
@@ -72,8 +76,28 @@
     def data_received(self, data: bytes) -> None:
         if self.broken is not None:
             return
+        self.heard_at = asyncio.get_running_loop().time()
         self._receive(data)
 
+    def end_silence(self, silence_s: float, may_end: Callable[[], bool]) -> None:
+        """Break the connection once nothing came for a time and ``may_end`` agrees."""
+        loop = asyncio.get_running_loop()
+        self.heard_at = loop.time()
+
+        def check() -> None:
+            # What waits here was received; a slow caller is no silent endpoint.
+            idle = not self.paused and not self.events
+            quiet_s = loop.time() - self.heard_at if idle else 0.0
+            if quiet_s < silence_s:
+                self.silence_timer = loop.call_later(silence_s - quiet_s, check)
+            elif may_end():
+                fault = CallFault(FaultKind.SILENT, f"nothing for {silence_s:g} s")
+                self._break(fault)
+            else:
+                self.silence_timer = loop.call_later(silence_s, check)
+
+        self.silence_timer = loop.call_later(silence_s, check)
+
     def _receive(self, data: bytes) -> None:
         try:
             self.http.receive_data(data)
--- a/src/acaciarelay/transport/front_server.py
+++ b/src/acaciarelay/transport/front_server.py
@@ -94,6 +94,7 @@
         self.writable: asyncio.Future | None = None
         self.last_request = False
         self.answer_started = False
+        self.unsent = bytearray()
         self.paused = False
 
     def new_parser(self) -> h11.Connection:
@@ -287,17 +288,17 @@
         self.set_timer(None)
         self.refuser(self, refusal)
 
-    def start(self, status: int, headers: Sequence[Header]) -> None:
-        """Write the head of an answer."""
+    def start(self, status: int, headers: Sequence[Header], flush: bool = True) -> None:
+        """Write the head of an answer; kept for the next piece without ``flush``."""
         fields = list(headers)
         if self.last_request:
             fields.append(("Connection", "close"))
         self.answer_started = True
-        self.write_event(h11.Response(status_code=status, headers=fields))
+        self.write_event(h11.Response(status_code=status, headers=fields), flush)
 
-    def write(self, data: bytes) -> None:
-        """Write a piece of the body."""
-        self.write_event(h11.Data(data=data))
+    def write(self, data: bytes, flush: bool = True) -> None:
+        """Write a piece of the body; kept for the next one without ``flush``."""
+        self.write_event(h11.Data(data=data), flush)
 
     def finish(self) -> None:
         """End the answer."""
@@ -305,14 +306,15 @@
 
     def respond(self, status: int, headers: Sequence[Header], body: bytes) -> None:
         """Write a whole answer."""
-        self.start(status, [*headers, ("Content-Length", str(len(body)))])
+        length = ("Content-Length", str(len(body)))
+        self.start(status, [*headers, length], flush=False)
         if body and (self.head is None or self.head.method != b"HEAD"):
-            self.write(body)
+            self.write(body, flush=False)
         self.finish()
         if self.phase is _Phase.CLOSING:
             self.close_after_answer()
 
-    def write_event(self, event: h11.Event) -> None:
+    def write_event(self, event: h11.Event, flush: bool = True) -> None:
         if self.transport is None or self.transport.is_closing():
             return
         try:
@@ -321,8 +323,10 @@
             # The parser gave up on this connection; only closing is left.
             self.transport.close()
             return
-        if data:
-            self.transport.write(data)
+        self.unsent += data or b""
+        if flush and self.unsent:
+            self.transport.write(bytes(self.unsent))
+            self.unsent.clear()
 
     async def drain(self) -> None:
         """Wait until the caller takes more data; raises ``CallerGone``."""
