--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -217,6 +217,7 @@
             return
         bucket.level += cost
         bucket.admitted -= cost
+        bucket.taken = max(0.0, bucket.taken - cost)
 
     def _refill(
         self, name: str, bucket: _Bucket, rate: float, burst: float, now: float
--- a/src/acaciarelay/platform/configuration.py
+++ b/src/acaciarelay/platform/configuration.py
@@ -93,10 +93,7 @@
 def _service(raw: dict[str, Any]) -> Service:
     engine = None
     if raw.get("engine"):
-        engine = EngineTraits(
-            slots=int(raw["engine"]["slots"]),
-            memory_tokens=int(raw["engine"].get("kvTokens") or 0),
-        )
+        engine = EngineTraits(slots=int(raw["engine"]["slots"]))
     return Service(
         name=raw["name"],
         max_connections=int(raw.get("maxConns") or 100),
--- a/src/acaciarelay/state/routing.py
+++ b/src/acaciarelay/state/routing.py
@@ -54,7 +54,6 @@
     """Hold the capacity of each engine of a service."""
 
     slots: int
-    memory_tokens: int
 
 
 @attrs.frozen(kw_only=True)
