--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -75,50 +75,64 @@
     async def place(self, run: RelayRun) -> Placement | None:
         """Choose an endpoint; ``None`` when none has room in time."""
         loop = asyncio.get_running_loop()
-        wait_until = run.arrived_at + WAIT_PART * run.route.objective_s
-        if run.declined or run.runs:
-            wait_until = max(wait_until, loop.time() + RESUME_WAIT_S)
+        resume_until = loop.time() + RESUME_WAIT_S
         while True:
-            endpoints = self.beliefs.endpoints.of_service(run.service)
-            usable = [e for e in endpoints if e.endpoint_id not in run.tried]
-            usable = usable or endpoints
             now = time.monotonic()
-            sound = [e for e in usable if not self.health.avoided(e.endpoint_id, now)]
-            usable = sound or usable
+            usable = self._usable(run, now)
             by_host = {e.host: e for e in usable if e.host in self.asker.agents}
-            if not by_host:
+            wait_until = run.arrived_at + WAIT_PART * run.route.objective_s
+            if run.declined or run.runs:
+                wait_until = max(wait_until, resume_until)
+            if self._needs_fast(run, by_host):
+                wait_until = max(wait_until, run.arrived_at + LONG_ANSWER_WAIT_S)
+            if by_host:
+                match await self._ask_agents(run, by_host, wait_until - loop.time()):
+                    case Placement() as placement:
+                        return placement
+                    case NoPlace(refused=True):
+                        return None
+            else:
                 processes = self.retries.processes
                 endpoint = self.health.choose(usable, run.tried, processes, now)
                 if endpoint is not None:
                     return Placement(endpoint, None)
-            else:
-                agents = self._nearest(run, by_host, now)
-                if self._needs_fast(run, by_host):
-                    wait_until = max(wait_until, run.arrived_at + LONG_ANSWER_WAIT_S)
-                budget_s = wait_until - loop.time()
-                expected_s = min(a.expected_wait_s(run.rank, now) for a in agents)
-                if expected_s > budget_s * HOPE_PART:
-                    # Refused at once, since the wait would most likely be in vain.
-                    run.steps.append(f"expected wait {expected_s:.3f} s")
-                    return None
-                budget_s = max(0.0, budget_s)
-                match await self.asker.ask(
-                    agents, self._ask(run, len(agents), budget_s), budget_s
-                ):
-                    case Place() as place:
-                        placed = by_host[place.agent.host]
-                        current = self.beliefs.endpoints.get(placed.endpoint_id)
-                        if current is not None and not current.draining:
-                            return Placement(current, place)
-                        place.end()
-                        continue
-                    case NoPlace(refused=True):
-                        run.steps.append(f"no place in time at {len(agents)} agents")
-                        return None
             if loop.time() >= wait_until - 0.001:
                 return None
             await asyncio.sleep(min(0.02, max(0.0, wait_until - loop.time())))
 
+    def _usable(self, run: RelayRun, now: float) -> list[Endpoint]:
+        """Return the endpoints to choose from, the sound and untried ones if any."""
+        endpoints = self.beliefs.endpoints.of_service(run.service)
+        untried = [e for e in endpoints if e.endpoint_id not in run.tried]
+        untried = untried or endpoints
+        sound = [e for e in untried if not self.health.avoided(e.endpoint_id, now)]
+        return sound or untried
+
+    async def _ask_agents(
+        self, run: RelayRun, by_host: dict[str, Endpoint], budget_s: float
+    ) -> Placement | NoPlace:
+        """Ask the best agents for a place, unless the wait would likely be in vain."""
+        now = time.monotonic()
+        agents = self._nearest(run, by_host, now)
+        expected_s = min(agent.expected_wait_s(run.rank, now) for agent in agents)
+        if expected_s > budget_s * HOPE_PART:
+            run.steps.append(f"expected wait {expected_s:.3f} s")
+            return NoPlace(refused=True)
+        budget_s = max(0.0, budget_s)
+        ask = self._ask(run, len(agents), budget_s)
+        match await self.asker.ask(agents, ask, budget_s):
+            case Place() as place:
+                placed = by_host[place.agent.host]
+                current = self.beliefs.endpoints.get(placed.endpoint_id)
+                if current is not None and not current.draining:
+                    return Placement(current, place)
+                place.end()
+                return NoPlace(refused=False)
+            case NoPlace() as answer:
+                if answer.refused:
+                    run.steps.append(f"no place in time at {len(agents)} agents")
+                return answer
+
     def _needs_fast(self, run: RelayRun, hosts: Iterable[str]) -> bool:
         """Return whether some engines would not end the answer in time."""
         output = _output_tokens(run)
