--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -43,10 +43,8 @@
 EXIT_SETTINGS = 2
 # How often waiting requests are looked at again.
 CHECK_INTERVAL_S = 0.05
-# Time between two states told to an entry, and what each entry adds to it.
 STATE_INTERVAL_S = 0.1
 FAR_STATE_INTERVAL_S = 0.5
-STATE_S_PER_ENTRY = 0.004
 # Steps in which waits are told.
 WAIT_STEP_S = 0.02
 # Places beyond the engine's slots, so that the next request is there when one ends.
@@ -256,9 +254,9 @@
         """Return how often an entry is told; entries far away seldom ask here."""
         assert link.peer is not None
         zones = self.settings.zones
-        near = zones.get(link.peer.zone) == zones.get(self.settings.zone)
-        interval_s = STATE_INTERVAL_S if near else FAR_STATE_INTERVAL_S
-        return interval_s + STATE_S_PER_ENTRY * len(self.links)
+        if zones.get(link.peer.zone) == zones.get(self.settings.zone):
+            return STATE_INTERVAL_S
+        return FAR_STATE_INTERVAL_S
 
     def tell_entries(self) -> None:
         """Tell all entries of each other."""
