--- a/src/acaciarelay/coordination/engine_model.py
+++ b/src/acaciarelay/coordination/engine_model.py
@@ -1,9 +1,9 @@
 """Learn how fast an engine is from the answers that it gave."""
 
-import math
-
 import attrs
 
+from acaciarelay.coordination.rounding import coarse
+
 __all__ = ["EngineModel", "EngineSpeed"]
 
 # Weight of the newest answer in the means.
@@ -55,16 +55,12 @@
     def speed(self) -> EngineSpeed:
         """Return the speed in coarse steps, so that small changes need not be told."""
         token_s = self._stream_s / self._stream_tokens if self._stream_tokens else 0.0
-        return EngineSpeed(first_s=_coarse(self._first_s), token_s=_coarse(token_s))
+        return EngineSpeed(
+            first_s=coarse(self._first_s, STEP), token_s=coarse(token_s, STEP)
+        )
 
 
 def _mean(before: float, newest: float) -> float:
     if before == 0:
         return newest
     return before + WEIGHT * (newest - before)
-
-
-def _coarse(value: float) -> float:
-    if value <= 0:
-        return 0.0
-    return round(STEP ** round(math.log(value, STEP)), 5)
--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -12,12 +12,15 @@
 
 import attrs
 
+from acaciarelay.coordination.rounding import coarse
 from acaciarelay.state.routing import Organisation
 
 __all__ = ["UsageLedger", "UsageTolerance"]
 
 # Time constant over which demand is averaged.
 DEMAND_S = 1.5
+# Ratio of two neighbouring demands that are told.
+DEMAND_STEP = 1.25
 # How long a lost peer's part of the rate stays reserved: it may live behind a cut, and
 # what it admitted before counts until the window has passed.
 LOST_RESERVE_S = 20.0
@@ -158,7 +161,8 @@
     def totals(self) -> dict[str, float]:
         """Return what this process admitted by organisation, in tokens."""
         return {
-            name: round(bucket.admitted, 1) for name, bucket in self._buckets.items()
+            name: float(round(bucket.admitted))
+            for name, bucket in self._buckets.items()
         }
 
     def demand(self, now: float) -> dict[str, float]:
@@ -167,7 +171,7 @@
         for name, bucket in self._buckets.items():
             demand = _decayed(bucket, now)
             if demand > 1.0:
-                result[name] = _coarse(demand)
+                result[name] = coarse(demand, DEMAND_STEP)
         return result
 
     # Decisions.
@@ -292,8 +296,3 @@
 def _decayed(bucket: _Bucket, now: float) -> float:
     elapsed = max(0.0, now - bucket.demand_at)
     return bucket.demand * math.exp(-elapsed / DEMAND_S)
-
-
-def _coarse(value: float) -> float:
-    """Round to two digits, so that a small change need not be told."""
-    return float(f"{value:.1e}")
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -91,7 +91,12 @@
             zone=settings.zone,
         )
         self.peers = Peers(self.hello, self.beliefs, self.usage, self.retries, self.rng)
-        self.follower = StoreFollower(settings.store_address, self.beliefs, self.rng)
+        self.follower = StoreFollower(
+            settings.store_address,
+            self.beliefs,
+            self.rng,
+            lambda: self.usage.processes,
+        )
         self.connections: set[FrontConnection] = set()
         self.agents: dict[str, Dialer] = {}
         self.servers: list[asyncio.Server] = []
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from result import Err, Ok
 
@@ -16,9 +17,13 @@
 # How long a feed asks the store to wait, in seconds: bounds how long a silent
 # connection goes unnoticed.
 WAIT_S = {OPERATOR_TABLE: 4.0, ENDPOINT_TABLE: 4.0}
-# Least time between two calls of a feed. Endpoints write every second or so, and each
-# write would end a call.
-INTERVAL_S = {OPERATOR_TABLE: 0.05, ENDPOINT_TABLE: 1.0}
+# Least time between two calls of the operator's feed.
+OPERATOR_INTERVAL_S = 0.05
+# Endpoints write every second or so, and each write would end a call. The more entries
+# there are, the longer each one pauses; the last bound keeps a drain known in time.
+LEAST_ENDPOINT_INTERVAL_S = 1.0
+ENDPOINT_INTERVAL_S_PER_ENTRY = 0.08
+MOST_ENDPOINT_INTERVAL_S = 2.0
 RETRY_S = 0.25
 # Failures from this age on count as an outage, in which registrations may lapse.
 OUTAGE_S = 1.0
@@ -27,12 +32,19 @@
 
 
 class StoreFollower:
-    """Keep one feed for each table."""
+    """Keep one feed for each table; ``entries`` counts those that follow the store."""
 
-    def __init__(self, address: str, beliefs: Beliefs, rng: random.Random) -> None:
+    def __init__(
+        self,
+        address: str,
+        beliefs: Beliefs,
+        rng: random.Random,
+        entries: Callable[[], int],
+    ) -> None:
         self.address = address
         self.beliefs = beliefs
         self.rng = rng
+        self.entries = entries
         self.tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -45,6 +57,14 @@
         for task in self.tasks:
             task.cancel()
 
+    def interval_s(self, table: str) -> float:
+        """Return the least time in seconds between two calls of a feed."""
+        if table == OPERATOR_TABLE:
+            return OPERATOR_INTERVAL_S
+        interval_s = ENDPOINT_INTERVAL_S_PER_ENTRY * self.entries()
+        interval_s = max(LEAST_ENDPOINT_INTERVAL_S, interval_s)
+        return min(MOST_ENDPOINT_INTERVAL_S, interval_s)
+
     async def follow(self, table: str) -> None:
         client = StoreClient(self.address)
         version: int | None = None
@@ -81,7 +101,7 @@
                     if not failing:
                         failing = True
                         log_event("store_lost", table=table, detail=error.detail)
-            pause_s = INTERVAL_S[table] - (time.monotonic() - began)
+            pause_s = self.interval_s(table) - (time.monotonic() - began)
             if error is not None or version is None:
                 pause_s = max(pause_s, RETRY_S * (0.5 + self.rng.random()))
             if pause_s > 0:
--- a/tests/unit/platform_path/test_shares.py
+++ b/tests/unit/platform_path/test_shares.py
@@ -255,3 +255,12 @@
     share.hear("1", "a", 50.2, {"dealer": RATE}, {}, 100.2)
     assert share.admit(ORGANISATION, 5000.0, 100.3) > 0
     assert share.admit(ORGANISATION, 5000.0, 101.5) == 0
+
+
+def test_demand_that_fades_a_little_is_told_once():
+    """Guards against a message in which the demand of every organisation is new."""
+    share = UsageLedger(NO_TOLERANCE, True, 100.0)
+    share.admit(ORGANISATION, 5000.0, 101.0)
+    told = [share.demand(101.0 + step * 0.05) for step in range(20)]
+    changes = sum(one != other for one, other in zip(told, told[1:], strict=False))
+    assert 1 <= changes <= 4
