Let requests wait for the first configuration of a process that just started

Ruled out: a store that was away (it answered at once). Change: in its first second a process lets a request wait up to 0.25 s.

--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -1,6 +1,7 @@
 """Relay requests: admit, place, send, and decide what each outcome allows."""
 
 import asyncio
+import contextlib
 import random
 import time
 
@@ -35,6 +36,10 @@
 
 # Endpoints that may decline one request before it is refused.
 MAX_DECLINED = 3
+# A process that started less than this ago lets requests wait for its first
+# configuration, each for so long at most.
+STARTING_S = 1.0
+FIRST_CONFIGURATION_S = 0.25
 
 
 class RequestRelay:
@@ -57,9 +62,14 @@
         self.placer = Placer(beliefs, health, asker, retries)
         self.attempts = Attempts(health, self.may_move)
         self.loop = asyncio.get_running_loop()
+        self.started_at = self.loop.time()
+        self.configured = asyncio.Event()
+        beliefs.on_configuration.append(self.configured.set)
 
     async def handle(self, connection: FrontConnection, request: FrontRequest) -> None:
         """Answer one request."""
+        if self.beliefs.routing is None:
+            await self.wait_for_configuration()
         admitted = self.admission.admit(request)
         if not isinstance(admitted, RelayRun):
             self.refuse(connection, admitted, request)
@@ -77,6 +87,14 @@
             raise
         self.conclude(connection, run, refusal)
 
+    async def wait_for_configuration(self) -> None:
+        """Wait for the first configuration, which comes soon after the start."""
+        if self.loop.time() - self.started_at > STARTING_S:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_CONFIGURATION_S):
+                await self.configured.wait()
+
     # Attempts.
 
     async def serve(
--- a/tests/unit/platform_path/test_relay_request.py
+++ b/tests/unit/platform_path/test_relay_request.py
@@ -1,10 +1,12 @@
 """What a request's kind and each fault of a runner allow: runs, answers, refusals."""
 
 import asyncio
+import time
 
 import pytest
 from relay_rig import HOST, RelayRig, configuration, route
 
+from acaciarelay.programs.relay_request import FIRST_CONFIGURATION_S, STARTING_S
 from acaciarelay_standins.platform_runner import RunnerFaults
 
 EVENTS = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 11))
@@ -297,3 +299,28 @@
         second = await rig.call("/chat/a", attempt="two")
         assert (first.status, second.status) == (200, 429)
         assert 0 < float(second.headers["retry-after"]) <= 2
+
+
+async def test_request_waits_for_the_first_configuration():
+    """Guards against refusals in the moments between a start and the store's answer."""
+    async with RelayRig() as rig:
+        await rig.add_runner("orders")
+        rig.beliefs.routing = None
+        rig.relay.configured.clear()
+        call = asyncio.create_task(rig.call("/order/a"))
+        await asyncio.sleep(0.05)
+        rig.configure(configuration())
+        answer = await call
+        assert answer.status == 200
+
+
+async def test_request_is_refused_at_once_when_no_configuration_comes():
+    """Guards against callers held by a process that has been cut off for long."""
+    async with RelayRig() as rig:
+        rig.beliefs.routing = None
+        rig.relay.configured.clear()
+        rig.relay.started_at -= STARTING_S
+        began = time.monotonic()
+        answer = await rig.call("/order/a")
+        assert answer.status == 503
+        assert time.monotonic() - began < FIRST_CONFIGURATION_S
