Store the result of a kept answer before its last piece is sent

Cause: an answer with a length is whole for its caller when its last piece comes, but the agent wrote the claim's result only after that piece and before the end message. A repeat in the milliseconds between, long for a large result that goes to the object store, found the claim started and got 409 with code 403. Ruled out: the store's consistency; the row was simply not written yet.

--- a/src/acaciarelay/programs/agent_runs.py
+++ b/src/acaciarelay/programs/agent_runs.py
@@ -69,7 +69,11 @@
 
 @attrs.define
 class RunOutput:
-    """Number answer messages, hold them until acknowledged and pass them on."""
+    """Number answer messages, hold them until acknowledged and pass them on.
+
+    While an answer is kept for a claim, its newest piece waits for the next one or the
+    end, so that nobody has a whole answer before the claim holds it.
+    """
 
     dispatch: Dispatch[pb.AgentMessage]
     transmit: Callable[[str, pb.AgentMessage], None]
@@ -77,16 +81,29 @@
     status: int = 0
     headers: list[Header] = attrs.field(factory=list)
     kept: list[bytes] | None = None
+    waiting: Callable[[], None] | None = None
     first_token_at: float | None = None
 
     async def head(self, status: int, headers: Sequence[Header]) -> None:
         """Send status and headers."""
         self.status = status
         self.headers = end_to_end_headers(list(headers))
+        self.send(self.send_head)
+
+    def send(self, piece: Callable[[], None]) -> None:
+        """Send a piece; one piece late while the answer is kept."""
+        if self.kept is None:
+            piece()
+            return
+        before, self.waiting = self.waiting, piece
+        if before is not None:
+            before()
+
+    def send_head(self) -> None:
         head = pb.Head(
             request_id=self.dispatch.request_id,
             seq=self.dispatch.answer.next_seq,
-            status=status,
+            status=self.status,
             headers=[pb.Header(name=n, value=v) for n, v in self.headers],
         )
         self.append(pb.AgentMessage(head=head), 256)
@@ -100,6 +117,9 @@
         while self.dispatch.answer.full:
             self.space.clear()
             await self.space.wait()
+        self.send(lambda: self.send_chunk(data))
+
+    def send_chunk(self, data: bytes) -> None:
         chunk = pb.Chunk(
             request_id=self.dispatch.request_id,
             seq=self.dispatch.answer.next_seq,
@@ -109,6 +129,9 @@
 
     def end(self, code: int, outcome: Outcome, result: RunResult | None) -> None:
         """Send the end of the answer, which also fits in a full buffer."""
+        if self.waiting is not None:
+            self.waiting()
+            self.waiting = None
         end = pb.End(
             request_id=self.dispatch.request_id,
             seq=self.dispatch.answer.next_seq,
