Keep places from long answers for bursts of urgent requests

Change: an agent keeps the mean need of more urgent ranks over 4 s and two deviations, at most half of the engine, from ranks that hold places at least twice as long.

--- a/src/acaciarelay/coordination/place_forecast.py
+++ b/src/acaciarelay/coordination/place_forecast.py
@@ -13,6 +13,12 @@
 FIRST_HOLD_S = 0.3
 # Time over which rates are averaged.
 RATE_S = 1.0
+# Time over which the places that a rank holds are averaged.
+HELD_S = 4.0
+# Multiple of the holding time of urgent requests from which a place is held for long.
+LONG_HOLD = 2.0
+# Standard deviations above the mean that a burst of urgent requests is reckoned with.
+BURST_SPREAD = 2.0
 # Part of the engine's pace that is reckoned with for the least urgent work at least.
 LEAST_PART = 0.05
 
@@ -38,6 +44,34 @@
     def __init__(self) -> None:
         self._hold_s: dict[int, float] = {}
         self._granted: dict[int, _Rate] = collections.defaultdict(_Rate)
+        self._held: dict[int, float] = {}
+        self._held_at: float | None = None
+
+    def note_held(self, granted: Mapping[int, int], now: float) -> None:
+        """Note how many places each rank has held since the last call."""
+        if self._held_at is None:
+            self._held_at = now
+        fading = math.exp(-max(0.0, now - self._held_at) / HELD_S)
+        self._held_at = now
+        for rank in self._held.keys() | granted.keys():
+            held = granted.get(rank, 0)
+            before = self._held.get(rank, 0.0)
+            self._held[rank] = held + (before - held) * fading
+
+    def urgent_places(self, rank: int) -> int:
+        """Return the places to keep from a rank for bursts of more urgent ones.
+
+        None are kept from requests that hold a place about as briefly, since places
+        that they take are free again soon.
+        """
+        held = rate = 0.0
+        for other, places in self._held.items():
+            if other < rank:
+                held += places
+                rate += places / self.hold_s(other)
+        if held <= 0.0 or self.hold_s(rank) < LONG_HOLD * held / rate:
+            return 0
+        return int(held + BURST_SPREAD * math.sqrt(held))
 
     def grant(self, rank: int, now: float) -> None:
         """Note that a request got a place."""
--- a/src/acaciarelay/coordination/place_queue.py
+++ b/src/acaciarelay/coordination/place_queue.py
@@ -1,6 +1,7 @@
 """Places at one engine, granted by rank and fairly among organisations."""
 
 import collections
+from collections.abc import Mapping
 
 import attrs
 
@@ -62,6 +63,7 @@
         key = (id(owner), request)
         if self.waiting.pop(key, None) is not None:
             return None
+        self.forecast.note_held(self._granted_by_rank(), now)
         holder = self.granted.pop(key, None)
         if holder is not None and holder.granted_at is not None:
             self.forecast.end(holder.ask.rank, now - holder.granted_at)
@@ -81,9 +83,15 @@
         grants = []
         while self.waiting and len(self.granted) + foreign < self.limit:
             key = min(self.waiting, key=self._order)
-            holder = self.waiting.pop(key)
+            holder = self.waiting[key]
             if now - holder.asked_at > holder.ask.time_left_s:
+                del self.waiting[key]
                 continue
+            granted = self._granted_by_rank()
+            self.forecast.note_held(granted, now)
+            if self._free(holder.ask.rank, granted, foreign) < 1:
+                break
+            del self.waiting[key]
             self._charge(holder.ask)
             self.forecast.grant(holder.ask.rank, now)
             holder.granted_at = now
@@ -101,6 +109,15 @@
         self._floor = max(self._floor, self._served[ask.organisation])
         self._served[ask.organisation] += tokens
 
+    def _free(self, rank: int, granted: Mapping[int, int], foreign: int) -> int:
+        """Return the places that a rank may take, beside those kept for urgent ones."""
+        urgent = sum(count for other, count in granted.items() if other < rank)
+        # Half of the engine stays open to all, so that it is never refused half idle.
+        most_kept = self.limit - self.limit // 2
+        kept = min(most_kept, self.forecast.urgent_places(rank))
+        others = len(self.granted) - urgent
+        return self.limit - foreign - others - max(urgent, kept)
+
     # Predictions.
 
     def _granted_by_rank(self) -> dict[int, int]:
@@ -113,7 +130,7 @@
         self, rank: int, ahead: float, granted: dict[int, int], now: float, foreign: int
     ) -> float:
         """Predict the wait of a request with ``ahead`` others before it."""
-        missing = ahead + 1.0 - (self.limit - len(self.granted) - foreign)
+        missing = ahead + 1.0 - self._free(rank, granted, foreign)
         if missing <= 0:
             return 0.0
         return missing / self.forecast.pace(rank, granted, now)
--- a/tests/unit/platform_path/test_place_queue.py
+++ b/tests/unit/platform_path/test_place_queue.py
@@ -100,6 +100,40 @@
     return at
 
 
+def accustomed(limit=8):
+    """Return places that served long answers of rank 2 and then brief urgent ones."""
+    places = queue(limit)
+    now = serve(places, 2, 20, 3.0, 2.0)
+    now = serve(places, 0, 200, 0.1, 0.3, now + 10.0)
+    return places, now
+
+
+def burst(places, now, rank, count):
+    """Ask for places for many requests of a rank and return how many get one."""
+    for number in range(count):
+        places.ask("one", ask(f"burst-{rank}-{number}", rank=rank), now)
+    return len(granted(places, now))
+
+
+def test_places_are_kept_from_long_answers():
+    """Guards against long answers that hold every place when a burst begins."""
+    places, now = accustomed()
+    assert burst(places, now, 2, 8) == 4
+    assert burst(places, now, 0, 8) == 4
+
+
+def test_no_places_are_kept_from_brief_answers():
+    """Guards against an engine left half idle by requests that end soon."""
+    places, now = accustomed()
+    assert burst(places, now, 1, 8) == 8
+
+
+def test_places_are_open_again_when_urgent_requests_stay_away():
+    """Guards against places that stay empty for requests that no longer come."""
+    places, now = accustomed()
+    assert burst(places, now + 30.0, 2, 8) == 8
+
+
 def test_hopeless_request_is_refused_before_its_wait_is_over():
     """Guards against callers held for a place that can't come in time."""
     places = queue(1)
