--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -43,8 +43,8 @@
 # process's part of the level is. Below, it must save credit for it, since as many
 # processes as there are may do the same.
 PLENTY_PART = 0.5
-# What an earlier lifetime left in a bucket at least: the refill in the time that a start
-# takes, and a part of the tolerated excess, which several starts in a window add up to.
+# What earlier lifetimes left in a bucket at least: the refill in the time that a start
+# takes, and a part of the tolerated excess, which starts in one window add up to.
 START_S = 0.5
 START_PART = 0.1
 # Amounts that are remembered of an organisation that has not called here yet.
--- a/tests/unit/state_world.py
+++ b/tests/unit/state_world.py
@@ -6,9 +6,9 @@
 """
 
 import random
-from typing import Any
 
 import attrs
+from unit.state_table import Message, Table
 
 from acaciarelay.state.claim import (
     Denied,
@@ -41,36 +41,6 @@
 MARGIN_S = 0.5
 
 
-@attrs.frozen
-class Message:
-    """A message between an entry's and an agent's process."""
-
-    kind: str
-    entry: tuple[str, int]
-    agent: tuple[str, int]
-    request_id: str
-    key: str = ""
-    token: str = ""
-
-
-@attrs.define
-class Table:
-    """One row for each key, written under a check of its revision."""
-
-    rows: dict[str, tuple[int, Any]] = attrs.field(factory=dict)
-    revision: int = 0
-
-    def read(self, key: str) -> tuple[int, Any]:
-        return self.rows.get(key, (0, None))
-
-    def write(self, key: str, seen: int, value: Any) -> bool:
-        if self.read(key)[0] != seen:
-            return False
-        self.revision += 1
-        self.rows[key] = (self.revision if value is not None else 0, value)
-        return True
-
-
 @attrs.define
 class World:
     """All processes, the network between them, and what really happened."""
