--- a/src/acaciarelay/coordination/place_forecast.py
+++ b/src/acaciarelay/coordination/place_forecast.py
@@ -17,8 +17,6 @@
 HELD_S = 4.0
 # Multiple of the holding time of urgent requests from which a place is held for long.
 LONG_HOLD = 2.0
-# Standard deviations above the mean that a burst of urgent requests is reckoned with.
-BURST_SPREAD = 2.0
 # Part of the engine's pace that is reckoned with for the least urgent work at least.
 LEAST_PART = 0.05
 
@@ -59,10 +57,10 @@
             self._held[rank] = held + (before - held) * fading
 
     def urgent_places(self, rank: int) -> int:
-        """Return the places to keep from a rank for bursts of more urgent ones.
+        """Return how many places to keep from a rank for more urgent ones.
 
-        None are kept from requests that hold a place about as briefly, since places
-        that they take are free again soon.
+        That is the mean and one standard deviation of what those hold, but none if the
+        rank holds its places about as briefly: they are free again soon.
         """
         held = rate = 0.0
         for other, places in self._held.items():
@@ -71,7 +69,7 @@
                 rate += places / self.hold_s(other)
         if held <= 0.0 or self.hold_s(rank) < LONG_HOLD * held / rate:
             return 0
-        return int(held + BURST_SPREAD * math.sqrt(held))
+        return int(held + math.sqrt(held))
 
     def grant(self, rank: int, now: float) -> None:
         """Note that a request got a place."""
--- a/src/acaciarelay/coordination/place_queue.py
+++ b/src/acaciarelay/coordination/place_queue.py
@@ -13,6 +13,8 @@
 # A predicted wait beyond this multiple of what a request may wait counts as hopeless:
 # the prediction is a mean, and some places come sooner.
 HOPELESS = 2.0
+# Places that stay open to requests of every rank, so that none of them starves.
+OPEN_PLACES = 2
 
 
 @attrs.define(eq=False)
@@ -112,9 +114,7 @@
     def _free(self, rank: int, granted: Mapping[int, int], foreign: int) -> int:
         """Return the places that a rank may take, beside those kept for urgent ones."""
         urgent = sum(count for other, count in granted.items() if other < rank)
-        # Half of the engine stays open to all, so that it is never refused half idle.
-        most_kept = self.limit - self.limit // 2
-        kept = min(most_kept, self.forecast.urgent_places(rank))
+        kept = min(self.limit - OPEN_PLACES, self.forecast.urgent_places(rank))
         others = len(self.granted) - urgent
         return self.limit - foreign - others - max(urgent, kept)
 
--- a/tests/unit/platform_path/test_place_queue.py
+++ b/tests/unit/platform_path/test_place_queue.py
@@ -122,6 +122,14 @@
     assert burst(places, now, 0, 8) == 4
 
 
+def test_two_places_stay_open_to_long_answers():
+    """Guards against a kind of request that never gets a place."""
+    places = queue(8)
+    now = serve(places, 2, 20, 3.0, 2.0)
+    now = serve(places, 0, 400, 0.05, 0.4, now + 10.0)
+    assert burst(places, now, 2, 8) == 2
+
+
 def test_no_places_are_kept_from_brief_answers():
     """Guards against an engine left half idle by requests that end soon."""
     places, now = accustomed()
