Keep an eighth of the grace time for an entry's exit

An entry left 0.6 s for ending its tasks and itself; with 0.39 of a core that is 0.23 s of processor time, and less where the machine is slowed.

--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -45,8 +45,10 @@
 TICK_S = 0.2
 # Time after a stop request in which the platform still sends new connections.
 UNREADY_S = 2.6
-# Part of the grace time that is kept for the exit itself.
-EXIT_MARGIN_S = 0.6
+# Time kept for the exit itself, as a part of the grace time and in seconds at least; a
+# slowed machine needs long to end all tasks.
+EXIT_MARGIN_PART = 0.125
+LEAST_EXIT_MARGIN_S = 0.6
 DRAIN_CHECK_S = 0.05
 
 
@@ -247,7 +249,8 @@
         log_event("stopping", connections=len(self.connections), always=True)
         for connection in self.connections:
             connection.last_request = True
-        end_at = began + self.settings.stop_grace_s - EXIT_MARGIN_S
+        grace_s = self.settings.stop_grace_s
+        end_at = began + grace_s - max(LEAST_EXIT_MARGIN_S, EXIT_MARGIN_PART * grace_s)
         while self.loop.time() < end_at:
             self.peers.tick(time.monotonic())
             if self.loop.time() - began > UNREADY_S:
