--- a/src/acaciarelay/coordination/place_forecast.py
+++ b/src/acaciarelay/coordination/place_forecast.py
@@ -56,6 +56,10 @@
             before = self._held.get(rank, 0.0)
             self._held[rank] = held + (before - held) * fading
 
+    def ranks(self) -> list[int]:
+        """Return the ranks that held places here."""
+        return sorted(self._held)
+
     def urgent_places(self, rank: int) -> int:
         """Return how many places to keep from a rank for more urgent ones.
 
--- a/src/acaciarelay/coordination/place_queue.py
+++ b/src/acaciarelay/coordination/place_queue.py
@@ -111,10 +111,19 @@
         self._floor = max(self._floor, self._served[ask.organisation])
         self._served[ask.organisation] += tokens
 
+    def ranks(self) -> list[int]:
+        """Return the ranks that held places at this engine."""
+        return self.forecast.ranks()
+
+    def kept_places(self, rank: int) -> int:
+        """Return the places that are kept from a rank for more urgent ones."""
+        most = max(0, self.limit - OPEN_PLACES)
+        return min(most, self.forecast.urgent_places(rank))
+
     def _free(self, rank: int, granted: Mapping[int, int], foreign: int) -> int:
         """Return the places that a rank may take, beside those kept for urgent ones."""
         urgent = sum(count for other, count in granted.items() if other < rank)
-        kept = min(self.limit - OPEN_PLACES, self.forecast.urgent_places(rank))
+        kept = self.kept_places(rank)
         others = len(self.granted) - urgent
         return self.limit - foreign - others - max(urgent, kept)
 
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -166,6 +166,12 @@
         (),
         "Requests that wait for a place at the engine.",
     ),
+    Metric(
+        "acaciarelay_places_kept",
+        "gauge",
+        ("tier",),
+        "Places at the engine that are kept from a tier for more urgent ones.",
+    ),
     Metric(
         "acaciarelay_stage_seconds",
         "histogram",
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -234,6 +234,8 @@
             self.grant()
         self.metrics.set("places_used", len(self.queue.granted) + self.foreign)
         self.metrics.set("places_waiting", len(self.queue.waiting))
+        for rank in self.queue.ranks():
+            self.metrics.set("places_kept", self.queue.kept_places(rank), tier=rank)
         speed = self.model.speed()
         waits_s = self.queue.expected_waits(RANKS, now, self.foreign)
         state = EngineState(
