Tell callers at once when engine and agent of a machine are both silent

Ruled out: a late cancellation (the engine answers 'gone' when it wakes, so it had it); requests sent later (agents are frozen too and grant nothing). Change: a request leaves a runner that said nothing for a second also when nothing came from the agent on its machine for 1.2 s; the caller gets 502 (unknown) or a cut stream at once. A runner's silence alone still ends nothing.

--- a/src/acaciarelay/coordination/place_asker.py
+++ b/src/acaciarelay/coordination/place_asker.py
@@ -21,6 +21,8 @@
 # An agent that was silent for longer may have another load than it last told.
 STATE_FRESH_S = 1.2
 UNKNOWN_WAIT_S = 0.05
+# An agent that says nothing for longer than two heartbeats is frozen or cut off.
+SILENT_S = 1.2
 
 
 @attrs.define(eq=False)
@@ -100,10 +102,20 @@
         self.agents: dict[str, AgentLink] = {}
         self._pending: dict[str, _Pending] = {}
         self._numbers = itertools.count(1)
+        # Hosts whose link was lost because nothing came over it.
+        self._silent_hosts: set[str] = set()
 
     def opened(self, host: str, link: MessageLink) -> None:
         """Take a new link to the agent at a host."""
         self.agents[host] = AgentLink(host, link)
+        self._silent_hosts.discard(host)
+
+    def silent(self, host: str, now: float) -> bool:
+        """Return whether nothing comes from the agent at a host any more."""
+        agent = self.agents.get(host)
+        if agent is None:
+            return host in self._silent_hosts
+        return now - agent.link.heard_at > SILENT_S
 
     def closed(self, host: str, link: MessageLink) -> None:
         """Drop a lost link; requests that wait only there go on without a place."""
@@ -111,6 +123,8 @@
         if agent is None or agent.link is not link:
             return
         del self.agents[host]
+        if asyncio.get_running_loop().time() - link.heard_at > SILENT_S:
+            self._silent_hosts.add(host)
         for pending in list(self._pending.values()):
             pending.drop(agent, False)
 
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -36,8 +36,8 @@
 __all__ = ["Attempts"]
 
 CONNECT_TIMEOUT_S = 0.6
-# Silence after which a request that may run again goes to another endpoint: a part of
-# the route's time, and at most so many seconds.
+# Silence after which a request may leave its endpoint: a part of the route's time, and
+# at most so many seconds.
 SILENCE_PART = 0.5
 MAX_SILENCE_S = 1.0
 # Failures that a declined request, a refused connection and one for an endpoint that
@@ -51,13 +51,13 @@
 
 
 class Attempts:
-    """Make single attempts; ``may_move`` tells whether a silent one may be left."""
+    """Make single attempts; ``may_leave`` tells whether a silent one may be left."""
 
     def __init__(
-        self, health: EndpointHealth, may_move: Callable[[RelayRun], bool]
+        self, health: EndpointHealth, may_leave: Callable[[RelayRun], bool]
     ) -> None:
         self.health = health
-        self.may_move = may_move
+        self.may_leave = may_leave
         self.loop = asyncio.get_running_loop()
 
     async def attempt(
@@ -98,7 +98,7 @@
             call.send(request.method, request.target, headers, request.body)
             call.end_silence(
                 min(MAX_SILENCE_S, SILENCE_PART * run.route.timeout_s),
-                lambda: self.may_move(run),
+                lambda: self.may_leave(run),
             )
             outcome = await self.read_answer(connection, run, call)
             if isinstance(outcome, NotRun):
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -59,8 +59,9 @@
         self.admission = Admission(beliefs, usage, rng)
         self.retries = retries
         self.metrics = metrics
+        self.asker = asker
         self.placer = Placer(beliefs, health, asker, retries)
-        self.attempts = Attempts(health, self.may_move)
+        self.attempts = Attempts(health, self.may_leave)
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.configured = asyncio.Event()
@@ -142,6 +143,17 @@
     def may_repeat(self, run: RelayRun) -> bool:
         return run.repeatable and run.runs < run.route.max_attempts
 
+    def may_leave(self, run: RelayRun) -> bool:
+        """Return whether a request may leave its silent endpoint.
+
+        It may when another endpoint can take it, or when the agent on the endpoint's
+        machine is silent too: then the caller is told at once that nothing will come.
+        """
+        if self.may_move(run):
+            return True
+        host = run.endpoint.host if run.endpoint is not None else ""
+        return self.asker.silent(host, self.loop.time())
+
     def may_move(self, run: RelayRun) -> bool:
         """Return whether a request may leave its endpoint for another one."""
         if not self.may_repeat(run):
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -17,6 +17,8 @@
 UNACKNOWLEDGED_S = 4.0
 # Reading pauses above this many events, so that a slow caller holds back its endpoint.
 MAX_QUEUED_EVENTS = 64
+# Time after which a silent connection that had to stay is judged again.
+RECHECK_S = 0.2
 
 
 class FaultKind(enum.StrEnum):
@@ -94,7 +96,7 @@
                 fault = CallFault(FaultKind.SILENT, f"nothing for {silence_s:g} s")
                 self._break(fault)
             else:
-                self.silence_timer = loop.call_later(silence_s, check)
+                self.silence_timer = loop.call_later(RECHECK_S, check)
 
         self.silence_timer = loop.call_later(silence_s, check)
 
--- a/tests/unit/platform_path/test_relay_request.py
+++ b/tests/unit/platform_path/test_relay_request.py
@@ -324,3 +324,41 @@
         answer = await rig.call("/order/a")
         assert answer.status == 503
         assert time.monotonic() - began < FIRST_CONFIGURATION_S
+
+
+class SilentLink:
+    """Stand for the link to an agent that says nothing."""
+
+    def __init__(self, silent_s):
+        self.heard_at = asyncio.get_running_loop().time() - silent_s
+
+
+@pytest.mark.parametrize("target", ["/quote/a", "/order/a"])
+async def test_caller_of_a_frozen_machine_is_told_before_it_leaves(target):
+    """Guards against a run that a frozen runner takes up after its caller has left."""
+    async with RelayRig() as rig:
+        for service in ("engine", "orders"):
+            runner = await rig.add_runner(service)
+            runner.faults = RunnerFaults(silent=True)
+        link = SilentLink(2.0)
+        rig.asker.opened("127.0.0.1", link)
+        rig.asker.closed("127.0.0.1", link)
+        began = time.monotonic()
+        answer = await rig.call(target, limit_ms=4000)
+        assert answer.status == 502
+        assert time.monotonic() - began < 1.6
+        assert rig.arrivals == 1
+
+
+async def test_silent_runner_keeps_its_request_beside_an_agent_that_was_stopped():
+    """Guards against an answer that is cut since an agent was replaced."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("engine")
+        runner.faults = RunnerFaults(silent=True)
+        link = SilentLink(0.1)
+        rig.asker.opened("127.0.0.1", link)
+        rig.asker.closed("127.0.0.1", link)
+        began = time.monotonic()
+        answer = await rig.call("/quote/a", limit_ms=1900)
+        assert answer.status == 504
+        assert time.monotonic() - began > 1.7
