Bound the work for callers' small chunks; reject negative token counts

Cause: a body in chunks of one byte was kept as one object a byte and parsed without giving way; 90,000 of them held up all other callers for about a second. A negative number in the token counts was charged as it was, and so added to what the organisation may use. Ruled out: h11's own buffer, whose front is removed in constant time. Before: the new test of single bytes and the two rows of negative counts fail. After: they pass; the event loop is never kept for 0.2 s.

--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -121,7 +121,11 @@
     if text is None:
         return None, None
     prompt, _, output = text.partition(",")
-    return int(prompt), int(output or 0)
+    counts = int(prompt), int(output or 0)
+    if min(counts) < 0:
+        # A negative cost would add to what the organisation may use.
+        raise ValueError("a negative number of tokens")
+    return counts
 
 
 def endpoint_headers(
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -26,6 +26,8 @@
 # Time in which a refused caller may finish sending, so that closing does not reset the
 # connection before it has read the response.
 LINGER_S = 1.0
+# Pieces of a body that are parsed without giving way to other tasks.
+MAX_PIECES_PER_TURN = 64
 HEAD_END = b"\r\n\r\n"
 
 
@@ -95,8 +97,9 @@
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.head: h11.Request | None = None
-        self.pieces: list[bytes] = []
-        self.body_bytes = 0
+        self.body = bytearray()
+        # Present while parsing waits for the next turn of the event loop.
+        self.parse_handle: asyncio.Handle | None = None
         self.arrived_at = 0.0
         # Present while the transport has paused writing; done when it resumes.
         self.write_resumed: asyncio.Future | None = None
@@ -122,6 +125,8 @@
         self.registry.discard(self)
         self.set_timer(None)
         self.phase = _Phase.CLOSING
+        if self.parse_handle is not None:
+            self.parse_handle.cancel()
         if self.task is not None:
             self.task.cancel()
         self.resume_writing()
@@ -197,7 +202,7 @@
             self.reject(refuse("malformed_http"))
 
     def parse(self) -> None:
-        while True:
+        for _ in range(MAX_PIECES_PER_TURN):
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 if self.http.they_are_waiting_for_100_continue:
@@ -210,21 +215,34 @@
                     if not self.accept_head(event):
                         return
                 case h11.Data():
-                    self.body_bytes += len(event.data)
-                    if self.body_bytes > self.limits().max_body_bytes:
+                    self.body += event.data
+                    if len(self.body) > self.limits().max_body_bytes:
                         self.reject(refuse("body_too_large"))
                         return
-                    self.pieces.append(bytes(event.data))
                 case h11.EndOfMessage():
                     self.dispatch_request()
                     return
                 case _:
                     return
+        assert self.transport is not None
+        self.transport.pause_reading()
+        self.parse_handle = self.loop.call_soon(self.continue_parsing)
+
+    def continue_parsing(self) -> None:
+        self.parse_handle = None
+        if self.phase is not _Phase.BODY or self.transport is None:
+            return
+        self.set_timer(self.limits().head_timeout_s)
+        try:
+            self.parse()
+        except h11.RemoteProtocolError:
+            self.reject(refuse("malformed_http"))
+        if self.parse_handle is None and not self.reading_paused:
+            self.transport.resume_reading()
 
     def accept_head(self, head: h11.Request) -> bool:
         self.head = head
-        self.pieces = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.phase = _Phase.BODY
         self.set_timer(self.limits().head_timeout_s)
         lengths = 0
@@ -256,11 +274,11 @@
             method=self.head.method.decode("ascii"),
             target=self.head.target.decode("latin-1"),
             headers=headers,
-            body=b"".join(self.pieces),
+            body=bytes(self.body),
             has_body=has_body,
             arrived_at=self.arrived_at,
         )
-        self.pieces = []
+        self.body = bytearray()
         self.phase = _Phase.RESPONSE
         self.response_started = False
         self.set_timer(None)
--- a/tests/unit/platform_path/test_inbound_server.py
+++ b/tests/unit/platform_path/test_inbound_server.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from loop_monitor import LoopMonitor
 from relay_rig import KEY, RelayRig
 
 HEAD = f"POST /order/a HTTP/1.1\r\nHost: shop.example\r\nApi-Key: {KEY}\r\n"
@@ -96,3 +97,16 @@
         data += b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
         assert (await rig.exchange(data)).status == 200
         assert runner.runs[0].body == b"abcde"
+
+
+async def test_a_body_in_single_bytes_holds_up_no_other_caller():
+    """Guards against a caller that occupies the event loop with small chunks."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("orders")
+        data = HEAD.encode() + b"Attempt-Id: a-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        data += b"1\r\ny\r\n" * 90_000 + b"0\r\n\r\n"
+        async with LoopMonitor() as monitor:
+            answer = await rig.exchange(data)
+        assert answer.status == 200
+        assert runner.runs[0].body == b"y" * 90_000
+        assert monitor.longest_s < 0.2
--- a/tests/unit/platform_path/test_relay_request.py
+++ b/tests/unit/platform_path/test_relay_request.py
@@ -213,6 +213,8 @@
         ("/unknown/a", {}, 404),
         ("/order/a", {"Api_Key": "nobody"}, 401),
         ("/order/a", {"Token_Usage": "many"}, 400),
+        ("/order/a", {"Token_Usage": "-100000,5"}, 400),
+        ("/order/a", {"Token_Usage": "5,-100000"}, 400),
         ("/order/a", {"Host": "elsewhere.example"}, 404),
     ],
 )
