Bound answers without end, judge stalls by progress, believe named refusals only

Cause: EventSplitter searched its whole buffer for each piece and had no bound; answers in small pieces were parsed and forwarded without giving way; interim responses were unlimited; any byte counted as progress, so a runner that sent one now and then kept an attempt to the route's time limit; a refusal without a request id was believed, so that a repeated earlier one could say 'not run' of an order that ran, and the order was sent to a second runner. Conclusion: a faulty runner costs its own request only.

--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -30,16 +30,23 @@
     EndpointConnection,
     connect,
 )
-from acaciarelay.transport.event_stream import EventSplitter, StreamEvent
+from acaciarelay.transport.event_stream import (
+    EventSplitter,
+    EventTooLargeError,
+    StreamEvent,
+)
 from acaciarelay.transport.inbound_server import InboundConnection, InboundRequest
 
 __all__ = ["Attempts"]
 
 CONNECT_TIMEOUT_S = 0.6
-# Silence after which an attempt may be abandoned: a fraction of the route's timeout,
-# up to an upper bound.
-SILENCE_FRACTION = 0.5
-MAX_SILENCE_S = 1.0
+# Time without progress after which an attempt may be abandoned: a fraction of the
+# route's timeout, up to an upper bound.
+STALL_FRACTION = 0.5
+MAX_STALL_S = 1.0
+# Bytes of a body that count as progress. Fewer within the time without progress are
+# those of an endpoint that only keeps its connection busy.
+MIN_PROGRESS_BYTES = 1024
 # Weights of failures in the endpoint's health; other failures have weight 1. An address
 # that now belongs to another endpoint has the greatest weight, since the intended
 # endpoint is no longer there.
@@ -54,7 +61,7 @@
 class Attempts:
     """Make attempts and record their outcomes in the health of the endpoints.
 
-    ``may_abandon`` returns whether an attempt at a silent endpoint may be abandoned.
+    ``may_abandon`` returns whether an attempt at a stalled endpoint may be abandoned.
     """
 
     def __init__(
@@ -104,8 +111,8 @@
             endpoint_connection.send(
                 request.method, request.target, headers, request.body
             )
-            endpoint_connection.abort_on_silence(
-                min(MAX_SILENCE_S, SILENCE_FRACTION * relayed.route.timeout_s),
+            endpoint_connection.abort_when_stalled(
+                min(MAX_STALL_S, STALL_FRACTION * relayed.route.timeout_s),
                 lambda: self.may_abandon(relayed),
             )
             outcome = await self.read_answer(
@@ -158,6 +165,10 @@
         mismatched = traits.request_id not in (None, relayed.traits.request_id)
         if mismatched:
             return Broken("foreign answer")
+        declined = traits.not_run or event.status_code == MISDIRECTED_STATUS
+        if declined and traits.request_id is None:
+            # It may refer to another request, so that this one may run.
+            return Broken("refusal without a request id")
         if event.status_code == MISDIRECTED_STATUS:
             return NotRun(WRONG_ENDPOINT, True)
         if traits.not_run:
@@ -194,28 +205,31 @@
         response: h11.Response,
         headers: list[Header],
     ) -> AttemptOutcome:
-        pieces: list[bytes] = []
-        size = 0
+        body = bytearray()
+        progress_bytes = 0
         while True:
             match await endpoint_connection.next_event():
                 case h11.Data(data=data):
-                    size += len(data)
-                    if size > MAX_ANSWER_BYTES:
+                    body += data
+                    if len(body) > MAX_ANSWER_BYTES:
                         return Broken("answer too large")
-                    pieces.append(bytes(data))
+                    if len(body) - progress_bytes >= MIN_PROGRESS_BYTES:
+                        progress_bytes = len(body)
+                        endpoint_connection.record_progress()
                 case h11.EndOfMessage():
                     break
                 case ConnectionFault() as fault:
                     return Broken(str(fault))
-        body = b"".join(pieces)
         if not 200 <= response.status_code < 300:
             if not decode_answer(headers).sealed:
                 return Broken(f"unsealed status {response.status_code}")
-            return ErrorResponse(response.status_code, headers, body)
+            return ErrorResponse(response.status_code, headers, bytes(body))
         if relayed.head_sent:
             return Broken("an answer that is no stream")
         relayed.first_event_at = self.loop.time()
-        caller_connection.respond(response.status_code, answer_headers(headers), body)
+        caller_connection.respond(
+            response.status_code, answer_headers(headers), bytes(body)
+        )
         await caller_connection.drain()
         return Delivered()
 
@@ -236,12 +250,16 @@
         while True:
             match await endpoint_connection.next_event():
                 case h11.Data(data=data):
-                    events = splitter.feed(bytes(data))
+                    try:
+                        events = splitter.feed(bytes(data))
+                    except EventTooLargeError:
+                        return Broken("event too large")
                     unsent = self.unsent_events(relayed, events)
                     if unsent is None:
                         return Broken("events out of order")
                     if not unsent:
                         continue
+                    endpoint_connection.record_progress()
                     if not relayed.head_sent:
                         relayed.head_sent = True
                         relayed.first_event_at = self.loop.time()
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -18,10 +18,13 @@
 __all__ = ["ConnectionFault", "EndpointConnection", "FaultKind", "connect"]
 
 TCP_USER_TIMEOUT_S = 4.0
-# Reading pauses above this many events, so that a slow caller slows down its endpoint.
+# Parsing and reading pause at this many events, so that a slow caller slows down its
+# endpoint, and many small pieces can't occupy the event loop or the memory.
 MAX_QUEUED_EVENTS = 64
-# Interval of the checks of a silent connection after ``may_abort`` returned false.
-SILENCE_RECHECK_S = 0.2
+# Interim responses (status 1xx) accepted before the final one.
+MAX_INTERIM_RESPONSES = 8
+# Interval of the checks of a stalled connection after ``may_abort`` returned false.
+STALL_RECHECK_S = 0.2
 
 
 class FaultKind(enum.StrEnum):
@@ -57,8 +60,9 @@
         self.waiter: asyncio.Future | None = None
         self.fault: ConnectionFault | None = None
         self.reading_paused = False
-        self.last_received_at = 0.0
-        self.silence_timer: asyncio.TimerHandle | None = None
+        self.interim_responses = 0
+        self.progress_at = 0.0
+        self.stall_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -66,8 +70,8 @@
         enable_dead_peer_detection(transport, TCP_USER_TIMEOUT_S)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self.silence_timer is not None:
-            self.silence_timer.cancel()
+        if self.stall_timer is not None:
+            self.stall_timer.cancel()
         if exc is None and self.fault is None:
             self._receive(b"")
         if self.fault is None:
@@ -83,32 +87,41 @@
     def data_received(self, data: bytes) -> None:
         if self.fault is not None:
             return
-        self.last_received_at = asyncio.get_running_loop().time()
+        if self.http.their_state is h11.DONE:
+            # The answer is complete, so the connection can't be used again.
+            self.fault = ConnectionFault(FaultKind.MALFORMED, "data after the answer")
+            self.close()
+            return
         self._receive(data)
 
-    def abort_on_silence(self, silence_s: float, may_abort: Callable[[], bool]) -> None:
-        """Abort the connection after ``silence_s`` without data if ``may_abort()``.
+    def record_progress(self) -> None:
+        """Record that the endpoint makes progress with its answer."""
+        self.progress_at = asyncio.get_running_loop().time()
 
-        If it returns false, both are checked again until the connection ends.
+    def abort_when_stalled(self, stall_s: float, may_abort: Callable[[], bool]) -> None:
+        """Abort the connection after ``stall_s`` without progress if ``may_abort()``.
+
+        If it returns false, both are checked again until the connection ends. The head
+        of the answer counts as progress, and what ``record_progress`` is called for.
         """
         loop = asyncio.get_running_loop()
-        self.last_received_at = loop.time()
+        self.progress_at = loop.time()
 
         def check() -> None:
-            # Events in the queue mean that the caller is slow, not the endpoint silent.
+            # Events in the queue mean that the caller is slow, not the endpoint.
             idle = not self.reading_paused and not self.events
-            silent_s = loop.time() - self.last_received_at if idle else 0.0
-            if silent_s < silence_s:
-                self.silence_timer = loop.call_later(silence_s - silent_s, check)
+            stalled_s = loop.time() - self.progress_at if idle else 0.0
+            if stalled_s < stall_s:
+                self.stall_timer = loop.call_later(stall_s - stalled_s, check)
             elif may_abort():
                 fault = ConnectionFault(
-                    FaultKind.SILENT, f"no data for {silence_s:g} s"
+                    FaultKind.SILENT, f"no progress for {stall_s:g} s"
                 )
                 self._fail(fault)
             else:
-                self.silence_timer = loop.call_later(SILENCE_RECHECK_S, check)
+                self.stall_timer = loop.call_later(STALL_RECHECK_S, check)
 
-        self.silence_timer = loop.call_later(silence_s, check)
+        self.stall_timer = loop.call_later(stall_s, check)
 
     def _receive(self, data: bytes) -> None:
         try:
@@ -125,23 +138,42 @@
                     ConnectionFault(FaultKind.MALFORMED, "data without a request")
                 )
             return
-        while True:
+        while len(self.events) < MAX_QUEUED_EVENTS:
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                break
+                return
             if isinstance(event, h11.InformationalResponse):
+                self.interim_responses += 1
+                if self.interim_responses > MAX_INTERIM_RESPONSES:
+                    fault = ConnectionFault(FaultKind.MALFORMED, "no final response")
+                    self._fail(fault)
+                    return
                 continue
             if isinstance(event, h11.ConnectionClosed):
-                break
+                return
             assert isinstance(event, h11.Event)
+            if isinstance(event, h11.Response):
+                self.record_progress()
             self._deliver(event)
             if isinstance(event, h11.EndOfMessage):
-                break
-        if len(self.events) > MAX_QUEUED_EVENTS and not self.reading_paused:
-            assert self.transport is not None
+                return
+        if not self.reading_paused and self.transport is not None:
             self.reading_paused = True
             self.transport.pause_reading()
 
+    def _resume(self) -> None:
+        """Parse what was received before the pause, then read on."""
+        assert self.transport is not None
+        self.reading_paused = False
+        if self.fault is not None:
+            return
+        try:
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._fail(ConnectionFault(FaultKind.MALFORMED, str(error)))
+        if not self.reading_paused and self.fault is None:
+            self.transport.resume_reading()
+
     def _deliver(self, event: h11.Event | ConnectionFault) -> None:
         self.events.append(event)
         if self.waiter is not None and not self.waiter.done():
@@ -185,9 +217,9 @@
                 self.waiter = None
         event = self.events.popleft()
         if self.reading_paused and len(self.events) < MAX_QUEUED_EVENTS // 2:
-            assert self.transport is not None
-            self.reading_paused = False
-            self.transport.resume_reading()
+            # Many small pieces must not keep other tasks waiting.
+            await asyncio.sleep(0)
+            self._resume()
         return event
 
     def start_next(self) -> None:
@@ -201,6 +233,7 @@
         if not done or self.fault is not None:
             self.close()
             return
+        self.interim_responses = 0
         self.http.start_next_cycle()
 
     @property
--- a/src/acaciarelay/transport/event_stream.py
+++ b/src/acaciarelay/transport/event_stream.py
@@ -4,12 +4,19 @@
 
 import attrs
 
-__all__ = ["EventSplitter", "StreamEvent"]
+__all__ = ["EventSplitter", "EventTooLargeError", "StreamEvent"]
 
-_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
-# Data without a separator within this size is not an event stream; ``EventSplitter``
-# does not check this.
-MAX_EVENT_BYTES = 1_048_576
+# Longer numbers are no event ids of an endpoint.
+_ID = re.compile(rb"^id: ?(\d{1,18})\r?$", re.MULTILINE)
+_SEPARATOR = re.compile(rb"\r\n\r\n|\n\n")
+# Bytes of a separator that may have been searched without the rest of it.
+_MAX_PARTIAL_SEPARATOR_BYTES = 3
+# Data without a separator within this size is not an event stream.
+MAX_EVENT_BYTES = 262_144
+
+
+class EventTooLargeError(Exception):
+    """An incomplete event has more than ``MAX_EVENT_BYTES``."""
 
 
 @attrs.frozen
@@ -28,24 +35,29 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        # Number of bytes at the start of the buffer that contain no separator.
+        self.searched = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raises ``EventTooLargeError`` when the rest can't be an event.
+        """
         self.buffer += data
         events: list[StreamEvent] = []
-        while True:
-            end = self.buffer.find(b"\n\n")
-            width = 2
-            crlf = self.buffer.find(b"\r\n\r\n")
-            if crlf >= 0 and (end < 0 or crlf < end):
-                end, width = crlf, 4
-            if end < 0:
-                return events
-            block = bytes(self.buffer[: end + width])
-            del self.buffer[: end + width]
+        start = 0
+        for separator in _SEPARATOR.finditer(self.buffer, self.searched):
+            block = bytes(self.buffer[start : separator.end()])
+            start = separator.end()
             match = _ID.search(block)
             number = int(match.group(1)) if match is not None else None
             events.append(StreamEvent(block, number))
+        # ``finditer`` has released its export of the buffer, which may shrink again.
+        del self.buffer[:start]
+        self.searched = max(0, len(self.buffer) - _MAX_PARTIAL_SEPARATOR_BYTES)
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            raise EventTooLargeError
+        return events
 
     @property
     def has_partial_event(self) -> bool:
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -15,13 +15,32 @@
 import orjson
 
 from acaciarelay.transport.endpoint_call import connect
-from acaciarelay.transport.inbound_server import InboundConnection, InboundRequest
+from acaciarelay.transport.inbound_server import (
+    CallerDisconnectedError,
+    InboundConnection,
+    InboundRequest,
+)
 from acaciarelay_standins.common import add_listen, announce, wait_for_stop
 from acaciarelay_standins.inbound_standin import listen
 
 __all__ = ["PlatformRunner", "Run", "RunnerFaults", "main"]
 
 FIRST_EVENT_ID = 1
+_CHUNKED_HEAD = (
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nRunner-Seal: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n"
+)
+# Parts of an answer that can be sent without end: what comes first, and what repeats.
+ENDLESS_PARTS = {
+    "head": ("HTTP/1.1 200 OK\r\nX-Filler: ", "x" * 65_536),
+    "fields": ("HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n" * 4_096),
+    "interim": ("", "HTTP/1.1 102 Processing\r\n\r\n" * 2_048),
+    "body": (_CHUNKED_HEAD, f"10000\r\n{'x' * 65_536}\r\n"),
+    "small_chunks": (_CHUNKED_HEAD, "1\r\nx\r\n" * 10_000),
+    "comments": (_CHUNKED_HEAD, "4\r\n: x\n\r\n" * 8_192),
+    "extension": (_CHUNKED_HEAD + "1;", "x" * 65_536),
+    "trailer": (_CHUNKED_HEAD + "0\r\nX-Filler: ", "x" * 65_536),
+}
 
 
 @attrs.define
@@ -34,8 +53,11 @@
     ``unsealed`` omits the seal; ``short`` ends a body early; ``garbage`` sends bytes
     that aren't HTTP; ``encoded`` declares a content encoding; ``silent`` never answers;
     ``extra`` sends bytes after a complete answer; ``wrong_endpoint`` answers as if
-    another endpoint had the address. ``lying`` answers health checks with 200 despite
-    the other faults, and with 503 when cleared.
+    another endpoint had the address. ``old_refusal`` runs the request but answers with
+    a refusal that names no request. ``endless``, a name in ``ENDLESS_PARTS``, sends
+    bytes of that part of an answer until the caller closes. ``drip_s`` sends one byte
+    in that many seconds instead of an answer. ``lying`` answers health checks with 200
+    despite the other faults, and with 503 when cleared.
     """
 
     lose: bool = False
@@ -51,6 +73,9 @@
     silent: bool = False
     extra: bool = False
     wrong_endpoint: bool = False
+    old_refusal: bool = False
+    endless: str = ""
+    drip_s: float = 0.0
     lying: bool = True
 
 
@@ -87,6 +112,7 @@
     cancelled: list[str] = attrs.Factory(list)
     headers_seen: list[dict[str, str]] = attrs.Factory(list)
     running: int = 0
+    endless_bytes: int = 0
     _queue: collections.deque[asyncio.Future] = attrs.Factory(collections.deque)
 
     async def handle(
@@ -105,11 +131,14 @@
             return connection.respond(200, [], orjson.dumps(self.report()))
         if request.target == "/health":
             return connection.respond(200 if self.faults.lying else 503, [], b"")
+        named = [("Attempt-Id", fields.get("attempt-id", ""))]
         expected = fields.get("expect-instance", self.endpoint_id)
         if expected != self.endpoint_id or self.faults.wrong_endpoint:
-            return connection.respond(421, [("Runner-Id", self.endpoint_id)], b"")
+            return connection.respond(
+                421, [*named, ("Runner-Id", self.endpoint_id)], b""
+            )
         if self.faults.shed:
-            return connection.respond(503, [("Not-Executed", "1")], b"")
+            return connection.respond(503, [*named, ("Not-Executed", "1")], b"")
         self.headers_seen.append(fields)
         await self.admit(connection, request, fields)
 
@@ -174,6 +203,10 @@
             assert connection.transport is not None
             connection.transport.write(b"\x00garbage\r\n\r\n")
             return connection.close()
+        if faults.old_refusal:
+            return connection.respond(503, [("Not-Executed", "1")], b"")
+        if faults.endless:
+            return await self.send_without_end(connection, attempt)
         headers = [("Attempt-Id", "other" if faults.foreign else attempt)]
         if not faults.unsealed:
             headers.append(("Runner-Seal", f"seal-of-{self.endpoint_id}"))
@@ -181,6 +214,9 @@
             headers.append(("Content-Encoding", "gzip"))
         if "token-usage" in fields:
             return await self.stream(connection, fields, headers)
+        if faults.drip_s:
+            connection.start(200, [*headers, ("Content-Length", "500")])
+            return await self.drip(connection)
         await asyncio.sleep(self.work_s)
         status = 500 if faults.error else 200
         body = f"answer of {self.endpoint_id} to {attempt}".encode()
@@ -193,6 +229,27 @@
             connection.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
         return None
 
+    async def send_without_end(
+        self, connection: InboundConnection, attempt: str
+    ) -> None:
+        """Send one part of an answer until the caller closes the connection."""
+        first, repeated = ENDLESS_PARTS[self.faults.endless]
+        assert connection.transport is not None
+        connection.transport.write(first.replace("{attempt}", attempt).encode())
+        piece = repeated.encode()
+        with contextlib.suppress(CallerDisconnectedError):
+            while True:
+                connection.transport.write(piece)
+                self.endless_bytes += len(piece)
+                await connection.drain()
+                await asyncio.sleep(0)
+
+    async def drip(self, connection: InboundConnection) -> None:
+        """Send a byte of the body now and then until the caller closes."""
+        while True:
+            await asyncio.sleep(self.faults.drip_s)
+            connection.write(b":")
+
     async def stream(
         self,
         connection: InboundConnection,
@@ -203,6 +260,8 @@
         if self.faults.error:
             return connection.respond(500, headers, b"failed")
         connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
+        if self.faults.drip_s:
+            return await self.drip(connection)
         first = int(fields.get("last-event-id", FIRST_EVENT_ID - 1)) + 1
         for count, number in enumerate(range(first, self.events + 1)):
             if self.faults.cut_after and count >= self.faults.cut_after:
