Decode the slowdown in load reports and place by it

Cause: the load report has a fourth figure on the new deployment, and a report with other than three figures was dropped, so that every report was lost there. Plain services are chosen by load times slowdown, where the newest figure fades into the mean with 0.15 s. Agents publish the mean of the reports that they read free on their own VM; an engine without a measured answer is taken to be as fast as the measured ones at its slowdown. Ruled out: following the spells at entries for engines; a grant is older than a spell when the request arrives. With the use of the slowdown for plain services off, the test of busy VMs fails, that of few orders does not: there the reported load alone moves the orders.

--- a/src/acaciarelay/coordination/endpoint_health.py
+++ b/src/acaciarelay/coordination/endpoint_health.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from acaciarelay.coordination.slowdown import SlowdownEstimate
 from acaciarelay.state.endpoints import Endpoint
 
 __all__ = ["EndpointHealth", "EndpointStats"]
@@ -13,8 +14,10 @@
 FAILURE_DECAY_S = 3.0
 # Decayed failures at which an endpoint is avoided.
 AVOID_FAILURES = 2.5
-# Costs of a recent failure, of another zone and of another region. For comparison, an
-# endpoint whose slots are all in use has a load cost of 6.
+# Costs of a request at an idle endpoint, of all slots in use, of a recent failure, of
+# another zone and of another region.
+WORK_COST = 2.0
+LOAD_COST = 6.0
 FAILURE_COST = 4.0
 ZONE_COST = 0.5
 REGION_COST = 4.0
@@ -29,6 +32,7 @@
     in_flight: int = 0
     reported_load: float = 0.0
     reported_at: float = -math.inf
+    slowdown: SlowdownEstimate = attrs.Factory(SlowdownEstimate)
 
 
 class EndpointHealth:
@@ -57,6 +61,16 @@
             stats.failures = self.failures(endpoint_id, now) / 2
             stats.failures_at = now
 
+    def record_load(
+        self, endpoint_id: str, load: int, slowdown: float | None, now: float
+    ) -> None:
+        """Record the running and waiting requests and the slowdown of an endpoint."""
+        stats = self.stats(endpoint_id)
+        stats.reported_load = load
+        stats.reported_at = now
+        if slowdown is not None:
+            stats.slowdown.record(slowdown, now)
+
     def failures(self, endpoint_id: str, now: float) -> float:
         """Return the number of recent failures, decayed by their age."""
         stats = self._stats.get(endpoint_id)
@@ -101,6 +115,8 @@
         load = stats.in_flight * max(1.0, process_count / 2)
         if now - stats.reported_at < 1.0:
             load = max(float(stats.in_flight), stats.reported_load)
-        cost = load / slots * 6.0 + self.rng.random() * 0.2
+        slowdown = stats.slowdown.at(now)
+        cost = load / slots * LOAD_COST * slowdown + WORK_COST * (slowdown - 1.0)
+        cost += self.rng.random() * 0.2
         cost += self.distance_cost(endpoint.zone)
         return cost + FAILURE_COST * self.failures(endpoint.endpoint_id, now)
--- a/src/acaciarelay/coordination/engine_model.py
+++ b/src/acaciarelay/coordination/engine_model.py
@@ -1,10 +1,12 @@
 """Estimate the speed of an engine from the timing of its answers."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from acaciarelay.coordination.rounding import round_to_power
 
-__all__ = ["EngineModel", "EngineSpeed"]
+__all__ = ["SPEED_STEP_RATIO", "EngineModel", "EngineSpeed", "assumed_speed"]
 
 # Weight of the newest answer in the moving averages.
 SAMPLE_WEIGHT = 0.1
@@ -35,6 +37,27 @@
         return self.token_s * output_tokens
 
 
+def assumed_speed(
+    slowdown: float, known: Iterable[tuple[EngineSpeed, float]]
+) -> EngineSpeed:
+    """Return the speed to assume for an engine of which no answer was measured yet.
+
+    It is the mean speed of the engines in ``known``, each with the slowdown of its VM,
+    as it would be with the given slowdown.
+    """
+    first_s = []
+    token_s = []
+    for speed, other_slowdown in known:
+        if speed.first_s:
+            first_s.append(speed.first_s / other_slowdown)
+        if speed.token_s:
+            token_s.append(speed.token_s / other_slowdown)
+    return EngineSpeed(
+        first_s=slowdown * sum(first_s) / len(first_s) if first_s else 0.0,
+        token_s=slowdown * sum(token_s) / len(token_s) if token_s else 0.0,
+    )
+
+
 class EngineModel:
     """Moving averages of the answer times that entries measured at one engine."""
 
--- a/src/acaciarelay/coordination/slot_client.py
+++ b/src/acaciarelay/coordination/slot_client.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import itertools
+from collections.abc import Iterable
 
 import attrs
 
-from acaciarelay.coordination.engine_model import EngineSpeed
+from acaciarelay.coordination.engine_model import EngineSpeed, assumed_speed
 from acaciarelay.protocol.link_messages import (
     EngineState,
     LinkMessage,
@@ -26,6 +27,7 @@
 # An agent that has sent nothing for longer than this, which is more than two heartbeat
 # intervals, counts as unresponsive: it is frozen or behind a network partition.
 AGENT_TIMEOUT_S = 1.2
+UNKNOWN_SPEED = EngineSpeed()
 
 
 @attrs.define(eq=False)
@@ -35,6 +37,13 @@
     host: str
     link: MessageLink
     state: EngineState | None = None
+    # Unknown until the agent has reported it.
+    speed: EngineSpeed = UNKNOWN_SPEED
+
+    def update(self, state: EngineState) -> None:
+        """Replace the engine state."""
+        self.state = state
+        self.speed = EngineSpeed(first_s=state.first_s, token_s=state.token_s)
 
     def expected_wait_s(self, rank: int, now: float) -> float:
         """Return the expected wait for a slot of a new request of a rank."""
@@ -49,11 +58,9 @@
         return waits[min(rank, len(waits) - 1)] + self.link.round_trip_s
 
     @property
-    def speed(self) -> EngineSpeed:
-        """Return the engine's speed; unknown until the agent has reported it."""
-        if self.state is None:
-            return EngineSpeed()
-        return EngineSpeed(first_s=self.state.first_s, token_s=self.state.token_s)
+    def slowdown(self) -> float:
+        """Return the mean slowdown of the engine's VM, as far as it is known."""
+        return self.state.slowdown if self.state is not None else 1.0
 
 
 @attrs.define(eq=False)
@@ -118,6 +125,17 @@
         # Hosts whose link timed out, as opposed to being closed.
         self._timed_out_hosts: set[str] = set()
 
+    def speeds(self, hosts: Iterable[str]) -> dict[str, EngineSpeed]:
+        """Return the engines' speeds; those not measured yet are assumed."""
+        speeds = {host: self.agents[host].speed for host in hosts}
+        unknown = [host for host, speed in speeds.items() if speed == UNKNOWN_SPEED]
+        if not unknown:
+            return speeds
+        known = [(speed, self.agents[host].slowdown) for host, speed in speeds.items()]
+        for host in unknown:
+            speeds[host] = assumed_speed(self.agents[host].slowdown, known)
+        return speeds
+
     def link_opened(self, host: str, link: MessageLink) -> None:
         """Register a new link to the agent at a host."""
         self.agents[host] = AgentLink(host, link)
@@ -148,7 +166,7 @@
             return
         match message:
             case EngineState():
-                agent.state = message
+                agent.update(message)
             case SlotGrant(request=request_id):
                 pending = self._pending.get(request_id)
                 if pending is None or pending.future.done():
--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -8,9 +8,11 @@
     "READY_PATH",
     "REPORT_PATH",
     "AnswerTraits",
+    "LoadReport",
     "RequestTraits",
     "answer_headers",
     "decode_answer",
+    "decode_load",
     "decode_request",
     "decode_request_id",
     "endpoint_headers",
@@ -32,6 +34,8 @@
 _NOT_RUN = "not-executed"
 _LOAD = "runner-load"
 _ENCODING = "content-encoding"
+# The slowdown of a VM on which work takes as long as usual.
+_USUAL_SLOWDOWN = 100
 # Reserved for the relay, or read or set by it: a caller's value is never forwarded to
 # an endpoint.
 _SYSTEM_HEADERS = frozenset(
@@ -71,21 +75,36 @@
     forwarded: list[Header]
 
 
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """Load of an endpoint as its answers report it.
+
+    ``slowdown`` is how long work takes on the endpoint's VM at the moment, relative to
+    the usual time; ``None`` if the endpoint does not report it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None
+
+
 @attrs.frozen(kw_only=True)
 class AnswerTraits:
     """Properties of an endpoint's answer, decoded from its head.
 
     ``sealed`` is true when it has the runner's seal, without which no answer is passed
     on to the caller; ``not_run`` when the endpoint reports that it did not run the
-    request; ``encoded`` when the body has a content encoding. ``load`` is a tuple of
-    running requests, waiting requests and slots.
+    request; ``encoded`` when the body has a content encoding. ``load_text`` is the load
+    report as received, and ``load`` what it says, ``None`` if it is unreadable.
     """
 
     request_id: str | None
     sealed: bool
     not_run: bool
     encoded: bool
-    load: tuple[int, int, int] | None
+    load_text: str | None
+    load: LoadReport | None
 
 
 def decode_request_id(headers: list[Header]) -> str:
@@ -166,20 +185,25 @@
         sealed=_SEAL in fields,
         not_run=_NOT_RUN in fields,
         encoded=_ENCODING in fields,
-        load=_decode_load(fields.get(_LOAD)),
+        load_text=fields.get(_LOAD),
+        load=decode_load(headers),
     )
 
 
-def _decode_load(text: str | None) -> tuple[int, int, int] | None:
+def decode_load(headers: list[Header]) -> LoadReport | None:
+    """Decode the load report of an answer; ``None`` if it is missing or unreadable.
+
+    Figures beyond the known ones are ignored.
+    """
+    text = dict(headers).get(_LOAD)
     if text is None:
         return None
-    parts = text.split(",")
-    if len(parts) != 3:
-        return None
     try:
-        return int(parts[0]), int(parts[1]), int(parts[2])
+        running, waiting, slots, *others = (int(part) for part in text.split(","))
     except ValueError:
         return None
+    slowdown = others[0] / _USUAL_SLOWDOWN if others and others[0] > 0 else None
+    return LoadReport(running=running, waiting=waiting, slots=slots, slowdown=slowdown)
 
 
 def answer_headers(headers: list[Header]) -> list[Header]:
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -5,16 +5,19 @@
 import signal
 import sys
 import time
+from collections.abc import Iterable
 
 import attrs
 import h11
 from result import Err, Ok
 
-from acaciarelay.coordination.engine_model import EngineModel
+from acaciarelay.coordination.engine_model import SPEED_STEP_RATIO, EngineModel
+from acaciarelay.coordination.rounding import round_to_power
 from acaciarelay.coordination.slot_queue import SlotQueue, SlotRequestState
+from acaciarelay.coordination.slowdown import SlowdownEstimate
 from acaciarelay.platform.configuration import FormatError
 from acaciarelay.platform.endpoints import EngineReport, decode_report
-from acaciarelay.platform.headers import REPORT_PATH
+from acaciarelay.platform.headers import REPORT_PATH, decode_load
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
@@ -77,6 +80,7 @@
         self.metrics = Metrics()
         self.queue = SlotQueue()
         self.model = EngineModel()
+        self.slowdown = SlowdownEstimate()
         self.hello = Hello(
             name=settings.name,
             lifetime=secrets.token_hex(6),
@@ -149,6 +153,8 @@
             pieces: list[bytes] = []
             while True:
                 match await call.next_event():
+                    case h11.Response(headers=headers):
+                        self.record_slowdown(headers)
                     case h11.Data(data=data):
                         pieces.append(bytes(data))
                     case h11.EndOfMessage():
@@ -162,6 +168,17 @@
         finally:
             call.close()
 
+    def record_slowdown(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Record the slowdown that the engine reports in a header, if it does."""
+        load = decode_load(
+            [
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in headers
+            ]
+        )
+        if load is not None and load.slowdown is not None:
+            self.slowdown.record(load.slowdown, time.monotonic())
+
     def opened(self, link: MessageLink) -> None:
         assert link.peer is not None
         self.links[link] = _SentState()
@@ -257,6 +274,7 @@
             waits_s=coarse_waits(waits_s),
             first_s=speed.first_s,
             token_s=speed.token_s,
+            slowdown=round_to_power(self.slowdown.mean, SPEED_STEP_RATIO),
         )
         for link, last in self.links.items():
             if last.state == state:
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -14,6 +14,7 @@
     decode_answer,
     endpoint_headers,
 )
+from acaciarelay.programs.logs import log_event
 from acaciarelay.protocol.http_message import Header
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.relayed_request import (
@@ -190,12 +191,16 @@
         )
 
     def record_load(self, relayed: RelayedRequest, traits: AnswerTraits) -> None:
-        if traits.load is None or relayed.endpoint is None:
+        if traits.load_text is None or relayed.endpoint is None:
             return
-        stats = self.health.stats(relayed.endpoint.endpoint_id)
-        # Running and waiting requests.
-        stats.reported_load = traits.load[0] + traits.load[1]
-        stats.reported_at = time.monotonic()
+        endpoint_id = relayed.endpoint.endpoint_id
+        load = traits.load
+        if load is None:
+            log_event("load_unreadable", endpoint=endpoint_id, load=traits.load_text)
+            return
+        self.health.record_load(
+            endpoint_id, load.running + load.waiting, load.slowdown, time.monotonic()
+        )
 
     async def forward_buffered(
         self,
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -161,8 +161,8 @@
         """Return whether an engine is too slow to finish the answer in time."""
         output = _output_tokens(relayed)
         left_s = relayed.deadline - asyncio.get_running_loop().time()
-        for host in hosts:
-            if self.slot_client.agents[host].speed.stream_s(output) > left_s:
+        for speed in self.slot_client.speeds(hosts).values():
+            if speed.stream_s(output) > left_s:
                 return True
         return False
 
@@ -172,7 +172,7 @@
         """Return the best agents by wait, distance, failures and engine speed."""
         prompt = relayed.traits.prompt_tokens or 0
         output = _output_tokens(relayed)
-        speeds = {host: self.slot_client.agents[host].speed for host in by_host}
+        speeds = self.slot_client.speeds(by_host)
         known = [speed.token_s for speed in speeds.values() if speed.token_s]
         min_token_s = min(known, default=0.0)
         left_s = relayed.deadline - asyncio.get_running_loop().time()
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -117,12 +117,14 @@
     ``waits_s`` holds the expected wait for a slot of a new request in seconds, indexed
     by rank; the last value also applies to all later ranks. ``first_s`` and ``token_s``
     are those of ``EngineSpeed``: the seconds to the first event per 1,000 prompt tokens
-    and the seconds per token generated after it, or 0 while unknown.
+    and the seconds per token generated after it, or 0 while unknown. ``slowdown`` is
+    the mean time that work takes on the engine's VM, relative to the usual time.
     """
 
     waits_s: list[float]
     first_s: float = 0.0
     token_s: float = 0.0
+    slowdown: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -9,6 +9,7 @@
 import collections
 import contextlib
 import time
+from collections.abc import Callable
 
 import attrs
 import cattrs
@@ -99,7 +100,8 @@
     """One runner; ``slots`` limits its concurrent runs.
 
     An answer starts after ``work_s`` seconds. A stream has ``events`` events, which
-    are ``step_s`` seconds apart.
+    are ``step_s`` seconds apart. ``slowdown`` returns the factor by which work takes
+    longer on the VM at a time; if set, answers report it with the load.
     """
 
     endpoint_id: str
@@ -107,6 +109,7 @@
     step_s: float = 0.005
     work_s: float = 0.02
     events: int = 10
+    slowdown: Callable[[float], float] | None = None
     faults: RunnerFaults = attrs.Factory(RunnerFaults)
     runs: list[Run] = attrs.Factory(list)
     cancelled: list[str] = attrs.Factory(list)
@@ -210,6 +213,7 @@
         headers = [("Attempt-Id", "other" if faults.foreign else attempt)]
         if not faults.unsealed:
             headers.append(("Runner-Seal", f"seal-of-{self.endpoint_id}"))
+        headers += self.load_report()
         if faults.encoded:
             headers.append(("Content-Encoding", "gzip"))
         if "token-usage" in fields:
@@ -217,7 +221,7 @@
         if faults.drip_s:
             connection.start(200, [*headers, ("Content-Length", "500")])
             return await self.drip(connection)
-        await asyncio.sleep(self.work_s)
+        await self.work(self.work_s)
         status = 500 if faults.error else 200
         body = f"answer of {self.endpoint_id} to {attempt}".encode()
         if faults.short:
@@ -229,6 +233,17 @@
             connection.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
         return None
 
+    async def work(self, seconds: float) -> None:
+        factor = self.slowdown(time.monotonic()) if self.slowdown is not None else 1.0
+        await asyncio.sleep(seconds * factor)
+
+    def load_report(self) -> list[tuple[str, str]]:
+        if self.slowdown is None:
+            return []
+        percent = int(100 * self.slowdown(time.monotonic()))
+        figures = (self.running, len(self._queue), self.slots, percent)
+        return [("Runner-Load", ",".join(str(figure) for figure in figures))]
+
     async def send_without_end(
         self, connection: InboundConnection, attempt: str
     ) -> None:
@@ -256,7 +271,7 @@
         fields: dict[str, str],
         headers: list[tuple[str, str]],
     ) -> None:
-        await asyncio.sleep(self.work_s)
+        await self.work(self.work_s)
         if self.faults.error:
             return connection.respond(500, headers, b"failed")
         connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
@@ -270,7 +285,7 @@
                 await asyncio.sleep(self.step_s)
                 return connection.abort()
             connection.write(f"id: {number}\ndata: piece {number}\n\n".encode())
-            await asyncio.sleep(self.step_s)
+            await self.work(self.step_s)
         connection.finish()
 
 
