Give each test worker its own range of ports

Cause: free_port probed one address and one port, while a fleet of the users' platform uses 23 ports in a row on several loopback addresses; a process of another test worker could have one of them and answer in its place (the traced entry of KNOWN-RED.txt, and likely a second one, which stays listed). A port is now probed on all addresses, a fleet takes a block, and each worker of a run has its own range. Before: two workers could draw the same port; the tests of ranges, blocks and addresses could not be written.

--- a/src/acaciarelay_bench/farm.py
+++ b/src/acaciarelay_bench/farm.py
@@ -24,7 +24,7 @@
     start_grpc_server,
 )
 from acaciarelay.transport.platform_client import PlatformClient
-from acaciarelay_standins.fleet import free_port
+from acaciarelay_standins.ports import free_port
 
 __all__ = ["main"]
 
--- a/src/acaciarelay_standins/fleet.py
+++ b/src/acaciarelay_standins/fleet.py
@@ -3,9 +3,7 @@
 import asyncio
 import contextlib
 import os
-import random
 import signal
-import socket
 import sys
 import time
 from collections.abc import Sequence
@@ -17,37 +15,15 @@
 from result import Ok, Result
 
 from acaciarelay.transport.http_client import FetchedResponse, HttpError, fetch
+from acaciarelay_standins.ports import free_port
 
-__all__ = ["Fleet", "FleetMember", "Process", "ProxyAddress", "free_port"]
+__all__ = ["Fleet", "FleetMember", "Process", "ProxyAddress"]
 
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 OPERATOR_KEY = "operator-key-for-tests"
 POLL_S = 0.05
-PORT_RANGE = (15_000, 32_000)
-
-_assigned_ports: set[int] = set()
-
-
-def free_port() -> int:
-    """Return a port that nothing is bound to and that was not returned before.
-
-    Ports from 32768 up are excluded, since the kernel assigns them to outgoing
-    connections. Such a connection could take the port before the process binds it,
-    or while the process restarts.
-    """
-    while True:
-        port = random.SystemRandom().randrange(*PORT_RANGE)
-        if port in _assigned_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        _assigned_ports.add(port)
-        return port
 
 
 @attrs.define(eq=False)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,19 @@
-"""Command-line options of the tests."""
+"""Command-line options of the tests, and the ports of each test worker."""
 
+import os
 from pathlib import Path
 
 import pytest
 
+from acaciarelay_standins.ports import PORTS_VARIABLE, worker_ports
+
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
+os.environ[PORTS_VARIABLE] = worker_ports(
+    os.environ.get("PYTEST_XDIST_WORKER", ""),
+    int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1")),
+)
+
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     """Add the option that regenerates the golden files."""
--- a/tests/integration/cluster.py
+++ b/tests/integration/cluster.py
@@ -29,7 +29,8 @@
     open_exchange,
 )
 from acaciarelay_standins.answers import expected_chat_answer
-from acaciarelay_standins.fleet import Fleet, FleetMember, ProxyAddress, free_port
+from acaciarelay_standins.fleet import Fleet, FleetMember, ProxyAddress
+from acaciarelay_standins.ports import free_port
 
 # Short, so that a silent session is replaced early; heartbeats are sent every second.
 SILENCE_LIMIT_S = 2.0
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -20,15 +20,17 @@
     route,
 )
 
-from acaciarelay_standins.fleet import free_port
 from acaciarelay_standins.inbound_standin import listen
 from acaciarelay_standins.platform_runner import PlatformRunner
 from acaciarelay_standins.platform_store import PlatformStore
+from acaciarelay_standins.ports import free_port
 
 ROOT = Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 15.0
 STOP_GRACE_S = 4.0
 REGISTRATION_INTERVAL_S = 0.4
+# The range of the programs' own links, and the ports for callers, readiness, metrics.
+PORTS_PER_FLEET = 23
 
 
 @attrs.define(eq=False)
@@ -93,7 +95,7 @@
         self.store = PlatformStore()
         self.store_address = ""
         self.store_server: asyncio.Server | None = None
-        self.first_port = free_port()
+        self.first_port = free_port(PORTS_PER_FLEET)
         self.programs: dict[str, Program] = {}
         self.runners: dict[str, PlatformRunner] = {}
         self.servers: dict[str, asyncio.Server] = {}
--- a/tests/integration/test_operations_page.py
+++ b/tests/integration/test_operations_page.py
@@ -16,7 +16,8 @@
 from acaciarelay.protocol.codes import CODES
 from acaciarelay.transport.claim_store import ClaimStore
 from acaciarelay.transport.platform_client import PlatformClient
-from acaciarelay_standins.fleet import HOST, OPERATOR_KEY, Fleet, free_port
+from acaciarelay_standins.fleet import HOST, OPERATOR_KEY, Fleet
+from acaciarelay_standins.ports import free_port
 
 ROOT = Path(__file__).parents[2]
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
--- a/tests/integration/test_settings.py
+++ b/tests/integration/test_settings.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from acaciarelay_standins.fleet import free_port
+from acaciarelay_standins.ports import free_port
 
 TIMEOUT_S = 20.0
 ENTRY = "acaciarelay.programs.entry_main"
