Keep one link a pair of entries; send engine states at a bounded rate

Cause: each pair of entries had two links, of which one carried heartbeats only, and an agent told each entry up to ten changes a second. With 68 entries and 38 agents an entry sent and received about 1,000 messages a second without any request (counted from the intervals in the code), each a wake-up and system calls; encoding and decoding are a small part (2 to 12 microseconds a message, measured). Of two links the one that the lower address dialled is kept and carries statuses both ways; heartbeats between entries fill only what a status interval leaves, and no ping measures a time that nobody uses. An agent's interval grows with its entries beyond 12 near and 24 far ones, to a second at most. Ruled out: a faster codec; decoding a status takes 12 microseconds. By the same count an entry is at about 350 messages a second then.

--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -37,6 +37,7 @@
     SlotRefusal,
     SlotRelease,
     SlotRequest,
+    encode_message,
 )
 from acaciarelay.transport.endpoint_call import ConnectionFault, connect
 from acaciarelay.transport.message_link import LinkServer, MessageLink
@@ -47,8 +48,13 @@
 # Delay after which queued requests are re-evaluated and a changed state is published.
 CHECK_DELAY_S = 0.05
 # Least time between two states sent to an entry in the same region, and in another one.
+# Both grow with the number of entries there, so that what an agent sends does not, up
+# to a bound that keeps the states of use.
 STATE_INTERVAL_S = 0.1
 FAR_STATE_INTERVAL_S = 0.5
+MAX_STATE_INTERVAL_S = 1.0
+NEAR_ENTRIES = 12
+FAR_ENTRIES = 24
 # Published waits are rounded to multiples of this.
 WAIT_STEP_S = 0.02
 # Requests granted beyond the engine's slots, so that the next one is already at the
@@ -276,25 +282,37 @@
             token_s=speed.token_s,
             slowdown=round_to_power(self.slowdown.mean, SPEED_STEP_RATIO),
         )
+        line = encode_message(state)
+        near_interval_s, far_interval_s = self.state_intervals_s()
         for link, last in self.links.items():
             if last.state == state:
                 continue
-            if now - last.sent_at < self.interval_s(link):
+            interval_s = near_interval_s if self.is_near(link) else far_interval_s
+            if now - last.sent_at < interval_s:
                 self.schedule_publish()
                 continue
             last.state, last.sent_at = state, now
-            link.send(state)
+            link.send_line(line)
 
-    def interval_s(self, link: MessageLink) -> float:
-        """Return the least seconds between two states sent to an entry.
+    def is_near(self, link: MessageLink) -> bool:
+        """Return whether an entry is in this region."""
+        assert link.peer is not None
+        zones = self.settings.zones
+        return zones.get(link.peer.zone) == zones.get(self.settings.zone)
+
+    def state_intervals_s(self) -> tuple[float, float]:
+        """Return the least seconds between two states sent to near and far entries.
 
         Entries in other regions seldom request slots here, so they get fewer.
         """
-        assert link.peer is not None
-        zones = self.settings.zones
-        if zones.get(link.peer.zone) == zones.get(self.settings.zone):
-            return STATE_INTERVAL_S
-        return FAR_STATE_INTERVAL_S
+        near = sum(1 for link in self.links if self.is_near(link))
+        far = len(self.links) - near
+        return (
+            min(MAX_STATE_INTERVAL_S, STATE_INTERVAL_S * max(1.0, near / NEAR_ENTRIES)),
+            min(
+                MAX_STATE_INTERVAL_S, FAR_STATE_INTERVAL_S * max(1.0, far / FAR_ENTRIES)
+            ),
+        )
 
     def send_entry_list(self) -> None:
         """Send all entries the addresses of those that are connected."""
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -219,6 +219,7 @@
                 self.agent_message,
                 self.agent_opened,
                 self.agent_closed,
+                sends_pings=True,
             )
         for host in self.agents.keys() - hosts:
             self.agents.pop(host).close()
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -18,7 +18,12 @@
     PeerStatus,
     encode_message,
 )
-from acaciarelay.transport.message_link import Dialer, LinkServer, MessageLink
+from acaciarelay.transport.message_link import (
+    SLOW_HEARTBEAT_INTERVAL_S,
+    Dialer,
+    LinkServer,
+    MessageLink,
+)
 
 __all__ = ["Peers"]
 
@@ -46,9 +51,14 @@
 
 @attrs.define(eq=False)
 class _Peer:
-    dialer: Dialer
+    """A peer, and the open link over which it gets statuses.
+
+    ``dialer`` is ``None`` while the peer's own link serves both directions.
+    """
+
+    dialer: Dialer | None
     reachable_at: float
-    alive: bool = False
+    link: MessageLink | None = None
 
 
 class Peers:
@@ -72,7 +82,9 @@
         self.sent = _StatusFields()
         self.sent_at = -math.inf
         self.started_at = time.monotonic()
-        self.server = LinkServer(hello, self.receive, self.opened, self.closed)
+        self.server = LinkServer(
+            hello, self.receive, self.opened, self.closed, SLOW_HEARTBEAT_INTERVAL_S
+        )
 
     async def listen(self, host: str, port: int) -> None:
         """Accept links; raises ``OSError`` when the address can't be bound."""
@@ -83,46 +95,68 @@
         for address in addresses:
             if address == self.hello.address or address in self.peers:
                 continue
-            dialer = Dialer(
-                address, self.hello, self.receive, self.dialled, self.closed
-            )
-            self.peers[address] = _Peer(dialer, time.monotonic())
+            self.peers[address] = _Peer(self.dial(address), time.monotonic())
             log_event("peer_learned", peer=address)
         self.update_process_count()
 
+    def dial(self, address: str) -> Dialer:
+        return Dialer(address, self.hello, self.receive, self.dialled, self.closed)
+
     def update_process_count(self) -> None:
         known = len(self.peers)
         self.usage.known_peer_count = known
         self.retry_budget.process_count = known + 1
 
     def addresses(self) -> list[str]:
-        """Return the addresses of peers that are alive."""
-        return [address for address, peer in self.peers.items() if peer.alive]
+        """Return the addresses of peers that are reachable."""
+        return [
+            address for address, peer in self.peers.items() if peer.link is not None
+        ]
 
     def opened(self, link: MessageLink) -> None:
-        assert link.peer is not None
-        self.add([link.peer.address])
+        """Use a link that a peer dialled if it is the one to keep, or the only one.
 
-    def dialled(self, link: MessageLink) -> None:
+        Of two links between a pair, the one that the lower address dialled is kept.
+        """
         assert link.peer is not None
         address = link.peer.address
+        self.add([address])
         peer = self.peers.get(address)
         if peer is None:
             return
-        peer.alive = True
+        keep = address < self.hello.address
+        if keep or peer.link is None:
+            self.use(peer, link)
+        if keep and peer.dialer is not None:
+            peer.dialer.close()
+            peer.dialer = None
+
+    def dialled(self, link: MessageLink) -> None:
+        assert link.peer is not None
+        peer = self.peers.get(link.peer.address)
+        if peer is not None and peer.dialer is not None:
+            self.use(peer, link)
+
+    def use(self, peer: _Peer, link: MessageLink) -> None:
+        """Send statuses to a peer over this link from now on."""
+        assert link.peer is not None
+        peer.link = link
         peer.reachable_at = time.monotonic()
-        log_event("peer_regained", peer=address, lifetime=link.peer.lifetime)
+        log_event("peer_regained", peer=link.peer.address, lifetime=link.peer.lifetime)
         link.send(self.status(_StatusFields()))
 
     def closed(self, link: MessageLink) -> None:
         assert link.peer is not None
         self.received.pop(link, None)
-        peer = self.peers.get(link.peer.address)
-        if peer is None or peer.dialer.link is not link:
+        address = link.peer.address
+        peer = self.peers.get(address)
+        if peer is None or peer.link is not link:
             return
-        peer.alive = False
-        log_event("peer_lost", peer=link.peer.address)
-        self.usage.mark_peer_lost(link.peer.address, time.monotonic())
+        peer.link = None
+        if peer.dialer is None:
+            peer.dialer = self.dial(address)
+        log_event("peer_lost", peer=address)
+        self.usage.mark_peer_lost(address, time.monotonic())
 
     def tick(self, now: float) -> None:
         """Send all peers a status with what changed here, if one is due."""
@@ -136,13 +170,13 @@
         )
         line = encode_message(status)
         for address, peer in list(self.peers.items()):
-            link = peer.dialer.link
-            if link is not None and link.peer is not None:
+            if peer.link is not None:
                 peer.reachable_at = now
-                link.send_line(line)
+                peer.link.send_line(line)
                 continue
             if now - peer.reachable_at > REMOVE_PEER_S:
-                peer.dialer.close()
+                if peer.dialer is not None:
+                    peer.dialer.close()
                 del self.peers[address]
                 log_event("peer_forgotten", peer=address)
         self.update_process_count()
@@ -217,7 +251,8 @@
     def close(self) -> None:
         self.server.close()
         for peer in self.peers.values():
-            peer.dialer.close()
+            if peer.dialer is not None:
+                peer.dialer.close()
 
 
 def _changes(before: dict[str, float], now: dict[str, float]) -> dict[str, float]:
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -1,9 +1,8 @@
 """Message links between the system's own processes, with heartbeats.
 
-Each side sends a heartbeat when it has sent nothing else for ``HEARTBEAT_INTERVAL_S``,
-so that a busy link carries none, and closes a link without data for
-``SILENCE_TIMEOUT_S``. The dialling side also sends pings, to measure the round-trip
-time.
+Each side sends a heartbeat when it has sent nothing else for its heartbeat interval, so
+that a busy link carries none, and closes a link without data for ``SILENCE_TIMEOUT_S``.
+A dialling side may also send pings, to measure the round-trip time.
 """
 
 import asyncio
@@ -21,9 +20,12 @@
 )
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
-__all__ = ["Dialer", "LinkServer", "MessageLink"]
+__all__ = ["SLOW_HEARTBEAT_INTERVAL_S", "Dialer", "LinkServer", "MessageLink"]
 
+# Heartbeat interval of a side whose silence the other one has to notice soon, and of
+# one that is only kept from being taken for lost.
 HEARTBEAT_INTERVAL_S = 0.5
+SLOW_HEARTBEAT_INTERVAL_S = 0.8
 SILENCE_TIMEOUT_S = 1.6
 PING_INTERVAL_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -49,10 +51,12 @@
         on_message: Callable[["MessageLink", LinkMessage], None],
         on_open: Callable[["MessageLink"], None],
         on_close: Callable[["MessageLink"], None],
-        dialled: bool = False,
+        heartbeat_s: float = HEARTBEAT_INTERVAL_S,
+        sends_pings: bool = False,
     ) -> None:
         self.hello = hello
-        self.dialled = dialled
+        self.heartbeat_s = heartbeat_s
+        self.sends_pings = sends_pings
         self.on_message = on_message
         self.on_open = on_open
         self.on_close = on_close
@@ -89,13 +93,13 @@
         if now - self.last_received_at > SILENCE_TIMEOUT_S:
             self.close()
             return
-        if self.dialled and now - self.ping_sent_at >= PING_INTERVAL_S:
+        if self.sends_pings and now - self.ping_sent_at >= PING_INTERVAL_S:
             self.last_ping_number += 1
             self.ping_sent_at = now
             self.send(Ping(number=self.last_ping_number))
-        elif now - self.last_sent_at >= HEARTBEAT_INTERVAL_S:
+        elif now - self.last_sent_at >= self.heartbeat_s:
             self.send(Heartbeat())
-        delay_s = max(0.01, self.last_sent_at + HEARTBEAT_INTERVAL_S - now)
+        delay_s = max(0.01, self.last_sent_at + self.heartbeat_s - now)
         self.timer = self.loop.call_later(delay_s, self.check_timers)
 
     def data_received(self, data: bytes) -> None:
@@ -167,11 +171,13 @@
         on_message: Callable[[MessageLink, LinkMessage], None],
         on_open: Callable[[MessageLink], None],
         on_close: Callable[[MessageLink], None],
+        heartbeat_s: float = HEARTBEAT_INTERVAL_S,
     ) -> None:
         self.hello = hello
         self.on_message = on_message
         self.on_open = on_open
         self.on_close = on_close
+        self.heartbeat_s = heartbeat_s
         self.server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
@@ -181,7 +187,9 @@
         return self.server.sockets[0].getsockname()[1]
 
     def build(self) -> MessageLink:
-        return MessageLink(self.hello, self.on_message, self.on_open, self.on_close)
+        return MessageLink(
+            self.hello, self.on_message, self.on_open, self.on_close, self.heartbeat_s
+        )
 
     def close(self) -> None:
         """Stop accepting links; open ones stay open."""
@@ -199,12 +207,14 @@
         on_message: Callable[[MessageLink, LinkMessage], None],
         on_open: Callable[[MessageLink], None],
         on_close: Callable[[MessageLink], None],
+        sends_pings: bool = False,
     ) -> None:
         self.address = address
         self.hello = hello
         self.on_message = on_message
         self.on_open = on_open
         self.on_close = on_close
+        self.sends_pings = sends_pings
         self.link: MessageLink | None = None
         self.failed_attempts = 0
         self.task = asyncio.get_running_loop().create_task(self.run())
@@ -236,7 +246,12 @@
 
     def build(self) -> MessageLink:
         return MessageLink(
-            self.hello, self.on_message, self.on_open, self.on_close, dialled=True
+            self.hello,
+            self.on_message,
+            self.on_open,
+            self.on_close,
+            SLOW_HEARTBEAT_INTERVAL_S,
+            self.sends_pings,
         )
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/unit/platform_path/test_agent_states.py
@@ -0,0 +1,96 @@
+"""States of an engine: how often an agent sends them to how many entries."""
+
+import pytest
+
+from acaciarelay.programs import relay_agent
+from acaciarelay.programs.relay_agent import RelayAgent
+from acaciarelay.programs.relay_settings import RelaySettings
+from acaciarelay.protocol.link_messages import EngineState, Hello, decode_message
+
+ZONES = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
+
+
+class FakeEntryLink:
+    """Link to an entry that records the states sent to it."""
+
+    def __init__(self, number, zone):
+        self.peer = Hello(name=f"e-{number}", lifetime="x", address="", zone=zone)
+        self.states = []
+
+    def send(self, message):
+        return None
+
+    def send_line(self, line):
+        message = decode_message(line)
+        assert isinstance(message, EngineState)
+        self.states.append(message)
+
+
+class Clock:
+    """Stands in for the time module and advances by hand."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+
+def states_in_10_s(agent, clock, count, monkeypatch):
+    """Return the states that near and far entries get from a busy engine in 10 s."""
+    agent.links.clear()
+    links = []
+    for number in range(count):
+        link = FakeEntryLink(number, f"zone-{'abc'[number % 3]}")
+        links.append(link)
+        agent.opened(link)
+    for step in range(200):
+        clock.now += 0.05
+        waits = [0.02 * (step % 50)]
+        monkeypatch.setattr(agent.queue, "predicted_waits_s", lambda *_, w=waits: w)
+        agent.publish()
+    near = [len(link.states) for link in links if link.peer.zone == "zone-a"]
+    far = [len(link.states) for link in links if link.peer.zone != "zone-a"]
+    return near, far
+
+
+@pytest.fixture
+async def agent():
+    settings = RelaySettings(
+        name="agent-1",
+        host="127.0.0.1",
+        zone="zone-a",
+        zones=ZONES,
+        caller_address="",
+        ready_address="",
+        metrics_address="",
+        ports=[1, 2],
+        seeds=[],
+        store_address="",
+        engine_address="",
+        stop_grace_s=8.0,
+        retry_ratio=0.2,
+        retry_reserve=50.0,
+        retry_window_s=10.0,
+        usage_window_s=8.0,
+        usage_excess=0.1,
+        usage_slack=0.0,
+        first_start=True,
+    )
+    return RelayAgent(settings)
+
+
+async def test_what_an_agent_sends_is_bounded_as_entries_are_added(agent, monkeypatch):
+    """Guards against an agent that tells hundreds of entries each change."""
+    clock = Clock()
+    monkeypatch.setattr(relay_agent, "time", clock)
+    monkeypatch.setattr(agent, "schedule_publish", lambda: None)
+    sums = {}
+    for count in (6, 36, 72, 144):
+        near, far = states_in_10_s(agent, clock, count, monkeypatch)
+        sums[count] = sum(near) + sum(far)
+        # Each entry still hears once a second.
+        assert min(near + far) >= 9
+        assert min(near) >= max(far)
+    assert sums[72] < 1.3 * sums[36]
+    assert sums[144] < 2 * sums[36]
