Trust nothing that a pause may have made untrue

Cause: a process that was paused (stopped, frozen, suspended, starved) for some seconds went on with its configuration, keys, registrations, chosen endpoints, granted slots and shares of limits as they had been, since what it reads first after the pause may be callers' requests, and an answer of the store on its way may be as old as the pause. A gap of over a second between the checks (each tick, each request, each choice of an endpoint; the clock counts suspension) restarts the reading of the tables, empties the shared buckets and lets requests wait up to 0.5 s for a fresh word from the store or from a peer over a new link; endpoints and slots chosen before are chosen anew. Ruled out: distrust by a table's age alone: a quiet feed is silent for seconds.

--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -251,6 +251,14 @@
         bucket.admitted -= cost
         bucket.used = max(0.0, bucket.used - cost)
 
+    def forget_levels(self, now: float) -> None:
+        """Drop what the buckets hold, since peers may have used it during a pause."""
+        for bucket in self._buckets.values():
+            bucket.level = min(bucket.level, 0.0)
+            bucket.round_level = min(bucket.round_level, 0.0)
+            bucket.credit = 0.0
+            bucket.updated_at = now
+
     def _refill(
         self, name: str, bucket: _Bucket, rate: float, burst: float, now: float
     ) -> None:
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -32,6 +32,7 @@
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.link_messages import EntryList, Hello, LinkMessage
 from acaciarelay.state.routing import CallerLimits
+from acaciarelay.state.run_clock import RunClock
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
@@ -63,6 +64,8 @@
         self.rng = random.Random(secrets.randbits(64))
         self.metrics = Metrics()
         self.cache = StateCache()
+        self.run_clock = RunClock()
+        self.run_clock.on_pause.append(self.resume)
         self.usage = UsageLedger(
             UsageTolerance(
                 window_s=settings.usage_window_s,
@@ -85,6 +88,7 @@
             self.retry_budget,
             self.health,
             self.slot_client,
+            self.run_clock,
             self.metrics,
             self.rng,
         )
@@ -119,6 +123,7 @@
         self.follower.start()
         log_event("started", address=self.settings.caller_address, always=True)
         while not self.stopping.is_set():
+            self.run_clock.check()
             self.peers.tick(time.monotonic())
             self.cache.expire_endpoints()
             self.update_gauges()
@@ -130,6 +135,14 @@
         await self.drain()
         return 0
 
+    def resume(self, pause_s: float) -> None:
+        """Distrust what was true before a pause, and read it again."""
+        log_event("resumed_after_pause", pause_s=round(pause_s, 3), always=True)
+        self.cache.distrust()
+        self.usage.forget_levels(time.monotonic())
+        self.peers.resumed_at = self.loop.time()
+        self.follower.restart()
+
     def update_gauges(self) -> None:
         """Set the gauges of the configuration, the cache's staleness and the peers."""
         routing = self.cache.routing
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -82,6 +82,8 @@
         self.sent = _StatusFields()
         self.sent_at = -math.inf
         self.started_at = time.monotonic()
+        # Loop time of the end of this process's last pause.
+        self.resumed_at = -math.inf
         self.server = LinkServer(
             hello, self.receive, self.opened, self.closed, SLOW_HEARTBEAT_INTERVAL_S
         )
@@ -228,6 +230,7 @@
             time.monotonic(),
         )
         self.add(status.peers)
+        self.confirm_tables(link, status)
         rows = []
         for table in status.wanted:
             if not self.should_send_rows(table):
@@ -236,6 +239,18 @@
         if rows:
             link.send(PeerRows(versions=self.cache.versions(), rows=rows))
 
+    def confirm_tables(self, link: MessageLink, status: PeerStatus) -> None:
+        """After a pause, trust the tables of which a peer has no newer version.
+
+        Only a link that opened after the pause counts, since what an older one
+        delivers may have been sent before.
+        """
+        if self.cache.trusted.is_set() or link.opened_at < self.resumed_at:
+            return
+        for table, version in self.cache.versions().items():
+            if status.versions.get(table, 0) <= version:
+                self.cache.mark_current(table)
+
     def should_send_rows(self, table: str) -> bool:
         """Decide whether this entry sends rows to a stale peer.
 
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -26,6 +26,7 @@
     NotRun,
     RelayedRequest,
 )
+from acaciarelay.state.run_clock import RunClock
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
@@ -40,6 +41,8 @@
 # configuration, each for a bounded time.
 STARTUP_S = 1.0
 FIRST_CONFIGURATION_WAIT_S = 0.25
+# How long a request waits for a fresh word from the store or a peer after a pause.
+TRUST_WAIT_S = 0.5
 
 
 class RequestRelay:
@@ -52,10 +55,12 @@
         retry_budget: SharedRetryBudget,
         health: EndpointHealth,
         slot_client: SlotClient,
+        run_clock: RunClock,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
         self.cache = cache
+        self.run_clock = run_clock
         self.admission = Admission(cache, usage, rng)
         self.retry_budget = retry_budget
         self.metrics = metrics
@@ -71,6 +76,8 @@
         self, connection: InboundConnection, request: InboundRequest
     ) -> None:
         """Serve one request to its end: an answer, a refusal or a cut connection."""
+        self.run_clock.check()
+        await self.cache.wait_until_trusted(TRUST_WAIT_S)
         if self.cache.routing is None:
             await self.wait_for_configuration()
         admitted = self.admission.admit(request)
@@ -112,6 +119,13 @@
             placement = await self.placer.place(relayed)
             if placement is None:
                 return self.give_up(relayed, "shed")
+            self.run_clock.check()
+            if not self.cache.trusted.is_set():
+                # The process was paused meanwhile, so that neither the endpoint nor the
+                # slot may be relied on.
+                placement.release()
+                await self.cache.wait_until_trusted(TRUST_WAIT_S)
+                continue
             try:
                 code = self.admission.recheck(relayed)
                 if code is not None:
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -1,5 +1,6 @@
 """Cached state of an entry: configuration and endpoints, with their staleness."""
 
+import asyncio
 import base64
 import binascii
 import time
@@ -29,12 +30,16 @@
 MAX_ROWS_WITH_TOMBSTONES = 5_000
 
 
+# Time in seconds that is longer ago than any limit.
+NEVER = -1e9
+
+
 @attrs.define(eq=False)
 class _TableState:
     rows: dict[str, StoreRow] = attrs.Factory(dict)
     version: int = 0
-    confirmed_at: float = -1e9
-    changed_at: float = -1e9
+    confirmed_at: float = NEVER
+    changed_at: float = NEVER
 
 
 class StateCache:
@@ -44,6 +49,10 @@
         self.routing: RoutingTable | None = None
         self.endpoints = EndpointList()
         self.tables = {name: _TableState() for name in TABLES}
+        # Set while the cache may be acted on, which is not so just after a pause.
+        self.trusted = asyncio.Event()
+        self.trusted.set()
+        self._unconfirmed: set[str] = set()
         self.on_configuration: list[Callable[[], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
 
@@ -103,6 +112,33 @@
     def mark_current(self, table: str) -> None:
         """Record that a table is current as of now."""
         self.tables[table].confirmed_at = time.monotonic()
+        self._unconfirmed.discard(table)
+        if not self._unconfirmed:
+            self.trusted.set()
+
+    def distrust(self) -> None:
+        """Record that the tables may have changed unnoticed, after a pause."""
+        for table, state in self.tables.items():
+            state.confirmed_at = NEVER
+            self._unconfirmed.add(table)
+        self.trusted.clear()
+
+    async def wait_until_trusted(self, timeout_s: float) -> None:
+        """Wait until all tables are confirmed; after ``timeout_s`` trust them anyway.
+
+        The store and the peers may be unreachable, and the last known configuration
+        is better than none then.
+        """
+        if self.trusted.is_set():
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.trusted.wait()
+        except TimeoutError:
+            if not self.trusted.is_set():
+                log_event("unconfirmed_state_used", tables=sorted(self._unconfirmed))
+                self._unconfirmed.clear()
+                self.trusted.set()
 
     def rows_after(self, table: str, version: int) -> list[PeerRow]:
         """Return the rows newer than ``version``, for a peer that has this version."""
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -52,16 +52,23 @@
         self.cache = cache
         self.rng = rng
         self.entry_count = entry_count
-        self.tasks: list[asyncio.Task] = []
+        self.tasks: dict[str, asyncio.Task] = {}
+        # Time of the last success before the calls for a table began to fail.
+        self.failing_since: dict[str, float] = {}
 
     def start(self) -> None:
         """Start to follow all tables."""
         loop = asyncio.get_running_loop()
         for table in LONG_POLL_S:
-            self.tasks.append(loop.create_task(self.follow(table)))
+            self.tasks[table] = loop.create_task(self.follow(table))
+
+    def restart(self) -> None:
+        """Read all tables again: an answer on its way may be older than a pause."""
+        self.close()
+        self.start()
 
     def close(self) -> None:
-        for task in self.tasks:
+        for task in self.tasks.values():
             task.cancel()
 
     def interval_s(self, table: str) -> float:
@@ -74,9 +81,14 @@
 
     async def follow(self, table: str) -> None:
         client = StoreClient(self.address)
+        try:
+            await self.follow_with(client, table)
+        finally:
+            client.close()
+
+    async def follow_with(self, client: StoreClient, table: str) -> None:
         version: int | None = None
         last_success_at = time.monotonic()
-        failing = False
         grace_until = 0.0
         while True:
             began = time.monotonic()
@@ -84,11 +96,11 @@
             match await self.next_page(client, table, version):
                 case Ok(page):
                     now = time.monotonic()
-                    if failing:
+                    failing_since = self.failing_since.pop(table, None)
+                    if failing_since is not None:
                         log_event("store_regained", table=table, version=page.version)
-                        if now - last_success_at > MIN_OUTAGE_S:
+                        if now - failing_since > MIN_OUTAGE_S:
                             grace_until = now + OUTAGE_GRACE_S
-                    failing = False
                     last_success_at = now
                     after_outage = now < grace_until
                     if version is None:
@@ -107,8 +119,8 @@
                     version = None
                 case Err(StoreError() as store_error):
                     error = store_error
-                    if not failing:
-                        failing = True
+                    if table not in self.failing_since:
+                        self.failing_since[table] = last_success_at
                         log_event("store_lost", table=table, detail=error.detail)
             pause_s = self.interval_s(table) - (time.monotonic() - began)
             if error is not None or version is None:
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -64,6 +64,7 @@
         self.transport: asyncio.Transport | None = None
         # The peer's hello once it has arrived, which opens the link.
         self.peer: Hello | None = None
+        self.opened_at = 0.0
         self.peer_host = ""
         self.buffer = bytearray()
         self.last_received_at = self.loop.time()
@@ -123,6 +124,7 @@
         match message:
             case Hello():
                 self.peer = message
+                self.opened_at = self.loop.time()
                 self.on_open(self)
             case Ping(answer=True, number=number):
                 if number == self.last_ping_number:
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -155,3 +155,40 @@
         assert await program.stop(signal.SIGCONT) == 2
         text = program.log_path.read_text()
         assert "zone" in text and "ports" in text
+
+
+async def test_an_entry_paused_across_a_revocation_and_a_drain_acts_on_neither(
+    tmp_path,
+):
+    """Guards against a paused entry that acts on a permission that has run out.
+
+    The requests arrive during the pause, so that they are read first after it.
+    """
+    async with PlatformFleet(tmp_path) as fleet:
+        await start_full_fleet(fleet)
+        await fleet.add_runner("orders", 4)
+        await asyncio.sleep(1.5)
+        entry = fleet.programs["entry-1"]
+        entry.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.0)
+        fleet.states["i-3"] = "draining"
+        value = configuration(7)
+        value["services"][1]["engine"] = {"slots": 8, "kvTokens": 100_000}
+        value["tenants"][0]["apiKeys"] = ["another-key"]
+        fleet.configure(value)
+        before = len(fleet.runners["i-3"].runs)
+        calls = [
+            asyncio.create_task(fleet.call("entry-1", "/order/a", attempt=f"p-{n}"))
+            for n in range(10)
+        ]
+        await asyncio.sleep(1.5)
+        entry.process.send_signal(signal.SIGCONT)
+        answers = await asyncio.gather(*calls)
+        assert {answer.status for answer in answers} == {401}
+        assert len(fleet.runners["i-3"].runs) == before
+        resumed = [
+            line
+            for line in entry.log()
+            if line["message_type"] == "resumed_after_pause"
+        ]
+        assert resumed and resumed[0]["pause_s"] > 2.0
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -18,6 +18,7 @@
 from acaciarelay.programs.relay_request import RequestRelay
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.state.routing import CallerLimits
+from acaciarelay.state.run_clock import RunClock
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
@@ -106,12 +107,14 @@
         rng = random.Random(seed)
         self.health = EndpointHealth("zone-a", {"zone-a": "region-a"}, rng)
         self.slot_client = SlotClient()
+        self.run_clock = RunClock()
         self.relay = RequestRelay(
             self.cache,
             self.usage,
             self.retry_budget,
             self.health,
             self.slot_client,
+            self.run_clock,
             Metrics(),
             rng,
         )
