Answer the connections that are waiting when an entry stops listening

Cause: at the end of the time in which a stopping entry still listens, it closed the listening socket, and with it connections that the kernel had completed; it closed new connections whose request was not read yet; and it ended as soon as its list of connections was empty, which it is while accepted ones are being set up (seen in the new test: all 200 callers got nothing, and the log ends with requests cancelled by the exit). The completed connections are accepted before the socket is closed, a new one has half a second for its first request, and the exit waits for one further check. Ruled out: the grace time, which was not over (8 s in the test as well).

--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import signal
+import socket
 import sys
 import time
 
@@ -39,6 +40,7 @@
     InboundRequest,
 )
 from acaciarelay.transport.message_link import Dialer, MessageLink
+from acaciarelay.transport.sockets import accept_completed, listen
 
 __all__ = ["RelayEntry", "main"]
 
@@ -53,6 +55,9 @@
 EXIT_MARGIN_FRACTION = 0.125
 MIN_EXIT_MARGIN_S = 0.6
 DRAIN_CHECK_INTERVAL_S = 0.05
+# Time that a new connection has for its first request while the entry stops.
+FIRST_REQUEST_S = 0.5
+LISTEN_BACKLOG = 1024
 
 
 class RelayEntry:
@@ -110,6 +115,9 @@
         self.connections: set[InboundConnection] = set()
         self.agents: dict[str, Dialer] = {}
         self.servers: list[asyncio.Server] = []
+        # The listening socket for callers while new connections are accepted.
+        self.listener: socket.socket | None = None
+        self.last_accepts: list[asyncio.Task] = []
         self.stopping = asyncio.Event()
         self.cache.on_configuration.append(self.reconcile_agents)
         self.cache.on_endpoints.append(self.reconcile_agents)
@@ -156,8 +164,11 @@
 
     async def listen(self) -> None:
         host, port = _split(self.settings.caller_address)
+        self.listener = listen(host, port, LISTEN_BACKLOG)
         self.servers.append(
-            await self.loop.create_server(self.build_inbound, host, port, backlog=1024)
+            await self.loop.create_server(
+                self.build_inbound, sock=self.listener, backlog=LISTEN_BACKLOG
+            )
         )
         host, port = _split(self.settings.ready_address)
         self.servers.append(await self.loop.create_server(self.build_ready, host, port))
@@ -279,9 +290,9 @@
         while self.loop.time() < end_at:
             self.peers.tick(time.monotonic())
             if self.loop.time() - began > UNREADY_GRACE_S:
-                self.stop_accepting()
-                if not self.connections:
+                if self.listener is None and not self.connections:
                     break
+                self.stop_accepting()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         for server in self.servers:
             server.close()
@@ -296,12 +307,27 @@
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     def stop_accepting(self) -> None:
-        """Stop listening and close idle connections, so that no new request arrives."""
-        # The first server is the one for callers.
-        self.servers[0].close()
+        """Accept what the kernel has completed, then listen no more; close idle ones.
+
+        A new connection has some time for its first request, since it may be on its
+        way.
+        """
+        if self.listener is not None:
+            for sock in accept_completed(self.listener):
+                accept = self.loop.connect_accepted_socket(self.build_inbound, sock)
+                self.last_accepts.append(self.loop.create_task(accept))
+            # The connections appear in ``self.connections`` before the next call.
+            self.listener = None
+            # The first server is the one for callers.
+            self.servers[0].close()
+        now = self.loop.time()
         for connection in list(self.connections):
-            if not connection.busy:
-                connection.close()
+            if connection.busy:
+                continue
+            is_new = now - connection.opened_at < FIRST_REQUEST_S
+            if is_new and not connection.received_any:
+                continue
+            connection.close()
 
 
 def _split(address: str) -> tuple[str, int]:
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -93,6 +93,8 @@
         self.transport: asyncio.Transport | None = None
         self.http = self.new_parser()
         self.phase = _Phase.IDLE
+        self.opened_at = self.loop.time()
+        self.received_any = False
         self.pending = bytearray()
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -144,6 +146,7 @@
         self.write_resumed = None
 
     def data_received(self, data: bytes) -> None:
+        self.received_any = True
         match self.phase:
             case _Phase.IDLE:
                 self.arrived_at = self.loop.time()
--- a/src/acaciarelay/transport/sockets.py
+++ b/src/acaciarelay/transport/sockets.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-__all__ = ["enable_dead_peer_detection"]
+__all__ = ["accept_completed", "enable_dead_peer_detection", "listen"]
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -28,3 +28,32 @@
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, probes)
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, int(user_timeout_s * 1000))
+
+
+def listen(host: str, port: int, backlog: int) -> socket.socket:
+    """Return a non-blocking listening socket; raises ``OSError``."""
+    sock = socket.socket()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def accept_completed(listener: socket.socket) -> list[socket.socket]:
+    """Accept the connections that the kernel has completed.
+
+    Closing a listening socket resets those that were not accepted.
+    """
+    accepted: list[socket.socket] = []
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return accepted
+        sock.setblocking(False)
+        accepted.append(sock)
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -101,6 +101,7 @@
         self.servers: dict[str, asyncio.Server] = {}
         self.registrations: dict[str, asyncio.Task] = {}
         self.states: dict[str, str] = {}
+        self.stop_grace_s = STOP_GRACE_S
 
     async def __aenter__(self) -> "PlatformFleet":
         await self.open_store()
@@ -185,7 +186,7 @@
             "seeds": seeds,
             "store_address": self.store_address,
             "engine_address": "",
-            "stop_grace_s": STOP_GRACE_S,
+            "stop_grace_s": self.stop_grace_s,
             "retry_ratio": 0.2,
             "retry_reserve": 50,
             "retry_window_s": 10,
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -8,6 +8,8 @@
 from integration.platform_fleet import PlatformFleet, Program
 from relay_rig import configuration, route
 
+from acaciarelay.programs.relay_entry import UNREADY_GRACE_S
+
 APPLY_LIMIT_S = 2.5
 
 
@@ -192,3 +194,29 @@
             if line["message_type"] == "resumed_after_pause"
         ]
         assert resumed and resumed[0]["pause_s"] > 2.0
+
+
+async def test_a_full_backlog_at_the_end_of_a_stop_is_answered(tmp_path):
+    """Guards against accepted connections that are reset when an entry stops.
+
+    The entry does not run while the callers connect, and finds them waiting just as it
+    is about to stop listening.
+    """
+    async with PlatformFleet(tmp_path) as fleet:
+        fleet.stop_grace_s = 8.0
+        await start_full_fleet(fleet)
+        fleet.runners["i-3"].slots = 300
+        entry = fleet.programs["entry-1"]
+        stopping = asyncio.create_task(entry.stop(signal.SIGTERM))
+        await asyncio.sleep(UNREADY_GRACE_S - 0.3)
+        entry.process.send_signal(signal.SIGSTOP)
+        calls = [
+            asyncio.create_task(fleet.call("entry-1", "/order/a", attempt=f"b-{n}"))
+            for n in range(200)
+        ]
+        await asyncio.sleep(0.6)
+        entry.process.send_signal(signal.SIGCONT)
+        answers = await asyncio.gather(*calls)
+        assert all(answer.status != 0 for answer in answers)
+        assert sum(answer.status == 200 for answer in answers) > 100
+        assert await stopping == 0
