Name the variable of test ports outside the programs' settings

Cause: the programs refuse an unknown variable with their own prefix, so that the commands under test refused the variable of the test ports.

--- a/src/acaciarelay_standins/ports.py
+++ b/src/acaciarelay_standins/ports.py
@@ -6,9 +6,9 @@
 
 __all__ = ["PORTS_VARIABLE", "free_port", "worker_ports"]
 
-# Name of the variable with the first and last port to use, as in "15000-31999". Test
+# Name of the environment variable with the first and last port to use, as in "15000-31999". Test
 # workers that run at the same time have separate ranges.
-PORTS_VARIABLE = "ACACIARELAY_TEST_PORTS"
+PORTS_VARIABLE = "RELAY_TEST_PORTS"
 FIRST_PORT = 15_000
 LAST_PORT = 31_999
 DEFAULT_PORTS = f"{FIRST_PORT}-{LAST_PORT}"
