Notice a silent store, and its return, within bounds from the settings

No entry knew the change earlier, so that no peer could pass it on. It wasn't the kill of all machines, the links or the pauses between tries. A call for changes now takes at most the contact time of the settings; after a failure calls ask for no wait and are given up after a third of it; the first failure of one table's feed makes the others ask again. A pause uses the same probe. A feed's page with more to come continues after its last row. Bound for a change that is acked when the store returns: a third of the contact time, a pause of at most 0.375 s and the answer; after a silence too short to be noticed, the contact time from its start.

--- a/src/acaciarelay/platform/store.py
+++ b/src/acaciarelay/platform/store.py
@@ -19,9 +19,6 @@
 __all__ = ["HistoryCompacted", "RowPage", "StoreClient", "StoreError", "StoreRow"]
 
 CONNECT_TIMEOUT_S = 1.0
-READ_TIMEOUT_S = 2.5
-# Added to the wait requested from the store to get the timeout of a feed call.
-FEED_MARGIN_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -64,8 +61,10 @@
         self._connection: EndpointConnection | None = None
         self._lock = asyncio.Lock()
 
-    async def read_table(self, table: str) -> Result[RowPage, StoreError]:
-        """Read all rows of a table."""
+    async def read_table(
+        self, table: str, timeout_s: float
+    ) -> Result[RowPage, StoreError]:
+        """Read all rows of a table, each page within ``timeout_s``."""
         rows: list[StoreRow] = []
         first_key = ""
         version = 0
@@ -73,7 +72,7 @@
             path = f"/rows-get?table={quote(table)}&part=&limit=500"
             if first_key:
                 path += f"&from={quote(first_key, safe='')}"
-            match await self._call("GET", path, b"", READ_TIMEOUT_S):
+            match await self._call("GET", path, b"", timeout_s):
                 case Err(error):
                     return Err(error)
                 case Ok((200, data)):
@@ -91,22 +90,28 @@
             first_key = page.rows[-1].key + "\x00"
 
     async def wait_for_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: int, wait_s: float, timeout_s: float
     ) -> Result[RowPage, StoreError | HistoryCompacted]:
-        """Wait up to ``wait_s`` for changes of a table after a version."""
+        """Wait up to ``wait_s`` for changes of a table after a version.
+
+        The call fails if it has no answer after ``timeout_s``.
+        """
         path = (
             f"/rows-feed?table={quote(table)}&afterRev={after}"
             f"&waitMs={int(wait_s * 1000)}"
         )
-        match await self._call("GET", path, b"", wait_s + FEED_MARGIN_S):
+        match await self._call("GET", path, b"", timeout_s):
             case Err(error):
                 return Err(error)
             case Ok((410, _)):
                 return Err(HistoryCompacted())
             case Ok((200, data)):
-                page, _ = _decode_page(data)
+                page, more = _decode_page(data)
                 if page is None:
                     return Err(StoreError("the store's answer is unreadable"))
+                if more and page.rows:
+                    # The next call continues after the last row of this page.
+                    return Ok(attrs.evolve(page, version=page.rows[-1].version))
                 return Ok(page)
             case Ok((status, _)):
                 return Err(StoreError(f"the store answered {status}"))
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -110,6 +110,7 @@
             settings.store_address,
             self.cache,
             self.rng,
+            settings.store_silence_ms / 1000,
             lambda: self.usage.process_count,
         )
         self.connections: set[InboundConnection] = set()
@@ -149,7 +150,7 @@
         self.cache.distrust()
         self.usage.forget_levels(time.monotonic())
         self.peers.resumed_at = self.loop.time()
-        self.follower.restart()
+        self.follower.probe()
 
     def update_gauges(self) -> None:
         """Set the gauges of the configuration, the cache's staleness and the peers."""
--- a/src/acaciarelay/programs/relay_settings.py
+++ b/src/acaciarelay/programs/relay_settings.py
@@ -27,7 +27,9 @@
     retries in a window beyond ``retry_ratio`` of the requests, over all processes. All
     processes together may exceed a rate limit in a window by the fraction
     ``usage_excess`` of the tokens that the limit allows in it, plus ``usage_slack``
-    tokens. ``first_start`` is true when the entire system starts for the first time.
+    tokens. ``store_silence_ms`` is how long a silent store may go unnoticed, in
+    milliseconds. ``first_start`` is true when the entire system starts for the first
+    time.
     """
 
     name: str
@@ -48,6 +50,7 @@
     usage_window_s: float
     usage_excess: float
     usage_slack: float
+    store_silence_ms: float
     first_start: bool
 
     @property
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -5,18 +5,28 @@
 import time
 from collections.abc import Callable
 
-from result import Err, Ok
+import attrs
+from result import Err, Ok, Result
 
 from acaciarelay.platform.configuration import ENDPOINT_TABLE, OPERATOR_TABLE
-from acaciarelay.platform.store import HistoryCompacted, StoreClient, StoreError
+from acaciarelay.platform.store import (
+    HistoryCompacted,
+    RowPage,
+    StoreClient,
+    StoreError,
+)
 from acaciarelay.programs.logs import log_event
-from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.programs.relay_state_cache import TABLES, StateCache
 
 __all__ = ["StoreFollower"]
 
-# Long-poll time of each table's feed, which bounds how long a silent connection goes
-# unnoticed.
-LONG_POLL_S = {OPERATOR_TABLE: 4.0, ENDPOINT_TABLE: 4.0}
+# Longest wait for a change of an endpoint. Endpoints write about once a second, so a
+# longer silence is that of the store.
+MAX_ENDPOINT_POLL_S = 1.5
+# What the answer to a call may take beyond the wait that the call asks for.
+ANSWER_MARGIN_S = 0.6
+# Part of the tolerated silence after which a call is given up that asks for no wait.
+PROBE_FRACTION = 1 / 3
 # Minimum time between the starts of two requests for the operator table.
 OPERATOR_INTERVAL_S = 0.05
 # Minimum time between the starts of two requests for the endpoint table. Endpoints
@@ -35,10 +45,30 @@
 OUTAGE_GRACE_S = 0.4
 
 
+@attrs.define(eq=False)
+class _Feed:
+    """State of the calls for one table; times are monotonic seconds.
+
+    ``version`` is ``None`` before the first complete read. ``failing_since`` is the
+    time of the last success before the calls began to fail. With ``probing`` the next
+    call asks for no wait, so that it tells soon whether the store answers.
+    """
+
+    last_success_at: float
+    version: int | None = None
+    failing_since: float | None = None
+    grace_until: float = 0.0
+    probing: bool = False
+    task: asyncio.Task | None = None
+
+
 class StoreFollower:
     """Follow each table with a feed of its own.
 
-    ``entry_count`` returns the number of entries that follow the store.
+    A store that falls silent is noticed within ``silence_limit_s`` of the start of the
+    silence, and its return within ``PROBE_FRACTION`` of that time and a pause. The
+    first failure of one feed makes the others ask again. ``entry_count`` returns the
+    number of entries that follow the store.
     """
 
     def __init__(
@@ -46,30 +76,41 @@
         address: str,
         cache: StateCache,
         rng: random.Random,
+        silence_limit_s: float,
         entry_count: Callable[[], int],
     ) -> None:
         self.address = address
         self.cache = cache
         self.rng = rng
+        self.silence_limit_s = silence_limit_s
         self.entry_count = entry_count
-        self.tasks: dict[str, asyncio.Task] = {}
-        # Time of the last success before the calls for a table began to fail.
-        self.failing_since: dict[str, float] = {}
+        now = time.monotonic()
+        self.feeds = {table: _Feed(last_success_at=now) for table in TABLES}
 
     def start(self) -> None:
         """Start to follow all tables."""
+        for table in self.feeds:
+            self.start_feed(table)
+
+    def start_feed(self, table: str) -> None:
         loop = asyncio.get_running_loop()
-        for table in LONG_POLL_S:
-            self.tasks[table] = loop.create_task(self.follow(table))
+        self.feeds[table].task = loop.create_task(self.follow(table))
+
+    def probe(self) -> None:
+        """Call again at once for all tables, and give up the calls on their way.
 
-    def restart(self) -> None:
-        """Read all tables again: an answer on its way may be older than a pause."""
-        self.close()
-        self.start()
+        What these deliver may be as old as their start.
+        """
+        for table, feed in self.feeds.items():
+            feed.probing = True
+            if feed.task is not None:
+                feed.task.cancel()
+                self.start_feed(table)
 
     def close(self) -> None:
-        for task in self.tasks.values():
-            task.cancel()
+        for feed in self.feeds.values():
+            if feed.task is not None:
+                feed.task.cancel()
 
     def interval_s(self, table: str) -> float:
         """Return the minimum time between the starts of two requests for a table."""
@@ -81,54 +122,77 @@
 
     async def follow(self, table: str) -> None:
         client = StoreClient(self.address)
+        feed = self.feeds[table]
         try:
-            await self.follow_with(client, table)
+            while True:
+                began = time.monotonic()
+                failed = await self.update(client, table, feed)
+                pause_s = self.interval_s(table) - (time.monotonic() - began)
+                if failed or feed.version is None:
+                    pause_s = max(pause_s, RETRY_INTERVAL_S * (0.5 + self.rng.random()))
+                if pause_s > 0:
+                    await asyncio.sleep(pause_s)
         finally:
             client.close()
 
-    async def follow_with(self, client: StoreClient, table: str) -> None:
-        version: int | None = None
-        last_success_at = time.monotonic()
-        grace_until = 0.0
-        while True:
-            began = time.monotonic()
-            error: StoreError | None = None
-            match await self.next_page(client, table, version):
-                case Ok(page):
-                    now = time.monotonic()
-                    failing_since = self.failing_since.pop(table, None)
-                    if failing_since is not None:
-                        log_event("store_regained", table=table, version=page.version)
-                        if now - failing_since > MIN_OUTAGE_S:
-                            grace_until = now + OUTAGE_GRACE_S
-                    last_success_at = now
-                    after_outage = now < grace_until
-                    if version is None:
-                        if self.cache.apply_snapshot(table, page, after_outage):
-                            version = page.version
-                    elif page.version >= version:
-                        rows = page.rows
-                        self.cache.apply_changes(
-                            table, rows, page.version, after_outage
-                        )
-                        version = page.version
-                    if version is not None:
-                        self.cache.mark_current(table)
-                case Err(HistoryCompacted()):
-                    log_event("store_history_gone", table=table, version=version)
-                    version = None
-                case Err(StoreError() as store_error):
-                    error = store_error
-                    if table not in self.failing_since:
-                        self.failing_since[table] = last_success_at
-                        log_event("store_lost", table=table, detail=error.detail)
-            pause_s = self.interval_s(table) - (time.monotonic() - began)
-            if error is not None or version is None:
-                pause_s = max(pause_s, RETRY_INTERVAL_S * (0.5 + self.rng.random()))
-            if pause_s > 0:
-                await asyncio.sleep(pause_s)
-
-    async def next_page(self, client: StoreClient, table: str, version: int | None):  # type: ignore[no-untyped-def]
-        if version is None:
-            return await client.read_table(table)
-        return await client.wait_for_changes(table, version, LONG_POLL_S[table])
+    async def update(self, client: StoreClient, table: str, feed: _Feed) -> bool:
+        """Make one call for a table; return whether it failed."""
+        match await self.next_page(client, table, feed):
+            case Ok(RowPage() as page):
+                self.apply(table, feed, page)
+            case Err(HistoryCompacted()):
+                log_event("store_history_gone", table=table, version=feed.version)
+                feed.version = None
+            case Err(StoreError(detail=detail)):
+                self.record_failure(table, feed, detail)
+                return True
+        return False
+
+    async def next_page(
+        self, client: StoreClient, table: str, feed: _Feed
+    ) -> Result[RowPage, StoreError | HistoryCompacted]:
+        if feed.version is None:
+            return await client.read_table(table, self.silence_limit_s)
+        if feed.probing or feed.failing_since is not None:
+            limit_s = self.silence_limit_s * PROBE_FRACTION
+            return await client.wait_for_changes(table, feed.version, 0.0, limit_s)
+        wait_s = self.silence_limit_s - ANSWER_MARGIN_S
+        if table == ENDPOINT_TABLE:
+            wait_s = min(wait_s, MAX_ENDPOINT_POLL_S)
+        return await client.wait_for_changes(
+            table, feed.version, wait_s, wait_s + ANSWER_MARGIN_S
+        )
+
+    def apply(self, table: str, feed: _Feed, page: RowPage) -> None:
+        """Apply the rows of an answer, unless it is older than what is known."""
+        now = time.monotonic()
+        if feed.failing_since is not None:
+            log_event("store_regained", table=table, version=page.version)
+            if now - feed.failing_since > MIN_OUTAGE_S:
+                feed.grace_until = now + OUTAGE_GRACE_S
+        feed.failing_since = None
+        feed.last_success_at = now
+        feed.probing = False
+        after_outage = now < feed.grace_until
+        if feed.version is None:
+            if self.cache.apply_snapshot(table, page, after_outage):
+                feed.version = page.version
+        elif page.version >= feed.version:
+            self.cache.apply_changes(table, page.rows, page.version, after_outage)
+            feed.version = page.version
+        if feed.version is not None:
+            self.cache.mark_current(table)
+
+    def record_failure(self, table: str, feed: _Feed, detail: str) -> None:
+        """Record a failed call; the first one makes the other feeds ask again."""
+        if feed.failing_since is not None:
+            return
+        feed.failing_since = feed.last_success_at
+        log_event("store_lost", table=table, detail=detail)
+        for other_table, other in self.feeds.items():
+            if other is feed or other.failing_since is not None or other.probing:
+                continue
+            other.probing = True
+            if other.task is not None:
+                other.task.cancel()
+                self.start_feed(other_table)
--- a/src/acaciarelay_standins/ports.py
+++ b/src/acaciarelay_standins/ports.py
@@ -6,8 +6,8 @@
 
 __all__ = ["PORTS_VARIABLE", "free_port", "worker_ports"]
 
-# Name of the environment variable with the first and last port to use, as in "15000-31999". Test
-# workers that run at the same time have separate ranges.
+# Name of the environment variable with the first and last port to use, as in
+# "15000-31999". Test workers that run at the same time have separate ranges.
 PORTS_VARIABLE = "RELAY_TEST_PORTS"
 FIRST_PORT = 15_000
 LAST_PORT = 31_999
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -193,6 +193,7 @@
             "usage_window_s": 8,
             "usage_excess": 0.1,
             "usage_slack": 0,
+            "store_silence_ms": 3000,
             "first_start": True,
         }
         return value | fields
--- a/tests/unit/platform_path/test_agent_states.py
+++ b/tests/unit/platform_path/test_agent_states.py
@@ -75,6 +75,7 @@
         usage_window_s=8.0,
         usage_excess=0.1,
         usage_slack=0.0,
+        store_silence_ms=3000.0,
         first_start=True,
     )
     return RelayAgent(settings)
--- /dev/null
+++ b/tests/unit/platform_path/test_store_follower.py
@@ -0,0 +1,106 @@
+"""How soon entries notice a silent store, its return, and what it says then."""
+
+import asyncio
+import random
+import time
+
+import pytest
+from relay_rig import configuration, registration
+
+from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.programs.store_follower import (
+    PROBE_FRACTION,
+    RETRY_INTERVAL_S,
+    StoreFollower,
+)
+from acaciarelay_standins.inbound_standin import listen
+from acaciarelay_standins.platform_store import PlatformStore
+
+SILENCE_LIMIT_S = 3.0
+# A call just before the return, the longest pause after it, and the next call.
+RETURN_BOUND_S = SILENCE_LIMIT_S * PROBE_FRACTION + 1.5 * RETRY_INTERVAL_S + 0.3
+
+
+class FollowedStore:
+    """A store and one follower of it, as an asynchronous context manager."""
+
+    def __init__(self):
+        self.store = PlatformStore()
+        self.cache = StateCache()
+        self.server = None
+        self.follower = None
+
+    async def __aenter__(self):
+        self.server, address = await listen(self.store.handle, "127.0.0.1:0")
+        self.follower = StoreFollower(
+            address, self.cache, random.Random(1), SILENCE_LIMIT_S, lambda: 5
+        )
+        self.configure(1)
+        self.beat = asyncio.create_task(self.register())
+        self.follower.start()
+        await self.until_version(1, 2.0)
+        return self
+
+    async def __aexit__(self, *_):
+        self.beat.cancel()
+        self.follower.close()
+        self.server.close()
+        await asyncio.sleep(0.05)
+
+    async def register(self):
+        """Write a registration every second, as endpoints do."""
+        sequence = 0
+        while True:
+            sequence += 1
+            row = registration("orders", "127.0.0.1:9", seq=sequence)
+            self.store.put("servers", "i-1", row)
+            await asyncio.sleep(1.0)
+
+    def configure(self, version):
+        self.store.put("op", "config", configuration(version))
+
+    async def until_version(self, version, limit_s):
+        """Wait for a configuration; return how long it took."""
+        began = time.monotonic()
+        while self.cache.routing is None or self.cache.routing.version < version:
+            assert time.monotonic() - began < limit_s, "not in force in time"
+            await asyncio.sleep(0.01)
+        return time.monotonic() - began
+
+
+@pytest.mark.parametrize("silent_s", [0.5, 2.0, 4.0, 6.5])
+async def test_a_change_after_a_silence_is_in_force_within_the_bound(silent_s):
+    """Guards against calls that hang since the silence and hide a change.
+
+    A silence that is too short to be noticed may hide it for the tolerated silence.
+    """
+    async with FollowedStore() as followed:
+        # Let the calls that wait for changes begin before the silence.
+        await asyncio.sleep(1.2)
+        silent_at = time.monotonic()
+        followed.store.faults.silent = True
+        await asyncio.sleep(silent_s)
+        followed.store.faults.silent = False
+        followed.configure(2)
+        unnoticed_s = silent_at + SILENCE_LIMIT_S - time.monotonic()
+        await followed.until_version(2, max(unnoticed_s, 0.0) + RETURN_BOUND_S)
+
+
+async def test_a_probe_confirms_the_tables_at_once():
+    """Guards against requests that wait for a feed which is quiet for seconds."""
+    async with FollowedStore() as followed:
+        await asyncio.sleep(1.2)
+        followed.cache.distrust()
+        followed.follower.probe()
+        began = time.monotonic()
+        await asyncio.wait_for(followed.cache.trusted.wait(), 1.0)
+        assert time.monotonic() - began < 0.3
+
+
+async def test_a_quiet_feed_makes_few_calls():
+    """Guards against bounds that are bought with many calls, which are priced."""
+    async with FollowedStore() as followed:
+        before = followed.store.calls["/rows-feed"]
+        await asyncio.sleep(5.0)
+        # About one a second for the endpoints, one in 2.4 s for the configuration.
+        assert followed.store.calls["/rows-feed"] - before <= 9
