--- a/src/acaciarelay/coordination/slot_forecast.py
+++ b/src/acaciarelay/coordination/slot_forecast.py
@@ -1,12 +1,14 @@
 """Wait prediction from the holding times and grant rates of an engine's slots."""
 
+import bisect
 import collections
+import itertools
 import math
 from collections.abc import Mapping
 
 import attrs
 
-__all__ = ["SlotForecast"]
+__all__ = ["ReleaseRates", "SlotForecast"]
 
 # Weight of the newest sample in the moving average of the holding time.
 HOLD_SAMPLE_WEIGHT = 0.1
@@ -95,13 +97,29 @@
         """Return the mean time in seconds for which a rank holds a slot."""
         return max(0.001, self._hold_s.get(rank, DEFAULT_HOLD_S))
 
-    def slots_per_s(self, rank: int, granted: Mapping[int, int], now: float) -> float:
-        """Return the slots per second that more urgent requests leave to a rank."""
+    def release_rates(self, granted: Mapping[int, int], now: float) -> "ReleaseRates":
+        """Return the rates at which slots become free for each rank."""
         released = sum(
             count / self.mean_hold_s(other) for other, count in granted.items()
         )
-        urgent = 0.0
-        for other, rate in self._grant_rates.items():
-            if other < rank:
-                urgent += rate.read(now)
+        ranks = sorted(self._grant_rates)
+        rates = [self._grant_rates[rank].read(now) for rank in ranks]
+        return ReleaseRates(released, ranks, [0.0, *itertools.accumulate(rates)])
+
+
+@attrs.frozen
+class ReleaseRates:
+    """Slots per second that are released, and that more urgent requests take of them.
+
+    ``urgent[n]`` is what the first ``n`` of ``ranks`` take.
+    """
+
+    released: float
+    ranks: list[int]
+    urgent: list[float]
+
+    def slots_per_s(self, rank: int) -> float:
+        """Return the slots per second that more urgent requests leave to a rank."""
+        urgent = self.urgent[bisect.bisect_left(self.ranks, rank)]
+        released = self.released
         return max(released * MIN_RELEASED_SHARE, released - urgent, 0.001)
--- a/src/acaciarelay/coordination/slot_queue.py
+++ b/src/acaciarelay/coordination/slot_queue.py
@@ -1,11 +1,11 @@
 """Queue that grants the request slots of one engine by rank and fair share."""
 
 import collections
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
-from acaciarelay.coordination.slot_forecast import SlotForecast
+from acaciarelay.coordination.slot_forecast import ReleaseRates, SlotForecast
 from acaciarelay.protocol.link_messages import SlotRequest
 
 __all__ = ["SlotQueue", "SlotRequestState"]
@@ -174,20 +174,6 @@
             counts[state.slot_request.rank] += 1
         return counts
 
-    def _predicted_wait_s(
-        self,
-        rank: int,
-        ahead: float,
-        granted: dict[int, int],
-        now: float,
-        untracked_runs: int,
-    ) -> float:
-        """Predict the wait of a request that has ``ahead`` others before it."""
-        missing = ahead + 1.0 - self._available(rank, granted, untracked_runs)
-        if missing <= 0:
-            return 0.0
-        return missing / self.forecast.slots_per_s(rank, granted, now)
-
     def predicted_waits_s(
         self, ranks: int, now: float, untracked_runs: int = 0
     ) -> list[float]:
@@ -198,34 +184,56 @@
         by_rank = [0.0] * ranks
         for state in self.waiting.values():
             by_rank[min(state.slot_request.rank, ranks - 1)] += state.weight
-        granted = self._granted_by_rank()
+        prediction = self._prediction(now, untracked_runs)
         waits = []
         ahead = 0.0
         for rank, count in enumerate(by_rank):
             ahead += count
-            waits.append(
-                self._predicted_wait_s(rank, ahead, granted, now, untracked_runs)
-            )
+            waits.append(prediction.wait_s(rank, ahead))
         return waits
 
+    def _prediction(self, now: float, untracked_runs: int) -> "_Prediction":
+        granted = self._granted_by_rank()
+        return _Prediction(
+            self.forecast.release_rates(granted, now),
+            lambda rank: self._available(rank, granted, untracked_runs),
+        )
+
     def pop_infeasible(
         self, now: float, untracked_runs: int = 0
     ) -> list[SlotRequestState]:
         """Remove and return the waiting requests that are unlikely to start in time."""
-        if self.slot_limit == 0:
+        if self.slot_limit == 0 or not self.waiting:
             return []
-        granted = self._granted_by_rank()
+        prediction = self._prediction(now, untracked_runs)
         refused = []
         ahead = 0.0
         for key in sorted(self.waiting, key=self._order):
             state = self.waiting[key]
             left_s = state.queued_at + state.slot_request.wait_s - now
-            wait_s = self._predicted_wait_s(
-                state.slot_request.rank, ahead, granted, now, untracked_runs
-            )
+            wait_s = prediction.wait_s(state.slot_request.rank, ahead)
             if wait_s > left_s * EARLY_REFUSAL_FACTOR:
                 del self.waiting[key]
                 refused.append(state)
                 continue
             ahead += state.weight
         return refused
+
+
+class _Prediction:
+    """Predict waits as of one moment; what depends on the rank alone is kept."""
+
+    def __init__(self, rates: ReleaseRates, available: Callable[[int], int]) -> None:
+        self.rates = rates
+        self.available = available
+        self.available_by_rank: dict[int, int] = {}
+
+    def wait_s(self, rank: int, ahead: float) -> float:
+        """Predict the wait of a request that has ``ahead`` others before it."""
+        available = self.available_by_rank.get(rank)
+        if available is None:
+            available = self.available_by_rank[rank] = self.available(rank)
+        missing = ahead + 1.0 - available
+        if missing <= 0:
+            return 0.0
+        return missing / self.rates.slots_per_s(rank)
