--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -71,8 +71,9 @@
 
 @attrs.define(eq=False)
 class _SentState:
-    """The state that was last sent to an entry."""
+    """The state that was last sent to an entry, and whether it is in this region."""
 
+    near: bool
     state: EngineState | None = None
     sent_at: float = 0.0
 
@@ -187,7 +188,7 @@
 
     def opened(self, link: MessageLink) -> None:
         assert link.peer is not None
-        self.links[link] = _SentState()
+        self.links[link] = _SentState(self.is_near(link))
         log_event("entry_regained", entry=link.peer.name, lifetime=link.peer.lifetime)
         self.send_entry_list()
         self.schedule_publish()
@@ -287,7 +288,7 @@
         for link, last in self.links.items():
             if last.state == state:
                 continue
-            interval_s = near_interval_s if self.is_near(link) else far_interval_s
+            interval_s = near_interval_s if last.near else far_interval_s
             if now - last.sent_at < interval_s:
                 self.schedule_publish()
                 continue
@@ -305,7 +306,7 @@
 
         Entries in other regions seldom request slots here, so they get fewer.
         """
-        near = sum(1 for link in self.links if self.is_near(link))
+        near = sum(1 for last in self.links.values() if last.near)
         far = len(self.links) - near
         return (
             min(MAX_STATE_INTERVAL_S, STATE_INTERVAL_S * max(1.0, near / NEAR_ENTRIES)),
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -39,7 +39,7 @@
     InboundConnection,
     InboundRequest,
 )
-from acaciarelay.transport.message_link import Dialer, MessageLink
+from acaciarelay.transport.message_link import Dialer, LinkTicker, MessageLink
 from acaciarelay.transport.sockets import accept_completed, listen
 
 __all__ = ["RelayEntry", "main"]
@@ -103,8 +103,14 @@
             address=f"{settings.host}:{settings.peer_port}",
             zone=settings.zone,
         )
+        self.ticker = LinkTicker()
         self.peers = Peers(
-            self.hello, self.cache, self.usage, self.retry_budget, self.rng
+            self.hello,
+            self.cache,
+            self.usage,
+            self.retry_budget,
+            self.ticker,
+            self.rng,
         )
         self.follower = StoreFollower(
             settings.store_address,
@@ -244,6 +250,7 @@
                 self.agent_message,
                 self.agent_opened,
                 self.agent_closed,
+                self.ticker,
                 sends_pings=True,
             )
         for host in self.agents.keys() - hosts:
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -22,6 +22,7 @@
     SLOW_HEARTBEAT_INTERVAL_S,
     Dialer,
     LinkServer,
+    LinkTicker,
     MessageLink,
 )
 
@@ -70,9 +71,11 @@
         cache: StateCache,
         usage: UsageLedger,
         retry_budget: SharedRetryBudget,
+        ticker: LinkTicker,
         rng: random.Random,
     ) -> None:
         self.hello = hello
+        self.ticker = ticker
         self.cache = cache
         self.usage = usage
         self.retry_budget = retry_budget
@@ -85,7 +88,12 @@
         # Loop time of the end of this process's last pause.
         self.resumed_at = -math.inf
         self.server = LinkServer(
-            hello, self.receive, self.opened, self.closed, SLOW_HEARTBEAT_INTERVAL_S
+            hello,
+            self.receive,
+            self.opened,
+            self.closed,
+            ticker,
+            SLOW_HEARTBEAT_INTERVAL_S,
         )
 
     async def listen(self, host: str, port: int) -> None:
@@ -102,7 +110,14 @@
         self.update_process_count()
 
     def dial(self, address: str) -> Dialer:
-        return Dialer(address, self.hello, self.receive, self.dialled, self.closed)
+        return Dialer(
+            address,
+            self.hello,
+            self.receive,
+            self.dialled,
+            self.closed,
+            self.ticker,
+        )
 
     def update_process_count(self) -> None:
         known = len(self.peers)
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -20,7 +20,13 @@
 )
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
-__all__ = ["SLOW_HEARTBEAT_INTERVAL_S", "Dialer", "LinkServer", "MessageLink"]
+__all__ = [
+    "SLOW_HEARTBEAT_INTERVAL_S",
+    "Dialer",
+    "LinkServer",
+    "LinkTicker",
+    "MessageLink",
+]
 
 # Heartbeat interval of a side whose silence the other one has to notice soon, and of
 # one that is only kept from being taken for lost.
@@ -28,6 +34,8 @@
 SLOW_HEARTBEAT_INTERVAL_S = 0.8
 SILENCE_TIMEOUT_S = 1.6
 PING_INTERVAL_S = 2.0
+# Interval of the checks for due heartbeats and for silence.
+TICK_S = 0.05
 CONNECT_TIMEOUT_S = 1.0
 REDIAL_DELAY_S = 0.25
 MAX_REDIAL_DELAY_S = 2.0
@@ -37,6 +45,34 @@
 MAX_PARTIAL_LINE_BYTES = 16_000_000
 
 
+class LinkTicker:
+    """Check the timers of all links of a process together.
+
+    With a timer for each link, most wake-ups of an idle process would be for timers.
+    """
+
+    def __init__(self) -> None:
+        self.links: set[MessageLink] = set()
+        self.timer: asyncio.TimerHandle | None = None
+
+    def add(self, link: "MessageLink") -> None:
+        self.links.add(link)
+        if self.timer is None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(TICK_S, self.tick)
+
+    def discard(self, link: "MessageLink") -> None:
+        self.links.discard(link)
+
+    def tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        # Closing a link takes effect later, so the set does not change meanwhile.
+        for link in self.links:
+            link.check_timers(now)
+        self.timer = loop.call_later(TICK_S, self.tick) if self.links else None
+
+
 class MessageLink(asyncio.Protocol):
     """Carry messages in both directions over one connection.
 
@@ -51,10 +87,12 @@
         on_message: Callable[["MessageLink", LinkMessage], None],
         on_open: Callable[["MessageLink"], None],
         on_close: Callable[["MessageLink"], None],
+        ticker: LinkTicker,
         heartbeat_s: float = HEARTBEAT_INTERVAL_S,
         sends_pings: bool = False,
     ) -> None:
         self.hello = hello
+        self.ticker = ticker
         self.heartbeat_s = heartbeat_s
         self.sends_pings = sends_pings
         self.on_message = on_message
@@ -69,7 +107,6 @@
         self.buffer = bytearray()
         self.last_received_at = self.loop.time()
         self.last_sent_at = 0.0
-        self.timer: asyncio.TimerHandle | None = None
         self.last_ping_number = 0
         self.ping_sent_at = 0.0
         self.round_trip_s = 0.0
@@ -83,14 +120,10 @@
         self.peer_host = name[0] if name else ""
         self.last_received_at = self.loop.time()
         self.send(self.hello)
-        self.check_timers()
-
-    def check_timers(self) -> None:
-        """Close a silent link; else send a ping or heartbeat if one is due.
+        self.ticker.add(self)
 
-        Unless the link was closed, the next call is scheduled as well.
-        """
-        now = self.loop.time()
+    def check_timers(self, now: float) -> None:
+        """Close a silent link; else send a ping or heartbeat if one is due."""
         if now - self.last_received_at > SILENCE_TIMEOUT_S:
             self.close()
             return
@@ -100,8 +133,6 @@
             self.send(Ping(number=self.last_ping_number))
         elif now - self.last_sent_at >= self.heartbeat_s:
             self.send(Heartbeat())
-        delay_s = max(0.01, self.last_sent_at + self.heartbeat_s - now)
-        self.timer = self.loop.call_later(delay_s, self.check_timers)
 
     def data_received(self, data: bytes) -> None:
         self.last_received_at = self.loop.time()
@@ -138,8 +169,7 @@
                     self.on_message(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
+        self.ticker.discard(self)
         if not self.closed_future.done():
             self.closed_future.set_result(None)
         if self.peer is not None:
@@ -173,12 +203,14 @@
         on_message: Callable[[MessageLink, LinkMessage], None],
         on_open: Callable[[MessageLink], None],
         on_close: Callable[[MessageLink], None],
+        ticker: LinkTicker | None = None,
         heartbeat_s: float = HEARTBEAT_INTERVAL_S,
     ) -> None:
         self.hello = hello
         self.on_message = on_message
         self.on_open = on_open
         self.on_close = on_close
+        self.ticker = ticker or LinkTicker()
         self.heartbeat_s = heartbeat_s
         self.server: asyncio.Server | None = None
 
@@ -190,7 +222,12 @@
 
     def build(self) -> MessageLink:
         return MessageLink(
-            self.hello, self.on_message, self.on_open, self.on_close, self.heartbeat_s
+            self.hello,
+            self.on_message,
+            self.on_open,
+            self.on_close,
+            self.ticker,
+            self.heartbeat_s,
         )
 
     def close(self) -> None:
@@ -209,6 +246,7 @@
         on_message: Callable[[MessageLink, LinkMessage], None],
         on_open: Callable[[MessageLink], None],
         on_close: Callable[[MessageLink], None],
+        ticker: LinkTicker,
         sends_pings: bool = False,
     ) -> None:
         self.address = address
@@ -216,6 +254,7 @@
         self.on_message = on_message
         self.on_open = on_open
         self.on_close = on_close
+        self.ticker = ticker
         self.sends_pings = sends_pings
         self.link: MessageLink | None = None
         self.failed_attempts = 0
@@ -252,6 +291,7 @@
             self.on_message,
             self.on_open,
             self.on_close,
+            self.ticker,
             SLOW_HEARTBEAT_INTERVAL_S,
             self.sends_pings,
         )
--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -22,6 +22,7 @@
     encode_message,
 )
 from acaciarelay.state.routing import Organisation
+from acaciarelay.transport.message_link import LinkTicker
 from acaciarelay_standins.ports import free_port
 
 WORKSHOP = Organisation(
@@ -83,6 +84,7 @@
             self.cache,
             self.ledger,
             SharedRetryBudget(0.2, 50, 10),
+            LinkTicker(),
             random.Random(number),
         )
 
