Forget untracked runs at the end of their window

Cause: an agent counts runs without a slot for 6 s after a start or a lost link and set the count to zero only with a last report inside the window; if that one failed, slots stayed taken for good. Before: the new test ends with 4 taken slots (the code set the count only on a report).

--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -114,6 +114,8 @@
         while not self.stopping.is_set():
             if time.monotonic() < self.untracked_until:
                 await self.update_untracked_runs()
+            else:
+                self.forget_untracked_runs()
             try:
                 async with asyncio.timeout(REPORT_INTERVAL_S):
                     await self.stopping.wait()
@@ -131,14 +133,17 @@
             return
         runs = report.running + report.waiting
         untracked_runs = max(0, runs - len(self.queue.granted))
-        # No further report is read in this window, so the count could never go down.
-        if time.monotonic() + REPORT_INTERVAL_S >= self.untracked_until:
-            untracked_runs = 0
         if untracked_runs != self.untracked_runs:
             log_event("unknown_runs", runs=runs, places=len(self.queue.granted))
         self.untracked_runs = untracked_runs
         self.grant()
 
+    def forget_untracked_runs(self) -> None:
+        """Drop the count at the end of the window: no further report corrects it."""
+        if self.untracked_runs:
+            self.untracked_runs = 0
+            self.grant()
+
     async def read_report(self) -> EngineReport | None:
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
--- a/tests/unit/platform_path/test_agent_states.py
+++ b/tests/unit/platform_path/test_agent_states.py
@@ -1,11 +1,16 @@
-"""States of an engine: how often an agent sends them to how many entries."""
+"""States of an engine: which slots an agent counts, how often it tells whom."""
 
+import asyncio
+import time
+
+import attrs
 import pytest
 
 from acaciarelay.programs import relay_agent
 from acaciarelay.programs.relay_agent import RelayAgent
 from acaciarelay.programs.relay_settings import RelaySettings
 from acaciarelay.protocol.link_messages import EngineState, Hello, decode_message
+from acaciarelay_standins.ports import free_port
 
 ZONES = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
 
@@ -95,3 +100,21 @@
         assert min(near) >= max(far)
     assert sums[72] < 1.3 * sums[36]
     assert sums[144] < 2 * sums[36]
+
+
+async def test_untracked_runs_are_forgotten_when_no_report_comes(agent, monkeypatch):
+    """Guards against slots that stay taken because a window's last report failed."""
+    monkeypatch.setattr(relay_agent, "UNTRACKED_RUNS_WINDOW_S", 0.2)
+    agent.settings = attrs.evolve(agent.settings, engine_address="127.0.0.1:1")
+    agent.untracked_runs = 4
+    agent.untracked_until = time.monotonic() + 0.2
+    agent.settings = attrs.evolve(
+        agent.settings,
+        ports=[free_port(2), 0],
+        metrics_address=f"127.0.0.1:{free_port()}",
+    )
+    running = asyncio.create_task(agent.run())
+    await asyncio.sleep(1.0)
+    assert agent.untracked_runs == 0
+    agent.stopping.set()
+    assert await running == 0
