Make certain entries responsible for a stale peer's rows

Cause: each entry sent rows to a stale peer by chance, three of all on average, so that with 68 entries about 5 in 100 stale peers got none in a round, and nobody was responsible. The first three entries of an order by rendezvous hashing of the receiver send; each further status of a peer that is still stale doubles their number, so that after log2(n / 3) rounds any entry that knows the rows sends them. New: rows known to one entry of 40 reach any receiver within the bound.

--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -110,7 +110,6 @@
             self.usage,
             self.retry_budget,
             self.ticker,
-            self.rng,
         )
         self.follower = StoreFollower(
             settings.store_address,
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -1,11 +1,11 @@
 """Links between entries: exchange of usage, demand, addresses and store rows."""
 
 import math
-import random
 import time
 
 import attrs
 
+from acaciarelay.coordination.row_senders import is_row_sender
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.platform.configuration import OPERATOR_TABLE
@@ -34,8 +34,6 @@
 REMOVE_PEER_S = 30.0
 # How long peers are given to read a new configuration from the store themselves.
 STORE_LEAD_S = 0.4
-# Average number of entries that send rows to a peer after one of its statuses.
-MEAN_SENDERS = 3.0
 # Fraction of the status interval after which a status is due: ticks come at fixed
 # times, so one just before the interval ends must count.
 DUE_FRACTION = 0.9
@@ -43,11 +41,16 @@
 
 @attrs.define(eq=False)
 class _StatusFields:
-    """The last values of the status fields that are only sent when they change."""
+    """The last values of the status fields that are only sent when they change.
+
+    ``stale_rounds`` counts, by table, the statuses in a row of a peer that lacked rows
+    which this entry could have sent.
+    """
 
     admitted: dict[str, float] = attrs.Factory(dict)
     demand: dict[str, float] = attrs.Factory(dict)
     peers: list[str] = attrs.Factory(list)
+    stale_rounds: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -72,14 +75,12 @@
         usage: UsageLedger,
         retry_budget: SharedRetryBudget,
         ticker: LinkTicker,
-        rng: random.Random,
     ) -> None:
         self.hello = hello
         self.ticker = ticker
         self.cache = cache
         self.usage = usage
         self.retry_budget = retry_budget
-        self.rng = rng
         self.peers: dict[str, _Peer] = {}
         self.received: dict[MessageLink, _StatusFields] = {}
         self.sent = _StatusFields()
@@ -248,9 +249,14 @@
         self.confirm_tables(link, status)
         rows = []
         for table in status.wanted:
-            if not self.should_send_rows(table):
-                continue
-            rows.extend(self.cache.rows_after(table, status.versions.get(table, 0)))
+            newer = self.cache.rows_after(table, status.versions.get(table, 0))
+            if not newer:
+                received.stale_rounds[table] = 0
+            elif self.is_due(table):
+                rounds = received.stale_rounds.get(table, 0)
+                received.stale_rounds[table] = rounds + 1
+                if self.sends_rows(link.peer.address, rounds):
+                    rows.extend(newer)
         if rows:
             link.send(PeerRows(versions=self.cache.versions(), rows=rows))
 
@@ -266,17 +272,18 @@
             if status.versions.get(table, 0) <= version:
                 self.cache.mark_current(table)
 
-    def should_send_rows(self, table: str) -> bool:
-        """Decide whether this entry sends rows to a stale peer.
+    def is_due(self, table: str) -> bool:
+        """Return whether a stale peer has had time to read a table itself.
 
-        A peer that reaches the store has a new configuration before its next status, so
-        it gets some time to read it. As all entries see that a peer is stale, each
-        sends with a probability that limits the number of copies.
+        A peer that reaches the store has a new configuration before its next status.
         """
-        lead_s = self.cache.unchanged_s(table)
-        if table == OPERATOR_TABLE and lead_s < STORE_LEAD_S:
-            return False
-        return self.rng.random() * len(self.peers) < MEAN_SENDERS
+        if table != OPERATOR_TABLE:
+            return True
+        return self.cache.unchanged_s(table) >= STORE_LEAD_S
+
+    def sends_rows(self, receiver: str, rounds: int) -> bool:
+        own = self.hello.address
+        return is_row_sender(own, receiver, self.addresses(), rounds)
 
     def close(self) -> None:
         self.server.close()
--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import itertools
-import random
 import time
 
 import orjson
 import pytest
 from relay_rig import configuration
 
+from acaciarelay.coordination.row_senders import rounds_until_all_send
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.store import StoreRow
@@ -85,7 +85,6 @@
             self.ledger,
             SharedRetryBudget(0.2, 50, 10),
             LinkTicker(),
-            random.Random(number),
         )
 
     def dial(self, number):
@@ -202,7 +201,7 @@
     sent = 0
     for process in processes:
         for other in range(len(processes)):
-            process.peers.add([hello(other).address])
+            process.dial(other)
         process.cache.apply_changes("op", [row], 7, False)
         link = FakeLink(hello(200))
         clock[0] += after_s
@@ -226,6 +225,23 @@
     assert copies_sent([Process(1)], monkeypatch, STORE_LEAD_S + 0.1) == 1
 
 
+def test_rows_known_to_one_entry_reach_a_stale_peer_within_a_bound(monkeypatch):
+    """Guards against a peer that stays stale because others are to send its rows."""
+    monkeypatch.setattr("acaciarelay.programs.relay_peers.Dialer", FakeDialer)
+    processes = [Process(number) for number in range(40)]
+    row = StoreRow(key="config", value=orjson.dumps(configuration(7)), version=7)
+    for receiver in range(200, 230):
+        knowing = processes[receiver % 40]
+        for other in range(40):
+            knowing.dial(other)
+        knowing.cache.apply_changes("op", [row], 7, False)
+        knowing.cache.tables["op"].changed_at -= STORE_LEAD_S
+        link = FakeLink(hello(receiver))
+        for _ in range(rounds_until_all_send(40) + 1):
+            knowing.peers.receive(link, stale_status({"op": 6}))
+        assert any(isinstance(message, PeerRows) for message in link.sent)
+
+
 class LinkedProcesses:
     """Several entries' peers that are linked over loopback connections."""
 
