Ask a peer before a restarted entry believes the store

Cause: an answer of the store may be seconds old; a restarted entry took the first one at its word, so that a withdrawn key or a server that had left could be in use again beside peers that knew better, until the feed or a peer's rows came. Before: no such wait (the new tests of the wait and of who may confirm fail). After: they pass.

--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -69,6 +69,8 @@
         self.rng = random.Random(secrets.randbits(64))
         self.metrics = Metrics()
         self.cache = StateCache()
+        if not settings.first_start:
+            self.cache.await_peer()
         self.run_clock = RunClock()
         self.run_clock.on_pause.append(self.resume)
         self.usage = UsageLedger(
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -261,7 +261,7 @@
             link.send(PeerRows(versions=self.cache.versions(), rows=rows))
 
     def confirm_tables(self, link: MessageLink, status: PeerStatus) -> None:
-        """After a pause, trust the tables of which a peer has no newer version.
+        """After a start or a pause, trust the cache if a peer knows nothing newer.
 
         Only a link that opened after the pause counts, since what an older one
         delivers may have been sent before.
@@ -269,8 +269,9 @@
         if self.cache.trusted.is_set() or link.opened_at < self.resumed_at:
             return
         for table, version in self.cache.versions().items():
-            if status.versions.get(table, 0) <= version:
-                self.cache.mark_current(table)
+            if status.versions.get(table, 0) > version:
+                return
+        self.cache.confirm_by_peer()
 
     def is_due(self, table: str) -> bool:
         """Return whether a stale peer has had time to read a table itself.
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -30,6 +30,8 @@
 MAX_ROWS_WITH_TOMBSTONES = 5_000
 
 
+# Stands for the word of any peer among what has to be confirmed.
+PEERS = "peers"
 # Time in seconds that is longer ago than any limit.
 NEVER = -1e9
 
@@ -123,6 +125,21 @@
             self._unconfirmed.add(table)
         self.trusted.clear()
 
+    def await_peer(self) -> None:
+        """Require the word of a peer too, after a restart.
+
+        What the store answers may be seconds old then, while the peers know better.
+        """
+        self._unconfirmed.add(PEERS)
+        self.trusted.clear()
+
+    def confirm_by_peer(self) -> None:
+        """Record that a peer knows no newer version of any table."""
+        self._unconfirmed.discard(PEERS)
+        for table, state in self.tables.items():
+            if state.version > 0:
+                self.mark_current(table)
+
     async def wait_until_trusted(self, timeout_s: float) -> None:
         """Wait until all tables are confirmed; after ``timeout_s`` trust them anyway.
 
--- a/tests/unit/platform_path/test_pauses.py
+++ b/tests/unit/platform_path/test_pauses.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from relay_rig import RelayRig, configuration, registration
+from relay_rig import RelayRig, configuration, registration, route
 
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.programs.relay_request import TRUST_WAIT_S
@@ -86,7 +86,10 @@
 async def test_a_request_that_waited_through_a_pause_is_placed_anew():
     """Guards against an endpoint or slot that was chosen before a pause."""
     async with PausedRig() as rig:
-        call = asyncio.create_task(rig.call("/order/a"))
+        # An objective that leaves time for all steps of this test.
+        patient = route("/order/", "non_idempotent", sloMs=8000, timeoutMs=9000)
+        rig.configure(configuration(2, routes=[patient]))
+        call = asyncio.create_task(rig.call("/order/a", limit_ms=9000))
         await asyncio.sleep(0.05)
         rig.pause()
         left = await rig.add_runner("orders")
@@ -99,6 +102,22 @@
         assert not left.runs
 
 
+async def test_a_restarted_entry_asks_a_peer_before_it_believes_the_store():
+    """Guards against a withdrawn key that an old answer of the store brings back."""
+    async with PausedRig() as rig:
+        await rig.add_runner("orders")
+        rig.cache.await_peer()
+        for table in rig.cache.tables:
+            rig.cache.mark_current(table)
+        call = asyncio.create_task(rig.call("/order/a"))
+        await asyncio.sleep(0.1)
+        assert not call.done()
+        rig.configure(configuration(2, tenants=[]))
+        rig.cache.confirm_by_peer()
+        assert (await call).status == 401
+        assert rig.arrivals == 0
+
+
 def test_shares_of_limits_lapse_with_a_pause():
     """Guards against tokens used twice: by peers during a pause, and here after it."""
     tolerance = UsageTolerance(window_s=8.0, excess_fraction=0.0, slack_tokens=0.0)
--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -49,6 +49,7 @@
 
     def __init__(self, peer):
         self.peer = peer
+        self.opened_at = 0.0
         self.sent = []
 
     def send(self, message):
@@ -225,6 +226,19 @@
     assert copies_sent([Process(1)], monkeypatch, STORE_LEAD_S + 0.1) == 1
 
 
+def test_only_a_peer_without_newer_rows_confirms_the_cache(pair):
+    """Guards against a restarted entry that trusts tables which a peer knows better."""
+    first, _ = pair
+    row = StoreRow(key="config", value=orjson.dumps(configuration(7)), version=7)
+    first.cache.await_peer()
+    first.cache.apply_changes("op", [row], 7, False)
+    link = FakeLink(hello(2))
+    first.peers.receive(link, stale_status({"op": 9}))
+    assert not first.cache.trusted.is_set()
+    first.peers.receive(link, stale_status({"op": 7}))
+    assert first.cache.trusted.is_set()
+
+
 def test_rows_known_to_one_entry_reach_a_stale_peer_within_a_bound(monkeypatch):
     """Guards against a peer that stays stale because others are to send its rows."""
     monkeypatch.setattr("acaciarelay.programs.relay_peers.Dialer", FakeDialer)
