--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -53,8 +53,8 @@
 STATE_INTERVAL_S = 0.1
 FAR_STATE_INTERVAL_S = 0.5
 MAX_STATE_INTERVAL_S = 1.0
-NEAR_ENTRIES = 12
-FAR_ENTRIES = 24
+NEAR_ENTRIES = 24
+FAR_ENTRIES = 48
 # Published waits are rounded to multiples of this.
 WAIT_STEP_S = 0.02
 # Requests granted beyond the engine's slots, so that the next one is already at the
