--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -17,7 +17,7 @@
 from acaciarelay.programs.relay_refusal import respond_refusal
 from acaciarelay.programs.relay_request import RequestRelay
 from acaciarelay.programs.relay_state_cache import StateCache
-from acaciarelay.state.routing import CallerLimits
+from acaciarelay.state.routing import CallerLimits, Organisation
 from acaciarelay.state.run_clock import RunClock
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
@@ -29,6 +29,14 @@
 
 HOST = "shop.example"
 KEY = "key-1"
+WORKSHOP = Organisation(
+    name="workshop",
+    rank=None,
+    by_tokens=True,
+    default_cost_tokens=1,
+    rate_per_s=1000.0,
+    burst=1000.0,
+)
 NO_TOLERANCE = UsageTolerance(window_s=8.0, excess_fraction=0.0, slack_tokens=0.0)
 
 
--- a/tests/unit/platform_path/test_pauses.py
+++ b/tests/unit/platform_path/test_pauses.py
@@ -4,22 +4,12 @@
 import time
 
 import pytest
-from relay_rig import RelayRig, configuration, registration, route
+from relay_rig import WORKSHOP, RelayRig, configuration, registration, route
 
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.programs.relay_request import TRUST_WAIT_S
-from acaciarelay.state.routing import Organisation
 from acaciarelay.state.run_clock import PAUSE_S, RunClock
 
-WORKSHOP = Organisation(
-    name="workshop",
-    rank=None,
-    by_tokens=True,
-    default_cost_tokens=1,
-    rate_per_s=1000.0,
-    burst=1000.0,
-)
-
 
 class PausedRig(RelayRig):
     """A rig whose process seems to have been paused before the next check."""
