Keep a dripping stand-in slow when its fault is cleared; show answers in soak reports

Ruled out by the reported answer, which soak reports show now: an answer of an earlier request on a kept caller connection (the id and the seal are of this request), a second answer of the entry, a torn body (its length is whole). The check of the soak is unchanged.

--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -220,7 +220,7 @@
             return await self.stream(connection, fields, headers)
         if faults.drip_s:
             connection.start(200, [*headers, ("Content-Length", "500")])
-            return await self.drip(connection)
+            return await self.drip(connection, faults.drip_s)
         await self.work(self.work_s)
         status = 500 if faults.error else 200
         body = f"answer of {self.endpoint_id} to {attempt}".encode()
@@ -259,10 +259,10 @@
                 await connection.drain()
                 await asyncio.sleep(0)
 
-    async def drip(self, connection: InboundConnection) -> None:
-        """Send a byte of the body now and then until the caller closes."""
+    async def drip(self, connection: InboundConnection, interval_s: float) -> None:
+        """Send a byte of the body each ``interval_s`` until the caller closes."""
         while True:
-            await asyncio.sleep(self.faults.drip_s)
+            await asyncio.sleep(interval_s)
             connection.write(b":")
 
     async def stream(
@@ -275,8 +275,8 @@
         if self.faults.error:
             return connection.respond(500, headers, b"failed")
         connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
-        if self.faults.drip_s:
-            return await self.drip(connection)
+        if drip_s := self.faults.drip_s:
+            return await self.drip(connection, drip_s)
         first = int(fields.get("last-event-id", FIRST_EVENT_ID - 1)) + 1
         for count, number in enumerate(range(first, self.events + 1)):
             if self.faults.cut_after and count >= self.faults.cut_after:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -33,6 +33,8 @@
 CALL_TIMEOUT_S = 2.0
 RECOVERY_LIMIT_S = 12.0
 APPLY_S = 2.5
+# Bytes of an answer that the report of a violation shows.
+ANSWER_EXCERPT_BYTES = 200
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 EVENTS = [f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 11)]
 RUNNER_FAULTS = (
@@ -302,7 +304,25 @@
         for call in self.calls:
             problem = find_violation(call, runs[call.attempt])
             if problem:
-                self.violations.append(f"{call.attempt} {call.target}: {problem}")
+                context = describe(call, self.calls)
+                self.violations.append(
+                    f"{call.attempt} {call.target}: {problem}; {context}"
+                )
+
+
+def describe(call: Call, calls: list[Call]) -> str:
+    """Return what the caller got, and the targets of the calls before it."""
+    answer = call.answer
+    caller = call.attempt.partition("-")[0] + "-"
+    own = [other for other in calls if other.attempt.startswith(caller)]
+    before = [
+        (other.attempt, other.target, other.answer and other.answer.status)
+        for other in own[max(0, own.index(call) - 2) : own.index(call)]
+    ]
+    if answer is None:
+        return f"no answer, after {before}"
+    body = answer.body[:ANSWER_EXCERPT_BYTES]
+    return f"{answer.status} {answer.headers} {body!r}, after {before}"
 
 
 def request_bytes(target: str, attempt: str) -> bytes:
