Send the usage of a region's entries together to the other regions

From 13 entries on, an entry sends its status within its region only; the region's speaker (rendezvous hashing of its reachable entries) sends the usage of all to one of three entries of each other region in turn, which forwards it. Links between regions stay for their end to be noticed (keep-alive probes), announce that they will be quiet, and carry the versions of the tables when the configuration changed and each five seconds. A region without a message for 2.6 s counts as lost, and its usage starts again at a complete message. Two faults of the ledger came up: a status more than a second late was never charged, and a peer that was removed after 20 s and came back was charged with its whole total. Both tests failed before. Older processes get statuses as before (flag in the hello).

--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -15,7 +15,7 @@
 from acaciarelay.coordination.rounding import round_to_power
 from acaciarelay.state.routing import Organisation
 
-__all__ = ["UsageLedger", "UsageTolerance"]
+__all__ = ["UsageLedger", "UsageTolerance", "message_interval_s"]
 
 # Time constant over which demand is averaged.
 DEMAND_WINDOW_S = 1.5
@@ -25,9 +25,6 @@
 # peer may still run on the other side of a network partition, and the tokens that it
 # admitted count against the limit until the usage window has passed.
 LOST_PEER_RESERVE_S = 20.0
-# What a peer admitted during a silence of at least this length is not charged here: it
-# refilled its bucket only at the share of its side of the network partition.
-PEER_SILENCE_S = 1.0
 # Share of the tolerated excess that is used; the rest covers what several processes
 # admit at the same moment.
 USED_EXCESS_SHARE = 0.5
@@ -131,6 +128,10 @@
         # Times and tokens of what peers used, for organisations without a bucket here.
         self._pending_usage: dict[str, _PendingUsage] = {}
         self._peers: dict[str, _Peer] = {}
+        # Incarnations of peers that were lost and removed.
+        self._removed_incarnations: dict[str, str] = {}
+        # Time of the end of this process's last pause.
+        self._resumed_at = -math.inf
 
     # Usage exchanged with peers.
 
@@ -150,13 +151,15 @@
         a peer that started later are charged in full.
         """
         peer = self._peers.get(name)
+        removed_incarnation = self._removed_incarnations.pop(name, None)
         previous: dict[str, float] | None = None
         if peer is not None and peer.incarnation == incarnation:
-            # What a peer admitted during a silence came from its own share of the rate
-            # and is not charged.
-            previous = (
-                peer.totals if now - peer.received_at < PEER_SILENCE_S else totals
-            )
+            # What a peer admitted while it was lost came from its own share of the
+            # rate. While this process was paused, its buckets were not refilled.
+            unheard = peer.lost_at is not None or peer.received_at < self._resumed_at
+            previous = totals if unheard else peer.totals
+        elif removed_incarnation == incarnation:
+            previous = totals
         elif age_s > now - self.started_at:
             previous = totals
         for organisation, total in totals.items():
@@ -253,6 +256,7 @@
 
     def forget_levels(self, now: float) -> None:
         """Drop what the buckets hold, since peers may have used it during a pause."""
+        self._resumed_at = now
         for bucket in self._buckets.values():
             bucket.level = min(bucket.level, 0.0)
             bucket.round_level = min(bucket.round_level, 0.0)
@@ -299,6 +303,7 @@
                 reachable += 1
             elif now - peer.lost_at > LOST_PEER_RESERVE_S:
                 del self._peers[name]
+                self._removed_incarnations[name] = peer.incarnation
         return (1 + reachable) / self.process_count
 
     @property
@@ -309,8 +314,7 @@
     @property
     def message_interval_s(self) -> float:
         """Return the seconds between two messages of a process to its peers."""
-        interval_s = MESSAGE_INTERVAL_S_PER_PROCESS * self.process_count
-        return min(MAX_MESSAGE_INTERVAL_S, max(MIN_MESSAGE_INTERVAL_S, interval_s))
+        return message_interval_s(self.process_count)
 
     def decision_fields(self, name: str, now: float) -> dict[str, float]:
         """Return the log fields of the last decision on an organisation."""
@@ -327,6 +331,12 @@
         }
 
 
+def message_interval_s(process_count: int) -> float:
+    """Return the seconds between two messages of each of this many processes."""
+    interval_s = MESSAGE_INTERVAL_S_PER_PROCESS * process_count
+    return min(MAX_MESSAGE_INTERVAL_S, max(MIN_MESSAGE_INTERVAL_S, interval_s))
+
+
 def _decayed_demand(bucket: _Bucket, now: float) -> float:
     elapsed = max(0.0, now - bucket.demand_at)
     return bucket.demand * math.exp(-elapsed / DEMAND_WINDOW_S)
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -104,6 +104,7 @@
             lifetime=secrets.token_hex(6),
             address=f"{settings.host}:{settings.peer_port}",
             zone=settings.zone,
+            gathers_usage=True,
         )
         self.ticker = LinkTicker()
         self.peers = Peers(
@@ -112,6 +113,7 @@
             self.usage,
             self.retry_budget,
             self.ticker,
+            settings.zones,
         )
         self.follower = StoreFollower(
             settings.store_address,
@@ -156,7 +158,7 @@
         log_event("resumed_after_pause", pause_s=round(pause_s, 3), always=True)
         self.cache.distrust()
         self.usage.forget_levels(time.monotonic())
-        self.peers.resumed_at = self.loop.time()
+        self.peers.tables.resumed_at = self.loop.time()
         self.follower.probe()
 
     def update_gauges(self) -> None:
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -5,17 +5,20 @@
 
 import attrs
 
-from acaciarelay.coordination.row_senders import is_row_sender
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
-from acaciarelay.coordination.usage_ledger import UsageLedger
-from acaciarelay.platform.configuration import OPERATOR_TABLE
+from acaciarelay.coordination.usage_ledger import UsageLedger, message_interval_s
 from acaciarelay.programs.logs import log_event
-from acaciarelay.programs.relay_state_cache import TABLES, StateCache
+from acaciarelay.programs.region_usage import RegionUsageExchange
+from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.programs.table_exchange import TableExchange
 from acaciarelay.protocol.link_messages import (
+    EntryUsage,
     Hello,
     LinkMessage,
     PeerRows,
     PeerStatus,
+    RegionUsage,
+    TableVersions,
     encode_message,
 )
 from acaciarelay.transport.message_link import (
@@ -28,12 +31,8 @@
 
 __all__ = ["Peers"]
 
-# Staleness up to which a table is not requested from peers.
-MAX_STALENESS_S = 1.2
 # A peer that was unreachable for this long is removed.
 REMOVE_PEER_S = 30.0
-# How long peers are given to read a new configuration from the store themselves.
-STORE_LEAD_S = 0.4
 # Fraction of the status interval after which a status is due: ticks come at fixed
 # times, so one just before the interval ends must count.
 DUE_FRACTION = 0.9
@@ -41,16 +40,11 @@
 
 @attrs.define(eq=False)
 class _StatusFields:
-    """The last values of the status fields that are only sent when they change.
-
-    ``stale_rounds`` counts, by table, the statuses in a row of a peer that lacked rows
-    which this entry could have sent.
-    """
+    """The last values of the status fields that are only sent when they change."""
 
     admitted: dict[str, float] = attrs.Factory(dict)
     demand: dict[str, float] = attrs.Factory(dict)
     peers: list[str] = attrs.Factory(list)
-    stale_rounds: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -75,19 +69,19 @@
         usage: UsageLedger,
         retry_budget: SharedRetryBudget,
         ticker: LinkTicker,
+        zones: dict[str, str] | None = None,
     ) -> None:
         self.hello = hello
+        self.regions = RegionUsageExchange(hello, zones or {}, usage)
+        self.tables = TableExchange(hello.address, cache)
         self.ticker = ticker
         self.cache = cache
         self.usage = usage
         self.retry_budget = retry_budget
         self.peers: dict[str, _Peer] = {}
-        self.received: dict[MessageLink, _StatusFields] = {}
         self.sent = _StatusFields()
         self.sent_at = -math.inf
         self.started_at = time.monotonic()
-        # Loop time of the end of this process's last pause.
-        self.resumed_at = -math.inf
         self.server = LinkServer(
             hello,
             self.receive,
@@ -165,7 +159,7 @@
 
     def closed(self, link: MessageLink) -> None:
         assert link.peer is not None
-        self.received.pop(link, None)
+        self.tables.forget(link)
         address = link.peer.address
         peer = self.peers.get(address)
         if peer is None or peer.link is not link:
@@ -174,11 +168,16 @@
         if peer.dialer is None:
             peer.dialer = self.dial(address)
         log_event("peer_lost", peer=address)
-        self.usage.mark_peer_lost(address, time.monotonic())
+        self.regions.lose(address, time.monotonic())
 
     def tick(self, now: float) -> None:
         """Send all peers a status with what changed here, if one is due."""
-        if now - self.sent_at < self.usage.message_interval_s * DUE_FRACTION:
+        gathered = self.gathered_links()
+        near = self.near_links()
+        interval_s = self.usage.message_interval_s
+        if gathered:
+            interval_s = message_interval_s(1 + len(near))
+        if now - self.sent_at < interval_s * DUE_FRACTION:
             return
         self.sent_at = now
         # All peers got the same statuses before, so one encoded status serves them all.
@@ -187,18 +186,90 @@
             self.usage.totals(), self.usage.demand(now), self.live_addresses()
         )
         line = encode_message(status)
+        gathered_set = set(gathered)
         for address, peer in list(self.peers.items()):
-            if peer.link is not None:
-                peer.reachable_at = now
-                peer.link.send_line(line)
+            if peer.link is None:
+                self.remove_if_lost(address, peer, now)
                 continue
-            if now - peer.reachable_at > REMOVE_PEER_S:
-                if peer.dialer is not None:
-                    peer.dialer.close()
-                del self.peers[address]
-                log_event("peer_forgotten", peer=address)
+            peer.reachable_at = now
+            is_gathered = peer.link in gathered_set
+            peer.link.set_quiet(is_gathered)
+            if not is_gathered:
+                peer.link.send_line(line)
+        self.send_tables(gathered, now)
+        self.send_regions(gathered, near, now)
         self.update_process_count()
 
+    def remove_if_lost(self, address: str, peer: _Peer, now: float) -> None:
+        if now - peer.reachable_at <= REMOVE_PEER_S:
+            return
+        if peer.dialer is not None:
+            peer.dialer.close()
+        del self.peers[address]
+        log_event("peer_forgotten", peer=address)
+
+    def gathered_links(self) -> list[MessageLink]:
+        """Return the links to peers that get this region's usage together."""
+        entries = 1 + len(self.peers)
+        links = []
+        for peer in self.peers.values():
+            link = peer.link
+            if link is None or link.peer is None:
+                continue
+            if self.regions.is_gathered(link.peer, entries):
+                links.append(link)
+        return links
+
+    def near_links(self) -> list[MessageLink]:
+        """Return the links to peers of this region that understand gathered usage."""
+        links = []
+        for peer in self.peers.values():
+            link = peer.link
+            if link is None or link.peer is None or not link.peer.gathers_usage:
+                continue
+            if not self.regions.is_far(link.peer):
+                links.append(link)
+        return links
+
+    def send_tables(self, links: list[MessageLink], now: float) -> None:
+        """Send gathered peers the table versions, if they are due."""
+        if not links:
+            return
+        message = self.tables.message_to_far(self.live_addresses(), now)
+        if message is None:
+            return
+        line = encode_message(message)
+        for link in links:
+            link.send_line(line)
+
+    def send_regions(
+        self, far: list[MessageLink], near: list[MessageLink], now: float
+    ) -> None:
+        """Send the usage of this region to each other one, if that is this entry's."""
+        if not far:
+            return
+        peers = [link.peer for link in far if link.peer is not None]
+        near_addresses = [link.peer.address for link in near if link.peer is not None]
+        self.regions.lose_silent_regions(peers, now)
+        own_usage = EntryUsage(
+            address=self.hello.address,
+            lifetime=self.hello.lifetime,
+            running_s=round(now - self.started_at, 3),
+            admitted=self.usage.totals(),
+            demand=self.usage.demand(now),
+        )
+        for region in sorted({self.regions.region(peer) for peer in peers}):
+            addresses = [p.address for p in peers if self.regions.region(p) == region]
+            outgoing = self.regions.message_to(
+                region, addresses, near_addresses, own_usage
+            )
+            if outgoing is None:
+                continue
+            receiver, message = outgoing
+            link = self.peers[receiver].link
+            if link is not None:
+                link.send(message)
+
     def live_addresses(self) -> list[str]:
         """Return the addresses of this entry and of its peers that are alive."""
         return sorted([self.hello.address, *self.addresses()])
@@ -206,18 +277,11 @@
     def status(self, sent: _StatusFields) -> PeerStatus:
         """Build a status for peers that already received ``sent``."""
         now = time.monotonic()
-        wanted = [OPERATOR_TABLE]
-        for table in TABLES:
-            if (
-                table != OPERATOR_TABLE
-                and self.cache.staleness_s(table) > MAX_STALENESS_S
-            ):
-                wanted.append(table)
         peers = self.live_addresses()
         return PeerStatus(
             running_s=round(now - self.started_at, 3),
             versions=self.cache.versions(),
-            wanted=wanted,
+            wanted=self.tables.wanted(),
             peers=peers if peers != sent.peers else [],
             admitted=_changes(sent.admitted, self.usage.totals()),
             demand=_changes(sent.demand, self.usage.demand(now)),
@@ -228,63 +292,46 @@
             return
         match message:
             case PeerStatus():
-                self.receive_status(link, message)
+                self.receive_status(link, link.peer, message)
+            case TableVersions(versions=versions, wanted=wanted, peers=peers):
+                self.receive_tables(link, versions, wanted, peers)
+            case RegionUsage():
+                self.receive_region(message)
             case PeerRows(rows=rows, versions=versions):
                 self.cache.apply_peer_rows(rows, versions)
 
-    def receive_status(self, link: MessageLink, status: PeerStatus) -> None:
-        assert link.peer is not None
-        received = self.received.setdefault(link, _StatusFields())
-        received.admitted = received.admitted | status.admitted
-        received.demand = received.demand | status.demand
-        self.usage.merge_peer_totals(
-            link.peer.address,
-            link.peer.lifetime,
-            status.running_s,
-            received.admitted,
-            received.demand,
-            time.monotonic(),
+    def receive_status(
+        self, link: MessageLink, peer: Hello, status: PeerStatus
+    ) -> None:
+        usage = EntryUsage(
+            address=peer.address,
+            lifetime=peer.lifetime,
+            running_s=status.running_s,
+            admitted=status.admitted,
+            demand=status.demand,
         )
-        self.add(status.peers)
-        self.confirm_tables(link, status)
-        rows = []
-        for table in status.wanted:
-            newer = self.cache.rows_after(table, status.versions.get(table, 0))
-            if not newer:
-                received.stale_rounds[table] = 0
-            elif self.is_due(table):
-                rounds = received.stale_rounds.get(table, 0)
-                received.stale_rounds[table] = rounds + 1
-                if self.sends_rows(link.peer.address, rounds):
-                    rows.extend(newer)
-        if rows:
-            link.send(PeerRows(versions=self.cache.versions(), rows=rows))
-
-    def confirm_tables(self, link: MessageLink, status: PeerStatus) -> None:
-        """After a start or a pause, trust the cache if a peer knows nothing newer.
-
-        Only a link that opened after the pause counts, since what an older one
-        delivers may have been sent before.
-        """
-        if self.cache.trusted.is_set() or link.opened_at < self.resumed_at:
-            return
-        for table, version in self.cache.versions().items():
-            if status.versions.get(table, 0) > version:
-                return
-        self.cache.confirm_by_peer()
+        self.regions.receive_status(peer, usage, time.monotonic())
+        self.receive_tables(link, status.versions, status.wanted, status.peers)
 
-    def is_due(self, table: str) -> bool:
-        """Return whether a stale peer has had time to read a table itself.
-
-        A peer that reaches the store has a new configuration before its next status.
-        """
-        if table != OPERATOR_TABLE:
-            return True
-        return self.cache.unchanged_s(table) >= STORE_LEAD_S
+    def receive_region(self, message: RegionUsage) -> None:
+        """Merge another region's usage, and forward it if it came from there."""
+        self.regions.receive_region(message, time.monotonic())
+        if message.forwarded:
+            return
+        line = encode_message(attrs.evolve(message, forwarded=True))
+        for link in self.near_links():
+            link.send_line(line)
 
-    def sends_rows(self, receiver: str, rounds: int) -> bool:
-        own = self.hello.address
-        return is_row_sender(own, receiver, self.addresses(), rounds)
+    def receive_tables(
+        self,
+        link: MessageLink,
+        versions: dict[str, int],
+        wanted: list[str],
+        peers: list[str],
+    ) -> None:
+        self.add(peers)
+        self.tables.confirm(link, versions)
+        self.tables.send_missing_rows(link, versions, wanted, self.addresses())
 
     def close(self) -> None:
         self.server.close()
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -17,6 +17,7 @@
 __all__ = [
     "EngineState",
     "EntryList",
+    "EntryUsage",
     "Heartbeat",
     "Hello",
     "LinkMessage",
@@ -25,10 +26,12 @@
     "PeerRows",
     "PeerStatus",
     "Ping",
+    "RegionUsage",
     "SlotGrant",
     "SlotRefusal",
     "SlotRelease",
     "SlotRequest",
+    "TableVersions",
     "decode_message",
     "encode_message",
 ]
@@ -40,17 +43,28 @@
 
 @attrs.frozen(kw_only=True)
 class Hello:
-    """Opens a link; ``lifetime`` identifies the incarnation of the sender."""
+    """Opens a link; ``lifetime`` identifies the incarnation of the sender.
+
+    ``gathers_usage`` is true when the sender understands ``RegionUsage`` and
+    ``TableVersions``.
+    """
 
     name: str
     lifetime: str
     address: str
     zone: str
+    gathers_usage: bool = False
 
 
 @attrs.frozen(kw_only=True)
 class Heartbeat:
-    """Keeps a link alive while there is no other message to send."""
+    """Keeps a link alive while there is no other message to send.
+
+    ``silence_s`` is how long the sender may be silent from now on, in seconds; 0 stands
+    for the usual limit.
+    """
+
+    silence_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -165,6 +179,42 @@
     demand: dict[str, float]
 
 
+@attrs.frozen(kw_only=True)
+class TableVersions:
+    """Sends the part of a ``PeerStatus`` that is not about usage."""
+
+    versions: dict[str, int]
+    wanted: list[str]
+    peers: list[str]
+
+
+@attrs.frozen(kw_only=True)
+class EntryUsage:
+    """What one entry admitted and what its callers ask for, as in ``PeerStatus``."""
+
+    address: str
+    lifetime: str
+    running_s: float
+    admitted: dict[str, float]
+    demand: dict[str, float]
+
+
+@attrs.frozen(kw_only=True)
+class RegionUsage:
+    """Sends the usage of all entries of a region to the entries of another region.
+
+    An entry without changed values is listed too, since its place in the list says that
+    it is alive. ``complete`` is true when unchanged values are not left out.
+    ``forwarded`` is true once an entry of the receiving region passes the message on to
+    the others there.
+    """
+
+    region: str
+    complete: bool
+    forwarded: bool
+    entries: list[EntryUsage]
+
+
 @attrs.frozen(kw_only=True)
 class PeerRows:
     """Sends rows that a peer lacks; ``versions`` holds the sender's table versions."""
@@ -185,6 +235,8 @@
     | EntryList
     | PeerStatus
     | PeerRows
+    | TableVersions
+    | RegionUsage
 )
 
 _KINDS: dict[str, Any] = {
@@ -199,6 +251,8 @@
     "entries": EntryList,
     "peer": PeerStatus,
     "rows": PeerRows,
+    "tables": TableVersions,
+    "region": RegionUsage,
 }
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 _FIELDS = {
@@ -215,13 +269,26 @@
     lambda kind: kind == list[float],
     lambda value, _: [float(number) for number in value],
 )
+_USAGE_FIELDS = [field.name for field in attrs.fields(EntryUsage)]
+_CONVERTER.register_structure_hook(
+    EntryUsage,
+    lambda values, _: EntryUsage(**dict(zip(_USAGE_FIELDS, values, strict=False))),
+)
+
+
+def _encode_part(part: object) -> object:
+    """Encode an object within a message: the usage of an entry without field names."""
+    if isinstance(part, EntryUsage):
+        return [getattr(part, name) for name in _USAGE_FIELDS]
+    assert isinstance(part, PeerRow)
+    return attrs.asdict(part)
 
 
 def encode_message(message: LinkMessage) -> bytes:
     """Encode a message as a line, with its line feed."""
     kind = type(message)
     values = [getattr(message, name) for name in _FIELDS[kind]]
-    return orjson.dumps([_NAMES[kind], *values], default=attrs.asdict) + b"\n"
+    return orjson.dumps([_NAMES[kind], *values], default=_encode_part) + b"\n"
 
 
 def decode_message(line: bytes) -> LinkMessage:
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -33,6 +33,10 @@
 HEARTBEAT_INTERVAL_S = 0.5
 SLOW_HEARTBEAT_INTERVAL_S = 0.8
 SILENCE_TIMEOUT_S = 1.6
+# The same on a link whose sender has announced that it will seldom send. The kernel
+# probes the connection meanwhile.
+QUIET_HEARTBEAT_INTERVAL_S = 4.0
+QUIET_SILENCE_TIMEOUT_S = 10.0
 PING_INTERVAL_S = 2.0
 # Interval of the checks for due heartbeats and for silence.
 TICK_S = 0.05
@@ -107,6 +111,10 @@
         self.buffer = bytearray()
         self.last_received_at = self.loop.time()
         self.last_sent_at = 0.0
+        # Whether this side has announced that it will seldom send, and how long the
+        # peer may be silent.
+        self.quiet = False
+        self.silence_timeout_s = SILENCE_TIMEOUT_S
         self.last_ping_number = 0
         self.ping_sent_at = 0.0
         self.round_trip_s = 0.0
@@ -124,15 +132,28 @@
 
     def check_timers(self, now: float) -> None:
         """Close a silent link; else send a ping or heartbeat if one is due."""
-        if now - self.last_received_at > SILENCE_TIMEOUT_S:
+        if now - self.last_received_at > self.silence_timeout_s:
             self.close()
             return
         if self.sends_pings and now - self.ping_sent_at >= PING_INTERVAL_S:
             self.last_ping_number += 1
             self.ping_sent_at = now
             self.send(Ping(number=self.last_ping_number))
-        elif now - self.last_sent_at >= self.heartbeat_s:
-            self.send(Heartbeat())
+        elif now - self.last_sent_at >= self.heartbeat_interval_s:
+            self.send_heartbeat()
+
+    @property
+    def heartbeat_interval_s(self) -> float:
+        return QUIET_HEARTBEAT_INTERVAL_S if self.quiet else self.heartbeat_s
+
+    def send_heartbeat(self) -> None:
+        self.send(Heartbeat(silence_s=QUIET_SILENCE_TIMEOUT_S if self.quiet else 0.0))
+
+    def set_quiet(self, quiet: bool) -> None:
+        """Send seldom from now on, or as usual again, and let the peer expect it."""
+        if quiet != self.quiet:
+            self.quiet = quiet
+            self.send_heartbeat()
 
     def data_received(self, data: bytes) -> None:
         self.last_received_at = self.loop.time()
@@ -162,8 +183,8 @@
                     self.round_trip_s = self.loop.time() - self.ping_sent_at
             case Ping(number=number):
                 self.send(Ping(number=number, answer=True))
-            case Heartbeat():
-                return
+            case Heartbeat(silence_s=silence_s):
+                self.silence_timeout_s = silence_s or SILENCE_TIMEOUT_S
             case _:
                 if self.peer is not None:
                     self.on_message(self, message)
--- a/tests/unit/platform_path/test_link_messages.py
+++ b/tests/unit/platform_path/test_link_messages.py
@@ -5,6 +5,7 @@
 from acaciarelay.protocol.link_messages import (
     EngineState,
     EntryList,
+    EntryUsage,
     Heartbeat,
     Hello,
     MessageError,
@@ -12,10 +13,12 @@
     PeerRows,
     PeerStatus,
     Ping,
+    RegionUsage,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
     SlotRequest,
+    TableVersions,
     decode_message,
     encode_message,
 )
@@ -54,6 +57,21 @@
         versions={"op": 3},
         rows=[PeerRow(table="op", key="config", value="e30=", version=3)],
     ),
+    TableVersions(versions={"op": 3}, wanted=["op"], peers=["10.1.0.2:7601"]),
+    RegionUsage(
+        region="north",
+        complete=False,
+        forwarded=True,
+        entries=[
+            EntryUsage(
+                address="10.1.0.2:7601",
+                lifetime="aa",
+                running_s=1.5,
+                admitted={"hule930": 1200.0},
+                demand={},
+            )
+        ],
+    ),
 ]
 
 
--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -10,8 +10,9 @@
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.store import StoreRow
-from acaciarelay.programs.relay_peers import STORE_LEAD_S, Peers
+from acaciarelay.programs.relay_peers import Peers
 from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.programs.table_exchange import STORE_LEAD_S
 from acaciarelay.protocol.link_messages import (
     Hello,
     PeerRows,
@@ -45,6 +46,9 @@
     def send_line(self, line):
         self.sent.append(decode_message(line))
 
+    def set_quiet(self, quiet):
+        return None
+
 
 class FakeDialer:
     """Dialer of one peer that opens no connection."""
--- a/tests/unit/platform_path/test_shares.py
+++ b/tests/unit/platform_path/test_shares.py
@@ -309,3 +309,36 @@
         asked += simulation.requested - before
         served += sum(cost for at, cost in simulation.admitted if at > back)
     assert served >= 0.85 * asked
+
+
+def test_usage_that_arrives_late_is_charged():
+    """Guards against a limit that ignores what a slow peer admitted meanwhile."""
+    ledger = UsageLedger(NO_TOLERANCE, True, 100.0)
+    ledger.known_peer_count = 1
+    assert ledger.admit(ORGANISATION, 1000.0, 100.0) == 0
+    ledger.merge_peer_totals("1", "a", 50.0, {}, {}, 100.0)
+    ledger.merge_peer_totals("1", "a", 51.2, {"dealer": 2 * RATE}, {}, 101.2)
+    assert ledger.admit(ORGANISATION, 5000.0, 101.2) > 0
+
+
+def test_a_peer_that_was_removed_is_not_charged_again():
+    """Guards against a limit that is used up by what a peer admitted long ago."""
+    ledger = UsageLedger(NO_TOLERANCE, True, 100.0)
+    ledger.known_peer_count = 1
+    assert ledger.admit(ORGANISATION, 100.0, 101.0) == 0
+    ledger.merge_peer_totals("1", "a", 0.5, {"dealer": 100.0}, {}, 101.0)
+    ledger.mark_peer_lost("1", 102.0)
+    assert ledger.reachable_share(130.0) == 0.5
+    ledger.merge_peer_totals("1", "a", 30.0, {"dealer": 50 * RATE}, {}, 131.0)
+    assert ledger.admit(ORGANISATION, 5000.0, 131.0) == 0
+
+
+def test_usage_during_a_pause_of_this_process_is_not_charged():
+    """Guards against a limit that is charged for a time without refills."""
+    ledger = UsageLedger(NO_TOLERANCE, True, 100.0)
+    ledger.known_peer_count = 1
+    assert ledger.admit(ORGANISATION, 100.0, 101.0) == 0
+    ledger.merge_peer_totals("1", "a", 50.0, {}, {}, 101.0)
+    ledger.forget_levels(106.0)
+    ledger.merge_peer_totals("1", "a", 55.1, {"dealer": 5 * RATE}, {}, 106.1)
+    assert ledger.admit(ORGANISATION, 5000.0, 107.1) == 0
