Judge a new request alone at an agent, and all waiting ones each 50 ms

Cause: with each message an agent sorted all waiting requests and predicted their waits, and predicted the waits of all ranks for one metric. A new request is judged at once as before, the others with the next check, at most 50 ms later. The predicted wait in the metric no longer counts less urgent requests as ahead.

--- a/src/acaciarelay/coordination/slot_queue.py
+++ b/src/acaciarelay/coordination/slot_queue.py
@@ -38,6 +38,11 @@
         """
         return 1.0 / max(1, self.slot_request.asked)
 
+    def is_infeasible(self, wait_s: float, now: float) -> bool:
+        """Return whether a predicted wait is too long for what is left to wait."""
+        left_s = self.queued_at + self.slot_request.wait_s - now
+        return wait_s > left_s * EARLY_REFUSAL_FACTOR
+
 
 class SlotQueue:
     """Decide which waiting request gets the next free slot.
@@ -70,11 +75,11 @@
         """
         start = max(self._virtual_times[slot_request.organisation], self._virtual_time)
         self._virtual_times[slot_request.organisation] = start
-        predicted_wait_s = self.predicted_waits_s(
-            slot_request.rank + 1, now, untracked_runs
-        )[slot_request.rank]
-        state = SlotRequestState(slot_request, owner, now, predicted_wait_s)
-        self.waiting[(id(owner), slot_request.request)] = state
+        state = SlotRequestState(slot_request, owner, now, 0.0)
+        key = (id(owner), slot_request.request)
+        self.waiting[key] = state
+        if self.slot_limit:
+            state.predicted_wait_s = self._predicted_wait_s(key, now, untracked_runs)
 
     def release(
         self, owner: object, request: str, now: float
@@ -199,6 +204,31 @@
             lambda rank: self._available(rank, granted, untracked_runs),
         )
 
+    def _predicted_wait_s(
+        self, key: tuple[int, str], now: float, untracked_runs: int
+    ) -> float:
+        """Return the predicted wait of one waiting request, from now on."""
+        order = self._order(key)
+        ahead = 0.0
+        for other, state in self.waiting.items():
+            if other != key and self._order(other) < order:
+                ahead += state.weight
+        rank = self.waiting[key].slot_request.rank
+        return self._prediction(now, untracked_runs).wait_s(rank, ahead)
+
+    def pop_if_infeasible(
+        self, owner: object, request: str, now: float, untracked_runs: int = 0
+    ) -> SlotRequestState | None:
+        """Remove and return a waiting request if it is unlikely to start in time."""
+        key = (id(owner), request)
+        state = self.waiting.get(key)
+        if state is None or self.slot_limit == 0:
+            return None
+        wait_s = self._predicted_wait_s(key, now, untracked_runs)
+        if not state.is_infeasible(wait_s, now):
+            return None
+        return self.waiting.pop(key)
+
     def pop_infeasible(
         self, now: float, untracked_runs: int = 0
     ) -> list[SlotRequestState]:
@@ -210,9 +240,8 @@
         ahead = 0.0
         for key in sorted(self.waiting, key=self._order):
             state = self.waiting[key]
-            left_s = state.queued_at + state.slot_request.wait_s - now
             wait_s = prediction.wait_s(state.slot_request.rank, ahead)
-            if wait_s > left_s * EARLY_REFUSAL_FACTOR:
+            if state.is_infeasible(wait_s, now):
                 del self.waiting[key]
                 refused.append(state)
                 continue
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -215,11 +215,23 @@
             case SlotRequest():
                 self.queue.slot_limit = message.slots + EXTRA_SLOTS
                 self.queue.enqueue(link, message, now, self.untracked_runs)
+                self.grant()
+                self.refuse_if_infeasible(link, message, now)
             case SlotRelease():
                 self.release(link, message, now)
+                self.grant()
             case _:
                 return
-        self.grant()
+
+    def refuse_if_infeasible(
+        self, link: MessageLink, message: SlotRequest, now: float
+    ) -> None:
+        """Refuse a new request at once that is not expected to get a slot in time."""
+        state = self.queue.pop_if_infeasible(
+            link, message.request, now, self.untracked_runs
+        )
+        if state is not None:
+            self.refuse(state)
 
     def release(self, link: MessageLink, message: SlotRelease, now: float) -> None:
         """Release a slot, and update the engine model with the reported timings."""
@@ -239,7 +251,7 @@
         )
 
     def grant(self) -> None:
-        """Grant free slots, and refuse the requests that would not get one in time."""
+        """Grant free slots."""
         now = time.monotonic()
         for state in self.queue.next_grants(now, self.untracked_runs):
             self.answer(state, SlotGrant(request=state.slot_request.request))
@@ -253,11 +265,12 @@
                 abs(waited_s - state.predicted_wait_s),
                 tier=state.slot_request.rank,
             )
-        for state in self.queue.pop_infeasible(now, self.untracked_runs):
-            self.answer(state, SlotRefusal(request=state.slot_request.request))
-            self.metrics.count("places_refused_total", tier=state.slot_request.rank)
         self.schedule_publish()
 
+    def refuse(self, state: SlotRequestState) -> None:
+        self.answer(state, SlotRefusal(request=state.slot_request.request))
+        self.metrics.count("places_refused_total", tier=state.slot_request.rank)
+
     def answer(self, state: SlotRequestState, message: LinkMessage) -> None:
         assert isinstance(state.owner, MessageLink)
         state.owner.send(message)
@@ -271,9 +284,11 @@
         self.publish_timer = None
         now = time.monotonic()
         if self.queue.waiting:
-            # As time passes, a queued request may become due for refusal, or a slot may
-            # no longer be kept from its rank.
+            # As time passes, and as others come and go, a queued request may become due
+            # for refusal, or a slot may no longer be kept from its rank.
             self.grant()
+            for infeasible in self.queue.pop_infeasible(now, self.untracked_runs):
+                self.refuse(infeasible)
         self.metrics.set("places_used", len(self.queue.granted) + self.untracked_runs)
         self.metrics.set("places_waiting", len(self.queue.waiting))
         for rank in self.queue.ranks():
--- a/tests/unit/platform_path/test_slot_queue.py
+++ b/tests/unit/platform_path/test_slot_queue.py
@@ -159,6 +159,27 @@
     assert ["patient"] == [s.slot_request.request for s in queue.waiting.values()]
 
 
+def test_a_new_request_is_judged_as_in_the_whole_queue():
+    """Guards against a request that waits for a check of all before it is refused."""
+    for wait_s in (0.05, 0.2, 0.5, 1.0, 2.0, 4.0):
+        judged = []
+        for alone in (True, False):
+            queue = new_queue(1)
+            now = serve(queue, 1, 20, 1.0, 0.9)
+            queue.enqueue("one", slot_request("running"), now)
+            granted(queue, now)
+            queue.enqueue("one", slot_request("urgent", rank=0, wait_s=9.0), now)
+            queue.enqueue("one", slot_request("later", rank=3, wait_s=99.0), now)
+            queue.enqueue("one", slot_request("new", wait_s=wait_s), now)
+            if alone:
+                judged.append(queue.pop_if_infeasible("one", "new", now) is not None)
+                continue
+            refused = [s.slot_request.request for s in queue.pop_infeasible(now)]
+            judged.append("new" in refused)
+        assert judged[0] == judged[1]
+    assert queue.pop_if_infeasible("one", "unknown", now) is None
+
+
 def test_nothing_is_refused_while_slots_are_free():
     """Guards against refusals at an idle engine."""
     queue = new_queue(2)
