--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -39,7 +39,7 @@
 QUIET_SILENCE_TIMEOUT_S = 10.0
 PING_INTERVAL_S = 2.0
 # Interval of the checks for due heartbeats and for silence.
-TICK_S = 0.05
+TICK_S = 0.1
 CONNECT_TIMEOUT_S = 1.0
 REDIAL_DELAY_S = 0.25
 MAX_REDIAL_DELAY_S = 2.0
