--- a/src/acaciarelay/programs/region_usage.py
+++ b/src/acaciarelay/programs/region_usage.py
@@ -13,6 +13,7 @@
 from acaciarelay.coordination.change_log import ChangeLog
 from acaciarelay.coordination.placement.rendezvous import choose_subset
 from acaciarelay.coordination.usage_ledger import UsageLedger
+from acaciarelay.programs.logs import log_event
 from acaciarelay.protocol.link_messages import EntryUsage, Hello, RegionUsage
 
 __all__ = ["RegionUsageExchange"]
@@ -95,10 +96,11 @@
         silence they start at a complete message.
         """
         self.heard_at[message.region] = now
-        if message.complete:
-            self.lost_regions.discard(message.region)
         if message.region in self.lost_regions:
-            return
+            if not message.complete:
+                return
+            self.lost_regions.discard(message.region)
+            log_event("region_regained", region=message.region)
         for usage in message.entries:
             known = self.received.get(usage.address)
             if known is None or known.lifetime != usage.lifetime:
@@ -133,7 +135,9 @@
             region = self.region(peer)
             heard_at = self.heard_at.setdefault(region, now)
             if now - heard_at > REGION_SILENCE_S:
-                self.lost_regions.add(region)
+                if region not in self.lost_regions:
+                    self.lost_regions.add(region)
+                    log_event("region_lost", region=region, silent_s=now - heard_at)
                 self.usage.mark_peer_lost(peer.address, now)
 
     # Sending.
