--- a/tests/unit/platform_path/test_peer_links.py
+++ b/tests/unit/platform_path/test_peer_links.py
@@ -9,13 +9,18 @@
 from test_relay_peers import Process
 
 from acaciarelay.protocol.link_messages import Hello
+from acaciarelay.transport.message_link import SILENCE_TIMEOUT_S
 from acaciarelay_standins.ports import free_port
 
 
 class LinkedProcesses:
-    """Several entries' peers that are linked over loopback connections."""
+    """Several entries' peers that are linked over loopback connections.
 
-    def __init__(self, count):
+    They are in one region, or in two by turns.
+    """
+
+    def __init__(self, count, regions=1):
+        self.regions = regions
         self.port = free_port()
         self.processes = {}
         self.numbers = range(1, count + 1)
@@ -34,14 +39,15 @@
         await asyncio.sleep(0.05)
 
     async def start(self, number, incarnation="first"):
-        process = Process(number)
-        process.peers.hello = Hello(
+        own_hello = Hello(
             name=f"entry-{number}",
             lifetime=incarnation,
             address=self.address(number),
-            zone="zone-a",
+            zone=f"zone-{number % self.regions}",
+            gathers_usage=True,
         )
-        process.peers.server.hello = process.peers.hello
+        zones = {f"zone-{n}": f"region-{n}" for n in range(self.regions)}
+        process = Process(number, own_hello, zones)
         await process.peers.listen(f"127.0.9.{number}", self.port)
         process.peers.add([self.address(1), self.address(2)])
         self.processes[number] = process
@@ -82,6 +88,17 @@
             for address, peer in process.peers.peers.items()
         )
 
+    def usage_is_known(self):
+        """Return whether each process knows that each other admitted ten its number."""
+        for number, process in self.processes.items():
+            for other in self.processes:
+                peer = process.ledger._peers.get(self.address(other))
+                if other == number:
+                    continue
+                if peer is None or peer.totals.get("workshop") != 10.0 * other:
+                    return False
+        return True
+
     async def until(self, condition, seconds=5.0):
         deadline = time.monotonic() + seconds
         while not condition():
@@ -110,18 +127,20 @@
         await processes.until(processes.meshed)
         for number, process in processes.processes.items():
             process.ledger.admit(WORKSHOP, 10 * number, time.monotonic())
+        await processes.until(processes.usage_is_known)
+
 
-        def heard():
-            for number, process in processes.processes.items():
-                for other in processes.processes:
-                    peer = process.ledger._peers.get(processes.address(other))
-                    if other == number:
-                        continue
-                    if peer is None or peer.totals.get("workshop") != 10.0 * other:
-                        return False
-            return True
-
-        await processes.until(heard)
+async def test_usage_flows_between_regions_over_links_that_stay_quiet():
+    """Guards against links between regions that are closed for their silence."""
+    async with LinkedProcesses(14, regions=2) as processes:
+        await processes.until(processes.meshed)
+        links = {number: processes.links(number) for number in processes.numbers}
+        quiet_until = time.monotonic() + SILENCE_TIMEOUT_S + 1.0
+        await processes.until(lambda: time.monotonic() > quiet_until)
+        for number, process in processes.processes.items():
+            process.ledger.admit(WORKSHOP, 10 * number, time.monotonic())
+        await processes.until(processes.usage_is_known, 3.0)
+        assert links == {n: processes.links(n) for n in processes.numbers}
 
 
 @pytest.mark.parametrize("number", [1, 2, 3])
