Gather usage by availability zone, from 25 entries on; send demand in coarser steps

Statuses within a region crossed zones as well. Now the group is the zone, so that copies stay within it and are a third as many. An entry's status and its speaker's message take half of the direct interval each. Demand is sent in steps of two (1.25 before), and as none below a quarter of an equal share, below which it changes no share. Changes are repeated once, for two receivers by turns.

--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -15,12 +15,16 @@
 from acaciarelay.coordination.rounding import round_to_power
 from acaciarelay.state.routing import Organisation
 
-__all__ = ["UsageLedger", "UsageTolerance", "message_interval_s"]
+__all__ = ["UsageLedger", "UsageTolerance"]
 
 # Time constant over which demand is averaged.
 DEMAND_WINDOW_S = 1.5
-# Ratio of neighbouring values to which the demand sent to peers is rounded.
-DEMAND_STEP_RATIO = 1.25
+# Ratio of neighbouring values to which the demand sent to peers is rounded. Demand
+# decays between requests, and each new value is a part of a message to all peers.
+DEMAND_STEP_RATIO = 2.0
+# Demand below this fraction of an equal share of the rate is sent as none: a process's
+# share of a limit is never below an equal one.
+MIN_DEMAND_SHARE = 0.25
 # Least time for which other processes leave a lost peer's share of the rate unused. The
 # peer may still run on the other side of a network partition, and the tokens that it
 # admitted count against the limit until the usage window has passed.
@@ -31,8 +35,9 @@
 # A process may use this multiple of its share of the bucket's level in each round. By
 # the end of the round all peers know what it used.
 SHARE_MARGIN = 1.25
-# The same while the bucket is at least half full. What is used beyond the level then
-# was left by the rounds before, so that the limit holds over a window.
+# The same while the bucket is at least half full and has been known for a window. What
+# is used beyond the level then was left by the rounds before, so that the limit holds
+# over a window.
 HIGH_LEVEL_MARGIN = 2.0
 # Time between two messages of a process to its peers. It grows with their number, so
 # that the number of messages that a process sends grows more slowly.
@@ -60,7 +65,8 @@
 class _Bucket:
     """The shared bucket of one organisation as known in this process.
 
-    Amounts are in tokens, demands in tokens per second, times in monotonic seconds.
+    Amounts are in tokens, ``rate`` and demands in tokens per second, times in monotonic
+    seconds.
     ``admitted`` is the total that this process admitted since its start. The current
     round started at ``round_at``. ``round_level`` is the level at that time plus later
     refills, ``round_demand`` the demand at that time, which is close to the value last
@@ -71,6 +77,7 @@
 
     level: float
     updated_at: float
+    rate: float = 0.0
     admitted: float = 0.0
     used: float = 0.0
     round_level: float = 0.0
@@ -195,7 +202,7 @@
         result = {}
         for name, bucket in self._buckets.items():
             demand = _decayed_demand(bucket, now)
-            if demand > 1.0:
+            if demand > max(1.0, MIN_DEMAND_SHARE * bucket.rate / self.process_count):
                 result[name] = round_to_power(demand, DEMAND_STEP_RATIO)
         return result
 
@@ -213,12 +220,14 @@
             level = self._initial_level(organisation.name, rate, burst, now)
             bucket = _Bucket(level, now, round_level=level)
             self._buckets[organisation.name] = bucket
+        bucket.rate = rate
         bucket.demand = _decayed_demand(bucket, now) + cost / DEMAND_WINDOW_S
         bucket.demand_at = now
         self._refill(organisation.name, bucket, rate, burst, now)
         missing = min(cost, burst) - bucket.level
         high = bucket.level >= burst * HIGH_LEVEL_SHARE
-        margin = HIGH_LEVEL_MARGIN if high else SHARE_MARGIN
+        known_for_a_window = now - self.started_at >= self.tolerance.window_s
+        margin = HIGH_LEVEL_MARGIN if high and known_for_a_window else SHARE_MARGIN
         if missing <= 0 and not self._within_share(
             organisation.name, bucket, cost, margin
         ):
@@ -323,7 +332,8 @@
     @property
     def message_interval_s(self) -> float:
         """Return the seconds between two messages of a process to its peers."""
-        return message_interval_s(self.process_count)
+        interval_s = MESSAGE_INTERVAL_S_PER_PROCESS * self.process_count
+        return min(MAX_MESSAGE_INTERVAL_S, max(MIN_MESSAGE_INTERVAL_S, interval_s))
 
     def decision_fields(self, name: str, now: float) -> dict[str, float]:
         """Return the log fields of the last decision on an organisation."""
@@ -340,12 +350,6 @@
         }
 
 
-def message_interval_s(process_count: int) -> float:
-    """Return the seconds between two messages of each of this many processes."""
-    interval_s = MESSAGE_INTERVAL_S_PER_PROCESS * process_count
-    return min(MAX_MESSAGE_INTERVAL_S, max(MIN_MESSAGE_INTERVAL_S, interval_s))
-
-
 def _decayed_demand(bucket: _Bucket, now: float) -> float:
     elapsed = max(0.0, now - bucket.demand_at)
     return bucket.demand * math.exp(-elapsed / DEMAND_WINDOW_S)
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -113,7 +113,6 @@
             self.usage,
             self.retry_budget,
             self.ticker,
-            settings.zones,
         )
         self.follower = StoreFollower(
             settings.store_address,
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -6,19 +6,19 @@
 import attrs
 
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
-from acaciarelay.coordination.usage_ledger import UsageLedger, message_interval_s
+from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.programs.logs import log_event
-from acaciarelay.programs.region_usage import RegionUsageExchange
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.table_exchange import TableExchange
+from acaciarelay.programs.zone_usage import ZoneUsageExchange
 from acaciarelay.protocol.link_messages import (
     EntryUsage,
     Hello,
     LinkMessage,
     PeerRows,
     PeerStatus,
-    RegionUsage,
     TableVersions,
+    ZoneUsage,
     encode_message,
 )
 from acaciarelay.transport.message_link import (
@@ -69,10 +69,9 @@
         usage: UsageLedger,
         retry_budget: SharedRetryBudget,
         ticker: LinkTicker,
-        zones: dict[str, str] | None = None,
     ) -> None:
         self.hello = hello
-        self.regions = RegionUsageExchange(hello, zones or {}, usage)
+        self.zones = ZoneUsageExchange(hello, usage)
         self.tables = TableExchange(hello.address, cache)
         self.ticker = ticker
         self.cache = cache
@@ -168,7 +167,7 @@
         if peer.dialer is None:
             peer.dialer = self.dial(address)
         log_event("peer_lost", peer=address)
-        self.regions.lose(address, time.monotonic())
+        self.zones.lose(address, time.monotonic())
 
     def tick(self, now: float) -> None:
         """Send all peers a status with what changed here, if one is due."""
@@ -176,7 +175,8 @@
         near = self.near_links()
         interval_s = self.usage.message_interval_s
         if gathered:
-            interval_s = message_interval_s(1 + len(near))
+            # Gathered usage takes two intervals to its receivers.
+            interval_s /= 2
         if now - self.sent_at < interval_s * DUE_FRACTION:
             return
         self.sent_at = now
@@ -197,7 +197,7 @@
             if not is_gathered:
                 peer.link.send_line(line)
         self.send_tables(gathered, now)
-        self.send_regions(gathered, near, now)
+        self.send_zones(gathered, near, now)
         self.update_process_count()
 
     def remove_if_lost(self, address: str, peer: _Peer, now: float) -> None:
@@ -209,25 +209,25 @@
         log_event("peer_forgotten", peer=address)
 
     def gathered_links(self) -> list[MessageLink]:
-        """Return the links to peers that get this region's usage together."""
+        """Return the links to peers that get this zone's usage together."""
         entries = 1 + len(self.peers)
         links = []
         for peer in self.peers.values():
             link = peer.link
             if link is None or link.peer is None:
                 continue
-            if self.regions.is_gathered(link.peer, entries):
+            if self.zones.is_gathered(link.peer, entries):
                 links.append(link)
         return links
 
     def near_links(self) -> list[MessageLink]:
-        """Return the links to peers of this region that understand gathered usage."""
+        """Return the links to peers of this zone that understand gathered usage."""
         links = []
         for peer in self.peers.values():
             link = peer.link
             if link is None or link.peer is None or not link.peer.gathers_usage:
                 continue
-            if not self.regions.is_far(link.peer):
+            if not self.zones.is_far(link.peer):
                 links.append(link)
         return links
 
@@ -242,15 +242,15 @@
         for link in links:
             link.send_line(line)
 
-    def send_regions(
+    def send_zones(
         self, far: list[MessageLink], near: list[MessageLink], now: float
     ) -> None:
-        """Send the usage of this region to each other one, if that is this entry's."""
+        """Send the usage of this zone to each other one, if that is this entry's."""
         if not far:
             return
         peers = [link.peer for link in far if link.peer is not None]
         near_addresses = [link.peer.address for link in near if link.peer is not None]
-        self.regions.lose_silent_regions(peers, now)
+        self.zones.lose_silent_zones(peers, now)
         own_usage = EntryUsage(
             address=self.hello.address,
             lifetime=self.hello.lifetime,
@@ -258,11 +258,9 @@
             admitted=self.usage.totals(),
             demand=self.usage.demand(now),
         )
-        for region in sorted({self.regions.region(peer) for peer in peers}):
-            addresses = [p.address for p in peers if self.regions.region(p) == region]
-            outgoing = self.regions.message_to(
-                region, addresses, near_addresses, own_usage
-            )
+        for zone in sorted({peer.zone for peer in peers}):
+            addresses = [p.address for p in peers if p.zone == zone]
+            outgoing = self.zones.message_to(zone, addresses, near_addresses, own_usage)
             if outgoing is None:
                 continue
             receiver, message = outgoing
@@ -295,8 +293,8 @@
                 self.receive_status(link, link.peer, message)
             case TableVersions(versions=versions, wanted=wanted, peers=peers):
                 self.receive_tables(link, versions, wanted, peers)
-            case RegionUsage():
-                self.receive_region(message)
+            case ZoneUsage():
+                self.receive_zone(message)
             case PeerRows(rows=rows, versions=versions):
                 self.cache.apply_peer_rows(rows, versions)
 
@@ -310,12 +308,12 @@
             admitted=status.admitted,
             demand=status.demand,
         )
-        self.regions.receive_status(peer, usage, time.monotonic())
+        self.zones.receive_status(peer, usage, time.monotonic())
         self.receive_tables(link, status.versions, status.wanted, status.peers)
 
-    def receive_region(self, message: RegionUsage) -> None:
-        """Merge another region's usage, and forward it if it came from there."""
-        self.regions.receive_region(message, time.monotonic())
+    def receive_zone(self, message: ZoneUsage) -> None:
+        """Merge another zone's usage, and forward it if it came from there."""
+        self.zones.receive_zone(message, time.monotonic())
         if message.forwarded:
             return
         line = encode_message(attrs.evolve(message, forwarded=True))
--- a/src/acaciarelay/programs/table_exchange.py
+++ b/src/acaciarelay/programs/table_exchange.py
@@ -17,7 +17,7 @@
 MAX_STALENESS_S = 1.2
 # How long peers are given to read a new configuration from the store themselves.
 STORE_LEAD_S = 0.4
-# Least interval at which entries of other regions get the versions of the tables, and
+# Least interval at which entries of other zones get the versions of the tables, and
 # the staleness of the configuration from which on they get them with each status.
 FAR_INTERVAL_S = 5.0
 MAX_QUIET_STALENESS_S = 6.0
@@ -25,7 +25,7 @@
 
 @attrs.define(eq=False)
 class _SentToFar:
-    """What the entries of other regions last got."""
+    """What the entries of other zones last got."""
 
     at: float = -math.inf
     configuration_version: int = 0
@@ -60,7 +60,7 @@
         return wanted
 
     def message_to_far(self, peers: list[str], now: float) -> TableVersions | None:
-        """Return the next message to entries of other regions, if one is due.
+        """Return the next message to entries of other zones, if one is due.
 
         ``peers`` are the addresses of all reachable entries.
         """
--- a/src/acaciarelay/programs/region_usage.py
+++ b/src/acaciarelay/programs/zone_usage.py
@@ -1,9 +1,9 @@
-"""Usage of the entries of one region, gathered for the entries of the others.
+"""Usage of the entries of one availability zone, gathered for those of the others.
 
 With few entries each one sends its usage to all others. With more, an entry sends it
-within its region only, and one entry of the region, its speaker, sends the usage of all
-of them to an entry of each other region, which forwards it there. Messages between
-regions then grow with the number of entries, not with its square.
+within its zone only, and one entry of the zone, its speaker, sends the usage of all of
+them to an entry of each other zone, which forwards it there. Messages between zones
+then grow with the number of entries, not with its square.
 """
 
 from collections.abc import Iterable
@@ -14,25 +14,25 @@
 from acaciarelay.coordination.placement.rendezvous import choose_subset
 from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.programs.logs import log_event
-from acaciarelay.protocol.link_messages import EntryUsage, Hello, RegionUsage
+from acaciarelay.protocol.link_messages import EntryUsage, Hello, ZoneUsage
 
-__all__ = ["RegionUsageExchange"]
+__all__ = ["ZoneUsageExchange"]
 
 # Up to this many entries each one sends its usage to all others itself.
-MAX_DIRECT_ENTRIES = 12
-# Entries of a region that get the messages to it in turn, so that a single one that
+MAX_DIRECT_ENTRIES = 24
+# Entries of a zone that get the messages to it in turn, so that a single one that
 # does not run loses only some of them. Each message repeats the changes that the last
 # ones to the others had.
-RECEIVERS = 3
+RECEIVERS = 2
 # Each message of this number holds all values, for entries that missed a change.
 COMPLETE_ROUNDS = 8
-# Without a message about a region for this long, its entries count as lost.
-REGION_SILENCE_S = 2.6
+# Without a message about a zone for this long, its entries count as lost.
+ZONE_SILENCE_S = 2.6
 
 
 @attrs.define(eq=False)
 class _Outgoing:
-    """What a speaker sent to one region; logs are by address and incarnation."""
+    """What a speaker sent to one zone; logs are by address and incarnation."""
 
     round_number: int = 0
     admitted: dict[tuple[str, str], ChangeLog] = attrs.Factory(dict)
@@ -51,33 +51,26 @@
                 del logs[key]
 
 
-class RegionUsageExchange:
-    """Merge the usage that entries report, directly or through a speaker.
+class ZoneUsageExchange:
+    """Merge the usage that entries report, directly or through a speaker."""
 
-    ``zones`` maps each availability zone to its region.
-    """
-
-    def __init__(self, hello: Hello, zones: dict[str, str], usage: UsageLedger) -> None:
+    def __init__(self, hello: Hello, usage: UsageLedger) -> None:
         self.hello = hello
-        self.zones = zones
         self.usage = usage
         # The last complete usage of each reachable peer, by address.
         self.received: dict[str, EntryUsage] = {}
         self.outgoing: dict[str, _Outgoing] = {}
-        # Time of the last message about a region, and the regions that were silent for
+        # Time of the last message about a zone, and the zones that were silent for
         # too long and have not sent a complete message since.
         self.heard_at: dict[str, float] = {}
-        self.lost_regions: set[str] = set()
-
-    def region(self, peer: Hello) -> str:
-        return self.zones.get(peer.zone, "")
+        self.lost_zones: set[str] = set()
 
     def is_far(self, peer: Hello) -> bool:
-        """Return whether a peer is in another region."""
-        return self.region(peer) != self.region(self.hello)
+        """Return whether a peer is in another zone."""
+        return peer.zone != self.hello.zone
 
     def is_gathered(self, peer: Hello, entries: int) -> bool:
-        """Return whether a peer gets the usage of this region's entries together."""
+        """Return whether a peer gets the usage of this zone's entries together."""
         return entries > MAX_DIRECT_ENTRIES and peer.gathers_usage and self.is_far(peer)
 
     # Receiving.
@@ -89,18 +82,18 @@
             known = attrs.evolve(usage, admitted={}, demand={})
         self.merge(known, usage, now)
 
-    def receive_region(self, message: RegionUsage, now: float) -> None:
-        """Merge the usage of another region's entries, as far as these are known.
+    def receive_zone(self, message: ZoneUsage, now: float) -> None:
+        """Merge the usage of another zone's entries, as far as these are known.
 
         What an entry said of itself on a new link is where the changes start. After a
         silence they start at a complete message.
         """
-        self.heard_at[message.region] = now
-        if message.region in self.lost_regions:
+        self.heard_at[message.zone] = now
+        if message.zone in self.lost_zones:
             if not message.complete:
                 return
-            self.lost_regions.discard(message.region)
-            log_event("region_regained", region=message.region)
+            self.lost_zones.discard(message.zone)
+            log_event("zone_regained", zone=message.zone)
         for usage in message.entries:
             known = self.received.get(usage.address)
             if known is None or known.lifetime != usage.lifetime:
@@ -129,37 +122,37 @@
         self.received.pop(address, None)
         self.usage.mark_peer_lost(address, now)
 
-    def lose_silent_regions(self, peers: Iterable[Hello], now: float) -> None:
-        """Record that the gathered peers of regions without a message are lost."""
+    def lose_silent_zones(self, peers: Iterable[Hello], now: float) -> None:
+        """Record that the gathered peers of zones without a message are lost."""
         for peer in peers:
-            region = self.region(peer)
-            heard_at = self.heard_at.setdefault(region, now)
-            if now - heard_at > REGION_SILENCE_S:
-                if region not in self.lost_regions:
-                    self.lost_regions.add(region)
-                    log_event("region_lost", region=region, silent_s=now - heard_at)
+            zone = peer.zone
+            heard_at = self.heard_at.setdefault(zone, now)
+            if now - heard_at > ZONE_SILENCE_S:
+                if zone not in self.lost_zones:
+                    self.lost_zones.add(zone)
+                    log_event("zone_lost", zone=zone, silent_s=now - heard_at)
                 self.usage.mark_peer_lost(peer.address, now)
 
     # Sending.
 
-    def is_speaker(self, region: str, near: list[str]) -> bool:
-        """Return whether this entry speaks to a region; ``near`` are its neighbours."""
+    def is_speaker(self, zone: str, near: list[str]) -> bool:
+        """Return whether this entry speaks to a zone; ``near`` are its neighbours."""
         own = self.hello.address
-        return choose_subset(region, [own, *near], 1) == [own]
+        return choose_subset(zone, [own, *near], 1) == [own]
 
     def message_to(
-        self, region: str, far: list[str], near: list[str], own_usage: EntryUsage
-    ) -> tuple[str, RegionUsage] | None:
-        """Return the next message to a region and the entry there that gets it.
+        self, zone: str, far: list[str], near: list[str], own_usage: EntryUsage
+    ) -> tuple[str, ZoneUsage] | None:
+        """Return the next message to a zone and the entry there that gets it.
 
-        ``None`` if this entry is not the speaker to that region.
+        ``None`` if this entry is not the speaker to that zone.
         """
-        if not far or not self.is_speaker(region, near):
-            self.outgoing.pop(region, None)
+        if not far or not self.is_speaker(zone, near):
+            self.outgoing.pop(zone, None)
             return None
-        outgoing = self.outgoing.setdefault(region, _Outgoing())
+        outgoing = self.outgoing.setdefault(zone, _Outgoing())
         outgoing.round_number += 1
-        receivers = choose_subset(self.region(self.hello), far, RECEIVERS)
+        receivers = choose_subset(self.hello.zone, far, RECEIVERS)
         receiver = receivers[outgoing.round_number % len(receivers)]
         members = [own_usage]
         for address in near:
@@ -169,16 +162,15 @@
         if outgoing.complete:
             outgoing.keep(members)
         entries = [self.changes(outgoing, usage) for usage in members]
-        own_region = self.region(self.hello)
-        return receiver, RegionUsage(
-            region=own_region,
+        return receiver, ZoneUsage(
+            zone=self.hello.zone,
             complete=outgoing.complete,
             forwarded=False,
             entries=entries,
         )
 
     def changes(self, outgoing: _Outgoing, usage: EntryUsage) -> EntryUsage:
-        """Return the values of an entry that the region may not have yet."""
+        """Return the values of an entry that the zone may not have yet."""
         key = (usage.address, usage.lifetime)
         admitted = outgoing.admitted.setdefault(key, ChangeLog())
         demand = outgoing.demand.setdefault(key, ChangeLog())
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -26,7 +26,7 @@
     "PeerRows",
     "PeerStatus",
     "Ping",
-    "RegionUsage",
+    "ZoneUsage",
     "SlotGrant",
     "SlotRefusal",
     "SlotRelease",
@@ -45,7 +45,7 @@
 class Hello:
     """Opens a link; ``lifetime`` identifies the incarnation of the sender.
 
-    ``gathers_usage`` is true when the sender understands ``RegionUsage`` and
+    ``gathers_usage`` is true when the sender understands ``ZoneUsage`` and
     ``TableVersions``.
     """
 
@@ -200,16 +200,16 @@
 
 
 @attrs.frozen(kw_only=True)
-class RegionUsage:
-    """Sends the usage of all entries of a region to the entries of another region.
+class ZoneUsage:
+    """Sends the usage of all entries of a zone to the entries of another zone.
 
     An entry without changed values is listed too, since its place in the list says that
     it is alive. ``complete`` is true when unchanged values are not left out.
-    ``forwarded`` is true once an entry of the receiving region passes the message on to
+    ``forwarded`` is true once an entry of the receiving zone passes the message on to
     the others there.
     """
 
-    region: str
+    zone: str
     complete: bool
     forwarded: bool
     entries: list[EntryUsage]
@@ -236,7 +236,7 @@
     | PeerStatus
     | PeerRows
     | TableVersions
-    | RegionUsage
+    | ZoneUsage
 )
 
 _KINDS: dict[str, Any] = {
@@ -252,7 +252,7 @@
     "peer": PeerStatus,
     "rows": PeerRows,
     "tables": TableVersions,
-    "region": RegionUsage,
+    "zone": ZoneUsage,
 }
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 _FIELDS = {
