Bound the memory that the bodies under way occupy together

A fifth of the process's memory is now shared by all of them (up to three copies exist while a body is passed on). Ruled out: counting received bytes only, which refuses a body in its middle although its length is known.

--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -191,6 +191,12 @@
         (),
         "Peers to which a link is open.",
     ),
+    Metric(
+        "acaciarelay_body_bytes",
+        "gauge",
+        (),
+        "Bytes that the bodies under way occupy.",
+    ),
     Metric(
         "acaciarelay_commands_total",
         "counter",
--- a/src/acaciarelay/programs/metrics_server.py
+++ b/src/acaciarelay/programs/metrics_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.protocol.codes import Refusal
 from acaciarelay.state.routing import CallerLimits
@@ -9,6 +10,9 @@
 
 __all__ = ["serve_metrics"]
 
+# Bodies are not expected here.
+MAX_BODY_BYTES = 65_536
+
 
 async def serve_metrics(address: str, metrics: Metrics) -> asyncio.Server:
     """Serve the metrics at ``IP:PORT`` on any path.
@@ -21,9 +25,10 @@
         connection.respond(200, [("Content-Type", content_type)], body)
 
     connections: set[InboundConnection] = set()
+    memory = MemoryBudget(MAX_BODY_BYTES)
 
     def build() -> InboundConnection:
-        return InboundConnection(answer, _refuse, CallerLimits, connections)
+        return InboundConnection(answer, _refuse, CallerLimits, connections, memory)
 
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
 from acaciarelay.platform.headers import (
     AnswerTraits,
     answer_headers,
@@ -63,13 +64,18 @@
     """Make attempts and record their outcomes in the health of the endpoints.
 
     ``may_abandon`` returns whether an attempt at a stalled endpoint may be abandoned.
+    Answers that are collected before they are passed on share ``memory``.
     """
 
     def __init__(
-        self, health: EndpointHealth, may_abandon: Callable[[RelayedRequest], bool]
+        self,
+        health: EndpointHealth,
+        may_abandon: Callable[[RelayedRequest], bool],
+        memory: MemoryBudget,
     ) -> None:
         self.health = health
         self.may_abandon = may_abandon
+        self.memory = memory
         self.loop = asyncio.get_running_loop()
 
     async def attempt(
@@ -186,9 +192,13 @@
                 event.status_code,
                 headers,
             )
-        return await self.forward_buffered(
-            caller_connection, relayed, endpoint_connection, event, headers
-        )
+        memory = BodyMemory(self.memory)
+        try:
+            return await self.forward_buffered(
+                caller_connection, relayed, endpoint_connection, event, headers, memory
+            )
+        finally:
+            memory.release()
 
     def record_load(self, relayed: RelayedRequest, traits: AnswerTraits) -> None:
         if traits.load_text is None or relayed.endpoint is None:
@@ -209,6 +219,7 @@
         endpoint_connection: EndpointConnection,
         response: h11.Response,
         headers: list[Header],
+        memory: BodyMemory,
     ) -> AttemptOutcome:
         body = bytearray()
         progress_bytes = 0
@@ -218,6 +229,8 @@
                     body += data
                     if len(body) > MAX_ANSWER_BYTES:
                         return Broken("answer too large")
+                    if not memory.grow_to(len(body)):
+                        return Broken("no room for the answer")
                     if len(body) - progress_bytes >= MIN_PROGRESS_BYTES:
                         progress_bytes = len(body)
                         endpoint_connection.record_progress()
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -11,6 +11,7 @@
 import eliot
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
@@ -58,6 +59,12 @@
 # Time that a new connection has for its first request while the entry stops.
 FIRST_REQUEST_S = 0.5
 LISTEN_BACKLOG = 1024
+# Share of the process's memory for the bodies of requests and answers under way. While
+# a body is passed on there are up to three copies of it.
+BODY_MEMORY_SHARE = 0.2
+BYTES_PER_MB = 1_000_000
+# Bodies on the addresses for readiness and metrics, where none are expected.
+OWN_BODY_BYTES = 65_536
 
 
 class RelayEntry:
@@ -89,6 +96,9 @@
         )
         self.health = EndpointHealth(settings.zone, settings.zones, self.rng)
         self.slot_client = SlotClient()
+        self.body_memory = MemoryBudget(
+            int(settings.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE)
+        )
         self.relay = RequestRelay(
             self.cache,
             self.usage,
@@ -96,6 +106,7 @@
             self.health,
             self.slot_client,
             self.run_clock,
+            self.body_memory,
             self.metrics,
             self.rng,
         )
@@ -170,6 +181,7 @@
                 "belief_age_seconds", self.cache.staleness_s(table), table=table
             )
         self.metrics.set("peers_reached", len(self.peers.addresses()))
+        self.metrics.set("body_bytes", self.body_memory.used_bytes)
 
     async def listen(self) -> None:
         host, port = _split(self.settings.caller_address)
@@ -196,10 +208,18 @@
         return routing.limits if routing is not None else CallerLimits()
 
     def build_inbound(self) -> InboundConnection:
-        return InboundConnection(self.serve, self.refuse, self.limits, self.connections)
+        return InboundConnection(
+            self.serve, self.refuse, self.limits, self.connections, self.body_memory
+        )
 
     def build_ready(self) -> InboundConnection:
-        return InboundConnection(self.answer_ready, self.refuse, CallerLimits, set())
+        return InboundConnection(
+            self.answer_ready,
+            self.refuse,
+            CallerLimits,
+            set(),
+            MemoryBudget(OWN_BODY_BYTES),
+        )
 
     async def serve(
         self, connection: InboundConnection, request: InboundRequest
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -6,6 +6,7 @@
 import time
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger
@@ -56,6 +57,7 @@
         health: EndpointHealth,
         slot_client: SlotClient,
         run_clock: RunClock,
+        body_memory: MemoryBudget,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -66,7 +68,7 @@
         self.metrics = metrics
         self.slot_client = slot_client
         self.placer = Placer(cache, health, slot_client, retry_budget)
-        self.attempts = Attempts(health, self.may_abandon)
+        self.attempts = Attempts(health, self.may_abandon, body_memory)
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.configured = asyncio.Event()
--- a/src/acaciarelay/programs/relay_settings.py
+++ b/src/acaciarelay/programs/relay_settings.py
@@ -28,8 +28,8 @@
     processes together may exceed a rate limit in a window by the fraction
     ``usage_excess`` of the tokens that the limit allows in it, plus ``usage_slack``
     tokens. ``store_silence_ms`` is how long a silent store may go unnoticed, in
-    milliseconds. ``first_start`` is true when the entire system starts for the first
-    time.
+    milliseconds. ``memory_mb`` is the memory that the process may use, in megabytes.
+    ``first_start`` is true when the entire system starts for the first time.
     """
 
     name: str
@@ -51,6 +51,7 @@
     usage_excess: float
     usage_slack: float
     store_silence_ms: float
+    memory_mb: float
     first_start: bool
 
     @property
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -7,6 +7,7 @@
 import attrs
 import h11
 
+from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import Header
 from acaciarelay.state.routing import CallerLimits
@@ -28,6 +29,9 @@
 LINGER_S = 1.0
 # Pieces of a body that are parsed without giving way to other tasks.
 MAX_PIECES_PER_TURN = 64
+# When a caller may send a body again for which there was no room; other callers' bodies
+# stay for about as long as their requests.
+NO_ROOM_RETRY_AFTER_S = 0.5
 HEAD_END = b"\r\n\r\n"
 
 
@@ -75,7 +79,8 @@
 
     ``handler`` is awaited with each complete request and responds through this object;
     ``on_refusal`` is called for input that is no valid request. ``registry`` contains
-    the connection while it is open.
+    the connection while it is open. The bodies of all connections with the same
+    ``memory`` share it.
     """
 
     def __init__(
@@ -84,6 +89,7 @@
         on_refusal: RefusalHandler,
         limits: Callable[[], CallerLimits],
         registry: set["InboundConnection"],
+        memory: MemoryBudget,
     ) -> None:
         self.handler = handler
         self.on_refusal = on_refusal
@@ -100,6 +106,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.head: h11.Request | None = None
         self.body = bytearray()
+        # What the body occupies until its request has ended.
+        self.body_memory = BodyMemory(memory)
         # Present while parsing waits for the next turn of the event loop.
         self.parse_handle: asyncio.Handle | None = None
         self.arrived_at = 0.0
@@ -131,6 +139,7 @@
             self.parse_handle.cancel()
         if self.task is not None:
             self.task.cancel()
+        self.body_memory.release()
         self.resume_writing()
 
     def eof_received(self) -> bool:
@@ -219,8 +228,7 @@
                         return
                 case h11.Data():
                     self.body += event.data
-                    if len(self.body) > self.limits().max_body_bytes:
-                        self.reject(refuse("body_too_large"))
+                    if not self.accept_body_size(len(self.body)):
                         return
                 case h11.EndOfMessage():
                     self.dispatch_request()
@@ -253,8 +261,7 @@
         for name, value in head.headers:
             if name == b"content-length":
                 lengths += 1
-                if int(value) > self.limits().max_body_bytes:
-                    self.reject(refuse("body_too_large"))
+                if not self.accept_body_size(int(value)):
                     return False
             elif name == b"transfer-encoding":
                 chunked = True
@@ -264,6 +271,16 @@
             return False
         return True
 
+    def accept_body_size(self, size: int) -> bool:
+        """Refuse the request if a body of this size is too large or finds no room."""
+        if size > self.limits().max_body_bytes:
+            self.reject(refuse("body_too_large"))
+            return False
+        if not self.body_memory.grow_to(size):
+            self.reject(refuse("entry_overloaded", "", NO_ROOM_RETRY_AFTER_S))
+            return False
+        return True
+
     def dispatch_request(self) -> None:
         assert self.head is not None
         headers = [
@@ -293,6 +310,7 @@
             await self.handler(self, request)
         finally:
             self.task = None
+            self.body_memory.release()
             self.finish_request()
 
     def finish_request(self) -> None:
@@ -320,6 +338,8 @@
         self.last_request = True
         self.phase = _Phase.CLOSING
         self.set_timer(None)
+        self.body = bytearray()
+        self.body_memory.release()
         self.on_refusal(self, refusal)
 
     def start(self, status: int, headers: Sequence[Header], flush: bool = True) -> None:
--- a/src/acaciarelay_standins/inbound_standin.py
+++ b/src/acaciarelay_standins/inbound_standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.protocol.codes import Refusal
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.inbound_server import InboundConnection, InboundHandler
@@ -12,6 +13,7 @@
 LIMITS = CallerLimits(
     max_body_bytes=16_777_216, head_timeout_s=600.0, idle_timeout_s=600.0
 )
+MAX_BODIES = 64
 
 
 async def listen(handler: InboundHandler, address: str) -> tuple[asyncio.Server, str]:
@@ -19,9 +21,10 @@
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
     connections: set[InboundConnection] = set()
+    memory = MemoryBudget(MAX_BODIES * LIMITS.max_body_bytes)
 
     def build() -> InboundConnection:
-        return InboundConnection(handler, _refuse, lambda: LIMITS, connections)
+        return InboundConnection(handler, _refuse, lambda: LIMITS, connections, memory)
 
     server = await loop.create_server(build, host, int(port))
     return server, f"{host}:{server.sockets[0].getsockname()[1]}"
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -198,6 +198,7 @@
             "usage_excess": 0.1,
             "usage_slack": 0,
             "store_silence_ms": 3000,
+            "memory_mb": 232,
             "first_start": True,
         }
         return value | fields
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -9,6 +9,7 @@
 import orjson
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
@@ -108,7 +109,7 @@
 class RelayRig:
     """An entry's request path and its runners, as an asynchronous context manager."""
 
-    def __init__(self, seed: int = 1) -> None:
+    def __init__(self, seed: int = 1, body_memory_bytes: int = 64_000_000) -> None:
         self.cache = StateCache()
         self.usage = UsageLedger(NO_TOLERANCE, True, time.monotonic())
         self.retry_budget = SharedRetryBudget(0.2, 50.0, 10.0)
@@ -116,6 +117,7 @@
         self.health = EndpointHealth("zone-a", {"zone-a": "region-a"}, rng)
         self.slot_client = SlotClient()
         self.run_clock = RunClock()
+        self.body_memory = MemoryBudget(body_memory_bytes)
         self.relay = RequestRelay(
             self.cache,
             self.usage,
@@ -123,6 +125,7 @@
             self.health,
             self.slot_client,
             self.run_clock,
+            self.body_memory,
             Metrics(),
             rng,
         )
@@ -148,7 +151,9 @@
         await asyncio.sleep(0)
 
     def build(self) -> InboundConnection:
-        return InboundConnection(self.serve, self.refuse, self.limits, self.connections)
+        return InboundConnection(
+            self.serve, self.refuse, self.limits, self.connections, self.body_memory
+        )
 
     def limits(self) -> CallerLimits:
         routing = self.cache.routing
--- a/tests/unit/platform_path/test_agent_states.py
+++ b/tests/unit/platform_path/test_agent_states.py
@@ -81,6 +81,7 @@
         usage_excess=0.1,
         usage_slack=0.0,
         store_silence_ms=3000.0,
+        memory_mb=232.0,
         first_start=True,
     )
     return RelayAgent(settings)
--- a/tests/unit/platform_path/test_inbound_server.py
+++ b/tests/unit/platform_path/test_inbound_server.py
@@ -4,7 +4,7 @@
 
 import pytest
 from loop_monitor import LoopMonitor
-from relay_rig import KEY, RelayRig
+from relay_rig import KEY, RelayRig, configuration, route
 
 HEAD = f"POST /order/a HTTP/1.1\r\nHost: shop.example\r\nApi-Key: {KEY}\r\n"
 
@@ -102,6 +102,9 @@
 async def test_a_body_in_single_bytes_holds_up_no_other_caller():
     """Guards against a caller that occupies the event loop with small chunks."""
     async with RelayRig() as rig:
+        # Parsing takes a second of processor time, and more beside other processes.
+        orders = route("/order/", "non_idempotent", timeoutMs=20_000)
+        rig.configure(configuration(version=2, routes=[orders]))
         runner = await rig.add_runner("orders")
         data = HEAD.encode() + b"Attempt-Id: a-1\r\nTransfer-Encoding: chunked\r\n\r\n"
         data += b"1\r\ny\r\n" * 90_000 + b"0\r\n\r\n"
