--- a/src/acaciarelay/programs/metrics_server.py
+++ b/src/acaciarelay/programs/metrics_server.py
@@ -5,8 +5,9 @@
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.protocol.codes import Refusal
+from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.routing import CallerLimits
-from acaciarelay.transport.inbound_server import InboundConnection, InboundRequest
+from acaciarelay.transport.inbound_server import InboundConnection
 
 __all__ = ["serve_metrics"]
 
--- a/src/acaciarelay/programs/relay_admission.py
+++ b/src/acaciarelay/programs/relay_admission.py
@@ -8,9 +8,9 @@
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.relayed_request import RelayedRequest
 from acaciarelay.state.routing import Organisation, Route, RoutingTable
-from acaciarelay.transport.inbound_server import InboundRequest
 
 __all__ = ["Admission"]
 
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -16,7 +16,7 @@
     endpoint_headers,
 )
 from acaciarelay.programs.logs import log_event
-from acaciarelay.protocol.http_message import Header
+from acaciarelay.protocol.http_message import Header, InboundRequest
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.relayed_request import (
     AttemptOutcome,
@@ -37,7 +37,7 @@
     EventTooLargeError,
     StreamEvent,
 )
-from acaciarelay.transport.inbound_server import InboundConnection, InboundRequest
+from acaciarelay.transport.inbound_server import InboundConnection
 
 __all__ = ["Attempts"]
 
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -32,13 +32,13 @@
 from acaciarelay.programs.relay_state_cache import TABLES, StateCache
 from acaciarelay.programs.store_follower import StoreFollower
 from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.protocol.link_messages import EntryList, Hello, LinkMessage
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.state.run_clock import RunClock
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
-    InboundRequest,
 )
 from acaciarelay.transport.message_link import Dialer, LinkTicker, MessageLink
 from acaciarelay.transport.sockets import accept_completed, listen
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -19,6 +19,7 @@
 from acaciarelay.programs.relay_refusal import respond_refusal
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.relayed_request import (
     AttemptOutcome,
     Broken,
@@ -31,7 +32,6 @@
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
-    InboundRequest,
 )
 
 __all__ = ["RequestRelay"]
--- a/src/acaciarelay/protocol/http_message.py
+++ b/src/acaciarelay/protocol/http_message.py
@@ -1,8 +1,15 @@
 """HTTP request heads and header fields, independent of the transport."""
 
 import attrs
+import h11
 
-__all__ = ["REQUEST_ID_HEADER", "Header", "HttpRequest", "end_to_end_headers"]
+__all__ = [
+    "REQUEST_ID_HEADER",
+    "Header",
+    "HttpRequest",
+    "InboundRequest",
+    "end_to_end_headers",
+]
 
 REQUEST_ID_HEADER = "acaciarelay-request-id"
 
@@ -53,6 +60,50 @@
         return int(value) if value is not None else None
 
 
+@attrs.frozen(kw_only=True)
+class InboundRequest:
+    """A complete request; header names are in lower case.
+
+    ``has_body`` is true if the head declares a body, even an empty one. ``arrived_at``
+    is the time of the event loop at which the head began.
+    """
+
+    method: str
+    target: str
+    headers: list[Header]
+    body: bytes
+    has_body: bool
+    arrived_at: float
+
+    @classmethod
+    def from_head(
+        cls, head: h11.Request, body: bytes, arrived_at: float
+    ) -> "InboundRequest":
+        """Build a request from its parsed head and its whole body."""
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers
+        ]
+        has_body = any(
+            name in ("content-length", "transfer-encoding") for name, _ in headers
+        )
+        return cls(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("latin-1"),
+            headers=headers,
+            body=body,
+            has_body=has_body,
+            arrived_at=arrived_at,
+        )
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or ``None``."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
 def end_to_end_headers(headers: list[Header]) -> list[Header]:
     """Return the headers without ``NOT_FORWARDED`` and those that Connection names."""
     dropped = set(NOT_FORWARDED)
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -4,12 +4,12 @@
 import enum
 from collections.abc import Awaitable, Callable, Sequence
 
-import attrs
 import h11
 
 from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
 from acaciarelay.protocol.codes import Refusal, refuse
-from acaciarelay.protocol.http_message import Header
+from acaciarelay.protocol.http_message import Header, InboundRequest
+from acaciarelay.protocol.request_head import HEAD_END, find_head_problem
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
@@ -17,7 +17,6 @@
     "CallerDisconnectedError",
     "InboundConnection",
     "InboundHandler",
-    "InboundRequest",
 ]
 
 # Limit of pipelined data that is buffered during a response; reading pauses above it.
@@ -32,36 +31,12 @@
 # When a caller may send a body again for which there was no room; other callers' bodies
 # stay for about as long as their requests.
 NO_ROOM_RETRY_AFTER_S = 0.5
-HEAD_END = b"\r\n\r\n"
 
 
 class CallerDisconnectedError(Exception):
     """The caller's connection closed before the response was complete."""
 
 
-@attrs.frozen(kw_only=True)
-class InboundRequest:
-    """A complete request; header names are in lower case.
-
-    ``has_body`` is true if the head declares a body, even an empty one. ``arrived_at``
-    is the time of the event loop at which the head began.
-    """
-
-    method: str
-    target: str
-    headers: list[Header]
-    body: bytes
-    has_body: bool
-    arrived_at: float
-
-    def header(self, name: str) -> str | None:
-        """Return the first value of a header, or ``None``."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
 class _Phase(enum.Enum):
     IDLE = enum.auto()
     HEAD = enum.auto()
@@ -184,20 +159,14 @@
     # Reading a request.
 
     def read_head(self) -> None:
-        """Validate the raw head before h11 parses it: h11 accepts bare line feeds."""
+        """Check the raw head, and let h11 parse it once it is complete."""
         while self.pending[:2] == b"\r\n":
             del self.pending[:2]
         end = self.pending.find(HEAD_END)
-        head = self.pending if end < 0 else self.pending[: end + 4]
-        if len(head) > self.limits().max_head_bytes:
-            self.reject(refuse("head_too_large"))
-            return
-        if (
-            head.count(b"\n") != head.count(b"\r\n")
-            or b"\n " in head
-            or b"\n\t" in head
-        ):
-            self.reject(refuse("malformed_http"))
+        head = self.pending if end < 0 else self.pending[: end + len(HEAD_END)]
+        problem = find_head_problem(head, self.limits().max_head_bytes)
+        if problem is not None:
+            self.reject(refuse(problem))
             return
         if end < 0:
             return
@@ -283,21 +252,8 @@
 
     def dispatch_request(self) -> None:
         assert self.head is not None
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in self.head.headers
-        ]
-        has_body = any(
-            name in ("content-length", "transfer-encoding") for name, _ in headers
-        )
-        request = InboundRequest(
-            method=self.head.method.decode("ascii"),
-            target=self.head.target.decode("latin-1"),
-            headers=headers,
-            body=bytes(self.body),
-            has_body=has_body,
-            arrived_at=self.arrived_at,
-        )
+        body = bytes(self.body)
+        request = InboundRequest.from_head(self.head, body, self.arrived_at)
         self.body = bytearray()
         self.phase = _Phase.RESPONSE
         self.response_started = False
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -15,11 +15,11 @@
 import cattrs
 import orjson
 
+from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.transport.endpoint_call import connect
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
-    InboundRequest,
 )
 from acaciarelay_standins.common import add_listen, announce, wait_for_stop
 from acaciarelay_standins.inbound_standin import listen
--- a/src/acaciarelay_standins/platform_store.py
+++ b/src/acaciarelay_standins/platform_store.py
@@ -21,7 +21,8 @@
 import cattrs
 import orjson
 
-from acaciarelay.transport.inbound_server import InboundConnection, InboundRequest
+from acaciarelay.protocol.http_message import InboundRequest
+from acaciarelay.transport.inbound_server import InboundConnection
 from acaciarelay_standins.common import add_listen, announce, wait_for_stop
 from acaciarelay_standins.inbound_standin import listen
 
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -18,12 +18,12 @@
 from acaciarelay.programs.relay_refusal import respond_refusal
 from acaciarelay.programs.relay_request import RequestRelay
 from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.routing import CallerLimits, Organisation
 from acaciarelay.state.run_clock import RunClock
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
-    InboundRequest,
 )
 from acaciarelay_standins.inbound_standin import listen
 from acaciarelay_standins.platform_runner import PlatformRunner
