--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -40,7 +40,7 @@
     encode_message,
 )
 from acaciarelay.transport.endpoint_call import ConnectionFault, connect
-from acaciarelay.transport.message_link import LinkServer, MessageLink
+from acaciarelay.transport.message_link import LinkHandlers, LinkServer, MessageLink
 
 __all__ = ["RelayAgent", "main"]
 
@@ -94,7 +94,12 @@
             address=f"{settings.host}:{settings.agent_port}",
             zone=settings.zone,
         )
-        self.server = LinkServer(self.hello, self.receive, self.opened, self.closed)
+        self.server = LinkServer(
+            self.hello,
+            LinkHandlers(
+                on_open=self.opened, on_message=self.receive, on_close=self.closed
+            ),
+        )
         self.links: dict[MessageLink, _SentState] = {}
         self.stopping = asyncio.Event()
         self.publish_timer: asyncio.TimerHandle | None = None
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -40,7 +40,12 @@
     CallerDisconnectedError,
     InboundConnection,
 )
-from acaciarelay.transport.message_link import Dialer, LinkTicker, MessageLink
+from acaciarelay.transport.message_link import (
+    Dialer,
+    LinkHandlers,
+    LinkTicker,
+    MessageLink,
+)
 from acaciarelay.transport.sockets import accept_completed, listen
 
 __all__ = ["RelayEntry", "main"]
@@ -134,6 +139,11 @@
         )
         self.connections: set[InboundConnection] = set()
         self.agents: dict[str, Dialer] = {}
+        self.agent_handlers = LinkHandlers(
+            on_open=self.agent_opened,
+            on_message=self.agent_message,
+            on_close=self.agent_closed,
+        )
         self.servers: list[asyncio.Server] = []
         # The listening socket for callers while new connections are accepted.
         self.listener: socket.socket | None = None
@@ -269,9 +279,7 @@
             self.agents[host] = Dialer(
                 f"{host}:{self.settings.agent_port}",
                 self.hello,
-                self.agent_message,
-                self.agent_opened,
-                self.agent_closed,
+                self.agent_handlers,
                 self.ticker,
                 sends_pings=True,
             )
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -24,6 +24,7 @@
 from acaciarelay.transport.message_link import (
     SLOW_HEARTBEAT_INTERVAL_S,
     Dialer,
+    LinkHandlers,
     LinkServer,
     LinkTicker,
     MessageLink,
@@ -83,9 +84,9 @@
         self.started_at = time.monotonic()
         self.server = LinkServer(
             hello,
-            self.receive,
-            self.opened,
-            self.closed,
+            LinkHandlers(
+                on_open=self.opened, on_message=self.receive, on_close=self.closed
+            ),
             ticker,
             SLOW_HEARTBEAT_INTERVAL_S,
         )
@@ -107,9 +108,9 @@
         return Dialer(
             address,
             self.hello,
-            self.receive,
-            self.dialled,
-            self.closed,
+            LinkHandlers(
+                on_open=self.dialled, on_message=self.receive, on_close=self.closed
+            ),
             self.ticker,
         )
 
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -9,6 +9,8 @@
 import contextlib
 from collections.abc import Callable
 
+import attrs
+
 from acaciarelay.protocol.link_messages import (
     Heartbeat,
     Hello,
@@ -23,6 +25,7 @@
 __all__ = [
     "SLOW_HEARTBEAT_INTERVAL_S",
     "Dialer",
+    "LinkHandlers",
     "LinkServer",
     "LinkTicker",
     "MessageLink",
@@ -77,20 +80,27 @@
         self.timer = loop.call_later(TICK_S, self.tick) if self.links else None
 
 
-class MessageLink(asyncio.Protocol):
-    """Carry messages in both directions over one connection.
+@attrs.frozen(kw_only=True)
+class LinkHandlers:
+    """What a process does when its links open, carry messages and close.
 
     ``on_open`` is called when the peer's hello has arrived, ``on_message`` for each
     later message except heartbeats and pings, and ``on_close`` at the end of a link
     that was open.
     """
 
+    on_open: Callable[["MessageLink"], None]
+    on_message: Callable[["MessageLink", LinkMessage], None]
+    on_close: Callable[["MessageLink"], None]
+
+
+class MessageLink(asyncio.Protocol):
+    """Carry messages in both directions over one connection."""
+
     def __init__(
         self,
         hello: Hello,
-        on_message: Callable[["MessageLink", LinkMessage], None],
-        on_open: Callable[["MessageLink"], None],
-        on_close: Callable[["MessageLink"], None],
+        handlers: LinkHandlers,
         ticker: LinkTicker,
         heartbeat_s: float = HEARTBEAT_INTERVAL_S,
         sends_pings: bool = False,
@@ -99,9 +109,7 @@
         self.ticker = ticker
         self.heartbeat_s = heartbeat_s
         self.sends_pings = sends_pings
-        self.on_message = on_message
-        self.on_open = on_open
-        self.on_close = on_close
+        self.handlers = handlers
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         # The peer's hello once it has arrived, which opens the link.
@@ -177,7 +185,7 @@
             case Hello():
                 self.peer = message
                 self.opened_at = self.loop.time()
-                self.on_open(self)
+                self.handlers.on_open(self)
             case Ping(answer=True, number=number):
                 if number == self.last_ping_number:
                     self.round_trip_s = self.loop.time() - self.ping_sent_at
@@ -187,14 +195,14 @@
                 self.silence_timeout_s = silence_s or SILENCE_TIMEOUT_S
             case _:
                 if self.peer is not None:
-                    self.on_message(self, message)
+                    self.handlers.on_message(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.ticker.discard(self)
         if not self.closed_future.done():
             self.closed_future.set_result(None)
         if self.peer is not None:
-            self.on_close(self)
+            self.handlers.on_close(self)
 
     def send(self, message: LinkMessage) -> None:
         """Send a message; it is lost if the link is closed or breaks."""
@@ -221,16 +229,12 @@
     def __init__(
         self,
         hello: Hello,
-        on_message: Callable[[MessageLink, LinkMessage], None],
-        on_open: Callable[[MessageLink], None],
-        on_close: Callable[[MessageLink], None],
+        handlers: LinkHandlers,
         ticker: LinkTicker | None = None,
         heartbeat_s: float = HEARTBEAT_INTERVAL_S,
     ) -> None:
         self.hello = hello
-        self.on_message = on_message
-        self.on_open = on_open
-        self.on_close = on_close
+        self.handlers = handlers
         self.ticker = ticker or LinkTicker()
         self.heartbeat_s = heartbeat_s
         self.server: asyncio.Server | None = None
@@ -244,9 +248,7 @@
     def build(self) -> MessageLink:
         return MessageLink(
             self.hello,
-            self.on_message,
-            self.on_open,
-            self.on_close,
+            self.handlers,
             self.ticker,
             self.heartbeat_s,
         )
@@ -264,17 +266,13 @@
         self,
         address: str,
         hello: Hello,
-        on_message: Callable[[MessageLink, LinkMessage], None],
-        on_open: Callable[[MessageLink], None],
-        on_close: Callable[[MessageLink], None],
+        handlers: LinkHandlers,
         ticker: LinkTicker,
         sends_pings: bool = False,
     ) -> None:
         self.address = address
         self.hello = hello
-        self.on_message = on_message
-        self.on_open = on_open
-        self.on_close = on_close
+        self.handlers = handlers
         self.ticker = ticker
         self.sends_pings = sends_pings
         self.link: MessageLink | None = None
@@ -309,9 +307,7 @@
     def build(self) -> MessageLink:
         return MessageLink(
             self.hello,
-            self.on_message,
-            self.on_open,
-            self.on_close,
+            self.handlers,
             self.ticker,
             SLOW_HEARTBEAT_INTERVAL_S,
             self.sends_pings,
--- a/tests/unit/platform_path/test_message_link.py
+++ b/tests/unit/platform_path/test_message_link.py
@@ -6,6 +6,7 @@
 from acaciarelay.transport.message_link import (
     SILENCE_TIMEOUT_S,
     Dialer,
+    LinkHandlers,
     LinkServer,
     LinkTicker,
 )
@@ -20,14 +21,15 @@
         self.opened = asyncio.Event()
 
     async def __aenter__(self):
-        self.server = LinkServer(self.hello("one"), self.ignore, self.open, self.count)
+        handlers = LinkHandlers(
+            on_open=self.open, on_message=self.ignore, on_close=self.count
+        )
+        self.server = LinkServer(self.hello("one"), handlers)
         port = await self.server.listen("127.0.0.1", 0)
         self.dialer = Dialer(
             f"127.0.0.1:{port}",
             self.hello("two"),
-            self.ignore,
-            self.open,
-            self.count,
+            handlers,
             LinkTicker(),
         )
         await self.opened.wait()
