Ask six agents while no slot is free, and draw their waits by chance

Cause: with all slots taken, a slot that became free went to the most urgent request that its agent knew. Now six agents are asked while none is expected to have a free slot, and a wait above zero is drawn from an exponential distribution with the published mean, so that entries with the same states choose different agents. With a free slot nothing changes. The choice is code of its own (coordination/engine_choice.py).

--- /dev/null
+++ b/src/acaciarelay/coordination/engine_choice.py
@@ -0,0 +1,105 @@
+"""Choice of the engines whose agents are asked for a slot.
+
+It answers bursts of several ranks at once. While slots are free, a few engines are
+asked, the best ones by wait, distance, recent failures and speed. While all are taken,
+an agent gives a slot that becomes free to the most urgent request that it knows, so
+that more agents are asked: less urgent requests would get the slots of the others.
+"""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from acaciarelay.coordination.engine_model import EngineSpeed
+
+__all__ = ["EngineOption", "ExpectedAnswer", "choose_engines"]
+
+# Engines asked for one request while the best one is expected to have a free slot, and
+# while it is not.
+ASKED_WITH_FREE_SLOT = 3
+ASKED_WITHOUT_FREE_SLOT = 6
+# Penalties in seconds of expected wait: for one unit of distance and for one recent
+# failure.
+DISTANCE_PENALTY_S = 0.02
+FAILURE_PENALTY_S = 0.1
+# Penalty for a long answer on an engine twice as slow as the fastest, where its events
+# are likely to be late, and the upper bound for still slower engines.
+SLOW_ENGINE_PENALTY_S = 0.04
+MAX_SLOW_ENGINE_PENALTY_S = 0.08
+LONG_OUTPUT_TOKENS = 200
+# Penalty for an engine that is too slow to finish the answer before the deadline.
+TOO_SLOW_PENALTY_S = 10.0
+# Upper bound of a random addition that decides between engines of equal cost.
+TIE_BREAK_S = 0.002
+
+
+@attrs.frozen(kw_only=True)
+class EngineOption:
+    """An engine that may run a request.
+
+    ``queue_s`` is the wait in seconds until its agent expects to have a slot for the
+    request's rank, ``round_trip_s`` the time to ask for it. ``distance`` and
+    ``failures`` are as in ``EndpointHealth``.
+    """
+
+    host: str
+    queue_s: float
+    round_trip_s: float
+    distance: float
+    failures: float
+    speed: EngineSpeed
+
+
+@attrs.frozen(kw_only=True)
+class ExpectedAnswer:
+    """What a request needs of an engine; ``left_s`` is the time to its deadline."""
+
+    prompt_tokens: int
+    output_tokens: int
+    left_s: float
+
+
+def choose_engines(
+    options: Iterable[EngineOption], answer: ExpectedAnswer, rng: random.Random
+) -> list[EngineOption]:
+    """Return the engines whose agents to ask, the best one first."""
+    options = list(options)
+    known = [option.speed.token_s for option in options if option.speed.token_s]
+    min_token_s = min(known, default=0.0)
+    costs = []
+    for option in options:
+        cost = _sampled_wait_s(option, rng) + _cost_s(option, answer, min_token_s)
+        costs.append((cost, option))
+    costs.sort(key=lambda item: item[0])
+    ranked = [option for _, option in costs]
+    if ranked and ranked[0].queue_s > 0:
+        return ranked[:ASKED_WITHOUT_FREE_SLOT]
+    return ranked[:ASKED_WITH_FREE_SLOT]
+
+
+def _sampled_wait_s(option: EngineOption, rng: random.Random) -> float:
+    """Draw a wait from the distribution of which the expected one is the mean.
+
+    If all entries compared the means, they would ask the same few agents until the next
+    states arrive.
+    """
+    wait_s = option.round_trip_s + rng.random() * TIE_BREAK_S
+    if option.queue_s > 0:
+        wait_s += rng.expovariate(1 / option.queue_s)
+    return wait_s
+
+
+def _cost_s(option: EngineOption, answer: ExpectedAnswer, min_token_s: float) -> float:
+    """Return what an engine costs beside the wait, in seconds of wait."""
+    speed = option.speed
+    cost = DISTANCE_PENALTY_S * option.distance
+    cost += FAILURE_PENALTY_S * option.failures
+    cost += speed.first_event_s(answer.prompt_tokens)
+    if speed.token_s > min_token_s > 0:
+        slow_s = SLOW_ENGINE_PENALTY_S * (speed.token_s / min_token_s - 1)
+        long_share = min(1.0, answer.output_tokens / LONG_OUTPUT_TOKENS)
+        cost += min(MAX_SLOW_ENGINE_PENALTY_S, slow_s) * long_share
+    if speed.stream_s(answer.output_tokens) > answer.left_s:
+        cost += TOO_SLOW_PENALTY_S
+    return cost
--- a/src/acaciarelay/coordination/slot_client.py
+++ b/src/acaciarelay/coordination/slot_client.py
@@ -45,8 +45,8 @@
         self.state = state
         self.speed = EngineSpeed(first_s=state.first_s, token_s=state.token_s)
 
-    def expected_wait_s(self, rank: int, now: float) -> float:
-        """Return the expected wait for a slot of a new request of a rank."""
+    def expected_queue_s(self, rank: int, now: float) -> float:
+        """Return how long the agent expects a new request of a rank to be queued."""
         if (
             self.state is None
             or now - self.link.last_received_at > STATE_STALE_AFTER_SILENCE_S
@@ -55,7 +55,11 @@
         waits = self.state.waits_s
         if not waits:
             return DEFAULT_WAIT_S
-        return waits[min(rank, len(waits) - 1)] + self.link.round_trip_s
+        return waits[min(rank, len(waits) - 1)]
+
+    def expected_wait_s(self, rank: int, now: float) -> float:
+        """Return the expected time until a new request of a rank has a slot."""
+        return self.expected_queue_s(rank, now) + self.link.round_trip_s
 
     @property
     def slowdown(self) -> float:
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -7,6 +7,11 @@
 import attrs
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.engine_choice import (
+    EngineOption,
+    ExpectedAnswer,
+    choose_engines,
+)
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import (
     AgentLink,
@@ -21,8 +26,6 @@
 
 __all__ = ["Placement", "Placer"]
 
-# Agents asked for a slot in parallel, for one request.
-MAX_AGENTS_ASKED = 3
 # Fraction of the route's objective that a request may wait for a slot.
 MAX_WAIT_FRACTION = 0.6
 # A request is refused at once when its expected wait is above this fraction of the
@@ -31,17 +34,6 @@
 # Lower bound of the time that a request may wait for a slot after a failed attempt,
 # when the caller may already have a part of the answer.
 MIN_RETRY_WAIT_LIMIT_S = 1.0
-# Penalties in seconds of expected wait: for one unit of distance and for one recent
-# failure.
-DISTANCE_PENALTY_S = 0.02
-FAILURE_PENALTY_S = 0.1
-# Penalty for a long answer on an engine twice as slow as the fastest, where its events
-# are likely to be late, and the upper bound for still slower engines.
-SLOW_ENGINE_PENALTY_S = 0.04
-MAX_SLOW_ENGINE_PENALTY_S = 0.08
-LONG_OUTPUT_TOKENS = 200
-# Penalty for an engine that is too slow to finish the answer before the deadline.
-TOO_SLOW_PENALTY_S = 10.0
 # Lower bound of the time after its arrival that a request may wait for a slot, when
 # some engines are too slow to finish the answer before the deadline, so that it can
 # wait for a faster one.
@@ -70,7 +62,7 @@
 
 
 class Placer:
-    """Choose endpoints by expected wait, distance, recent failures and speed."""
+    """Choose an endpoint for each attempt, with a slot where an agent grants them."""
 
     def __init__(
         self,
@@ -135,7 +127,7 @@
     ) -> Placement | SlotDenied:
         """Ask the best agents for a slot, unless none is expected within the budget."""
         now = time.monotonic()
-        agents = self._rank_agents(relayed, by_host, now)
+        agents = self._choose_agents(relayed, by_host, now)
         expected_s = min(agent.expected_wait_s(relayed.rank, now) for agent in agents)
         if expected_s > budget_s * MAX_EXPECTED_WAIT_FRACTION:
             relayed.steps.append(f"expected wait {expected_s:.3f} s")
@@ -166,33 +158,31 @@
                 return True
         return False
 
-    def _rank_agents(
+    def _choose_agents(
         self, relayed: RelayedRequest, by_host: dict[str, Endpoint], now: float
     ) -> list[AgentLink]:
-        """Return the best agents by wait, distance, failures and engine speed."""
-        prompt = relayed.traits.prompt_tokens or 0
-        output = _output_tokens(relayed)
+        """Return the agents to ask for a slot, the best one first."""
         speeds = self.slot_client.speeds(by_host)
-        known = [speed.token_s for speed in speeds.values() if speed.token_s]
-        min_token_s = min(known, default=0.0)
-        left_s = relayed.deadline - asyncio.get_running_loop().time()
-        costs = []
+        options = []
         for host, endpoint in by_host.items():
-            speed = speeds[host]
-            cost = self.slot_client.agents[host].expected_wait_s(relayed.rank, now)
-            cost += DISTANCE_PENALTY_S * self.health.distance_cost(endpoint.zone)
-            cost += FAILURE_PENALTY_S * self.health.failures(endpoint.endpoint_id, now)
-            cost += speed.first_event_s(prompt)
-            if speed.token_s > min_token_s > 0:
-                slow_s = SLOW_ENGINE_PENALTY_S * (speed.token_s / min_token_s - 1)
-                cost += min(MAX_SLOW_ENGINE_PENALTY_S, slow_s) * min(
-                    1.0, output / LONG_OUTPUT_TOKENS
+            agent = self.slot_client.agents[host]
+            options.append(
+                EngineOption(
+                    host=host,
+                    queue_s=agent.expected_queue_s(relayed.rank, now),
+                    round_trip_s=agent.link.round_trip_s,
+                    distance=self.health.distance_cost(endpoint.zone),
+                    failures=self.health.failures(endpoint.endpoint_id, now),
+                    speed=speeds[host],
                 )
-            if speed.stream_s(output) > left_s:
-                cost += TOO_SLOW_PENALTY_S
-            costs.append((cost + self.health.rng.random() * 0.002, host))
-        costs.sort()
-        return [self.slot_client.agents[host] for _, host in costs[:MAX_AGENTS_ASKED]]
+            )
+        answer = ExpectedAnswer(
+            prompt_tokens=relayed.traits.prompt_tokens or 0,
+            output_tokens=_output_tokens(relayed),
+            left_s=relayed.deadline - asyncio.get_running_loop().time(),
+        )
+        chosen = choose_engines(options, answer, self.health.rng)
+        return [self.slot_client.agents[option.host] for option in chosen]
 
     def _slot_request(
         self, relayed: RelayedRequest, asked: int, wait_s: float
--- /dev/null
+++ b/tests/slot_fleet_model.py
@@ -0,0 +1,195 @@
+"""Model of a fleet under load: the decision code of entries and agents, no network.
+
+Requests arrive at seeded random times. Each one asks the agents that
+``choose_engines`` names, by waits that were published some time ago; ``SlotQueue``
+grants and refuses; the first grant is used and the others are withdrawn one message
+delay later. Times are in seconds.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from acaciarelay.coordination.engine_choice import (
+    EngineOption,
+    ExpectedAnswer,
+    choose_engines,
+)
+from acaciarelay.coordination.engine_model import EngineSpeed
+from acaciarelay.coordination.slot_queue import SlotQueue, SlotRequestState
+from acaciarelay.protocol.link_messages import SlotRequest
+
+__all__ = ["Load", "RankResult", "SlotFleetModel"]
+
+MESSAGE_S = 0.005
+PUBLISH_S = 0.1
+CHECK_S = 0.05
+EXTRA_SLOTS = 1
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """Requests of one rank: how many a second, and how long they hold a slot."""
+
+    rank: int
+    per_s: float
+    hold_s: float
+    wait_s: float = 0.3
+
+
+@attrs.define
+class RankResult:
+    """Requests of one rank by their end."""
+
+    served: int = 0
+    refused: int = 0
+
+    @property
+    def served_share(self) -> float:
+        return self.served / max(1, self.served + self.refused)
+
+
+@attrs.define(eq=False)
+class _Request:
+    name: str
+    load: Load
+    open_at: set[int]
+    granted: bool = False
+    ended: bool = False
+
+
+class SlotFleetModel:
+    """Play loads on ``engines`` engines of ``slots`` slots each."""
+
+    def __init__(self, engines: int, slots: int, ranks: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.slots = slots
+        self.ranks = ranks
+        self.queues = [SlotQueue() for _ in range(engines)]
+        for queue in self.queues:
+            queue.slot_limit = slots + EXTRA_SLOTS
+        self.published = [[0.0] * ranks for _ in range(engines)]
+        self.requests: dict[str, _Request] = {}
+        self.results = {rank: RankResult() for rank in range(ranks)}
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        event = (self.now + delay_s, next(self._numbers), action)
+        heapq.heappush(self._events, event)
+
+    def play(self, loads: list[Load], seconds: float) -> dict[int, RankResult]:
+        """Play all loads for a time, and return the ends of their requests by rank."""
+        for load in loads:
+            at = self.rng.expovariate(load.per_s)
+            while at < seconds:
+                self.at(at, lambda load=load: self.arrive(load))
+                at += self.rng.expovariate(load.per_s)
+        for index in range(len(self.queues)):
+            self.at(self.rng.random() * PUBLISH_S, lambda i=index: self.publish(i))
+            self.at(self.rng.random() * CHECK_S, lambda i=index: self.check(i))
+        while self._events and self._events[0][0] < seconds:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        return self.results
+
+    # An entry.
+
+    def arrive(self, load: Load) -> None:
+        options = [
+            EngineOption(
+                host=str(index),
+                queue_s=waits[load.rank],
+                round_trip_s=2 * MESSAGE_S,
+                distance=0.0,
+                failures=0.0,
+                speed=EngineSpeed(),
+            )
+            for index, waits in enumerate(self.published)
+        ]
+        answer = ExpectedAnswer(prompt_tokens=500, output_tokens=100, left_s=10.0)
+        chosen = choose_engines(options, answer, self.rng)
+        if min(option.queue_s for option in chosen) > load.wait_s:
+            self.results[load.rank].refused += 1
+            return
+        hosts = [int(option.host) for option in chosen]
+        request = _Request(str(next(self._numbers)), load, set(hosts))
+        self.requests[request.name] = request
+        for index in hosts:
+            self.at(MESSAGE_S, lambda i=index: self.ask(i, request, len(hosts)))
+        self.at(load.wait_s, lambda: self.end_wait(request))
+
+    def end_wait(self, request: _Request) -> None:
+        """Refuse a request that nobody has granted a slot."""
+        if request.granted or request.ended:
+            return
+        request.ended = True
+        self.results[request.load.rank].refused += 1
+        for index in request.open_at:
+            self.at(MESSAGE_S, lambda i=index: self.release(i, request))
+
+    def receive_grant(self, index: int, request: _Request) -> None:
+        if request.granted or request.ended:
+            self.at(MESSAGE_S, lambda: self.release(index, request))
+            return
+        request.granted = True
+        self.results[request.load.rank].served += 1
+        hold_s = self.rng.expovariate(1 / request.load.hold_s)
+        self.at(hold_s, lambda: self.release(index, request))
+        for other in request.open_at - {index}:
+            self.at(MESSAGE_S, lambda i=other: self.release(i, request))
+
+    def receive_refusal(self, index: int, request: _Request) -> None:
+        request.open_at.discard(index)
+        if not request.open_at:
+            self.end_wait(request)
+
+    # An agent.
+
+    def ask(self, index: int, request: _Request, asked: int) -> None:
+        slot_request = SlotRequest(
+            request=request.name,
+            organisation="workshop",
+            rank=request.load.rank,
+            late=False,
+            wait_s=request.load.wait_s,
+            time_left_s=10.0,
+            prompt_tokens=500,
+            output_tokens=100,
+            slots=self.slots,
+            asked=asked,
+        )
+        queue = self.queues[index]
+        queue.enqueue(self, slot_request, self.now)
+        self.grant(index)
+        refused = queue.pop_if_infeasible(self, request.name, self.now)
+        if refused is not None:
+            self.refuse(index, [refused])
+
+    def release(self, index: int, request: _Request) -> None:
+        self.queues[index].release(self, request.name, self.now)
+        self.grant(index)
+
+    def grant(self, index: int) -> None:
+        for state in self.queues[index].next_grants(self.now):
+            request = self.requests[state.slot_request.request]
+            self.at(MESSAGE_S, lambda r=request: self.receive_grant(index, r))
+
+    def refuse(self, index: int, states: list[SlotRequestState]) -> None:
+        for state in states:
+            request = self.requests[state.slot_request.request]
+            self.at(MESSAGE_S, lambda r=request: self.receive_refusal(index, r))
+
+    def check(self, index: int) -> None:
+        self.grant(index)
+        self.refuse(index, self.queues[index].pop_infeasible(self.now))
+        self.at(CHECK_S, lambda: self.check(index))
+
+    def publish(self, index: int) -> None:
+        queue = self.queues[index]
+        self.published[index] = queue.predicted_waits_s(self.ranks, self.now)
+        self.at(PUBLISH_S, lambda: self.publish(index))
--- a/tests/unit/platform_path/test_relay_placement.py
+++ b/tests/unit/platform_path/test_relay_placement.py
@@ -85,7 +85,7 @@
     )
     by_host = {e.host: e for e in endpoints}
     now = asyncio.get_running_loop().time()
-    return [agent.host for agent in placer._rank_agents(relayed, by_host, now)]
+    return [agent.host for agent in placer._choose_agents(relayed, by_host, now)]
 
 
 async def test_fast_engine_is_preferred_to_a_slow_one():
