Refuse a request soon when no endpoint of its service can be reached

A service without agents is tried endpoint by endpoint; a failed connect counted as no decline, so that a request at an entry that reached none was tried until its time limit, at once again after each reset. The caller is told a third of its time, since the endpoints may be back then. Ruled out: giving up after the first failed connect, as with a single crashed endpoint the next one serves the request. An endpoint that is back in time still serves it.

--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -24,7 +24,7 @@
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.relayed_request import RelayedRequest
 
-__all__ = ["Placement", "Placer"]
+__all__ = ["Placement", "Placer", "slot_wait_end"]
 
 # Fraction of the route's objective that a request may wait for a slot.
 MAX_WAIT_FRACTION = 0.6
@@ -86,9 +86,7 @@
             by_host = {
                 e.host: e for e in candidates if e.host in self.slot_client.agents
             }
-            wait_until = (
-                relayed.arrived_at + MAX_WAIT_FRACTION * relayed.route.objective_s
-            )
+            wait_until = slot_wait_end(relayed)
             if relayed.decline_count or relayed.run_count:
                 wait_until = max(wait_until, retry_until)
             if self._any_engine_too_slow(relayed, by_host):
@@ -216,5 +214,10 @@
         return max(MIN_RETRY_AFTER_S, min(waits))
 
 
+def slot_wait_end(relayed: RelayedRequest) -> float:
+    """Return the time until which a request may usually wait for a slot."""
+    return relayed.arrived_at + MAX_WAIT_FRACTION * relayed.route.objective_s
+
+
 def _output_tokens(relayed: RelayedRequest) -> int:
     return relayed.traits.expected_output or relayed.traits.output_tokens or 0
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -15,7 +15,7 @@
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_admission import Admission
 from acaciarelay.programs.relay_attempt import Attempts
-from acaciarelay.programs.relay_placement import Placement, Placer
+from acaciarelay.programs.relay_placement import Placement, Placer, slot_wait_end
 from acaciarelay.programs.relay_refusal import respond_refusal
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.protocol.codes import Refusal, refuse
@@ -38,6 +38,11 @@
 
 # Times that a request may be declined by endpoints and still be sent to another one.
 MAX_DECLINED = 3
+# Connects of a request that may fail before it is refused, if its wait for a slot is
+# over too: another entry may reach the endpoints. Endpoints that were tried before are
+# tried again after a pause.
+MAX_CONNECT_FAILURES = 3
+CONNECT_RETRY_DELAY_S = 0.05
 # Requests that arrive within this time of the start may wait for the first
 # configuration, each for a bounded time.
 STARTUP_S = 1.0
@@ -153,10 +158,16 @@
             match outcome:
                 case Delivered():
                     return None
-                case NotRun(reason=reason, received=received):
-                    relayed.decline_count += 1 if received else 0
+                case NotRun(received=True):
+                    relayed.decline_count += 1
                     if relayed.decline_count > MAX_DECLINED:
                         return self.give_up(relayed, "shed")
+                case NotRun():
+                    relayed.connect_failures += 1
+                    if self.is_unreachable(relayed):
+                        return self.give_up(relayed, "no_endpoint")
+                    if not self.has_untried(relayed):
+                        await asyncio.sleep(CONNECT_RETRY_DELAY_S)
                 case Broken(reason=reason):
                     if not self.may_retry(relayed):
                         return self.give_up(relayed, "outcome_unknown")
@@ -188,11 +199,21 @@
             return False
         if not self.retry_budget.can_spend(relayed.service, time.monotonic()):
             return False
+        return self.has_untried(relayed)
+
+    def has_untried(self, relayed: RelayedRequest) -> bool:
+        """Return whether the service has an endpoint that was not tried yet."""
         for endpoint in self.cache.endpoints.of_service(relayed.service):
             if endpoint.endpoint_id not in relayed.tried:
                 return True
         return False
 
+    def is_unreachable(self, relayed: RelayedRequest) -> bool:
+        """Return whether too many connects failed for the request to wait on."""
+        if relayed.connect_failures < MAX_CONNECT_FAILURES:
+            return False
+        return self.loop.time() >= slot_wait_end(relayed)
+
     # End of a request.
 
     def give_up(self, relayed: RelayedRequest, code: str) -> Refusal:
@@ -203,6 +224,8 @@
         if relayed.certainly_not_run:
             if code in ("outcome_unknown", "endpoint_failed"):
                 code = "shed"
+            if code == "no_endpoint":
+                return refuse(code, "", self.longest_retry_after_s(relayed))
             return refuse(code, "", self.retry_after_s(relayed))
         if code != "endpoint_failed":
             code = "outcome_unknown"
@@ -214,9 +237,13 @@
         return refuse("outcome_late")
 
     def retry_after_s(self, relayed: RelayedRequest) -> float:
-        """Return the expected wait for a slot, at most a third of the time left."""
-        left_s = max(0.0, relayed.deadline - self.loop.time())
-        return min(left_s / 3, self.placer.expected_wait_s(relayed))
+        """Return the expected wait for a slot, as far as callers wait for it."""
+        longest_s = self.longest_retry_after_s(relayed)
+        return min(longest_s, self.placer.expected_wait_s(relayed))
+
+    def longest_retry_after_s(self, relayed: RelayedRequest) -> float:
+        """Return the longest time that a caller waits: a third of its time left."""
+        return max(0.0, relayed.deadline - self.loop.time()) / 3
 
     def finish(
         self,
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -72,10 +72,10 @@
     and its organisation. ``cost`` is the charge to the organisation's rate limit, in
     tokens or requests. ``run_count`` counts the attempts that may have run the request,
     ``decline_count`` those that reached an endpoint which reported that it did not run
-    it; ``tried`` holds the ids of all endpoints tried. ``last_event`` is the number of
-    the last event that the caller has. ``error_response`` is the last error response,
-    passed on when no further attempt is allowed. ``steps`` describes the attempts for
-    the log.
+    it, and ``connect_failures`` those that reached none; ``tried`` holds the ids of all
+    endpoints tried. ``last_event`` is the number of the last event that the caller has.
+    ``error_response`` is the last error response, passed on when no further attempt is
+    allowed. ``steps`` describes the attempts for the log.
     """
 
     traits: RequestTraits
@@ -90,6 +90,7 @@
     service: str = ""
     run_count: int = 0
     decline_count: int = 0
+    connect_failures: int = 0
     evidence: Evidence = Evidence.NOT_SENT
     tried: set[str] = attrs.Factory(set)
     last_event: int | None = None
