Draw waits for free slots too, so that old states do no harm

Cause: with states that are up to a second old (entries in other regions), entries still met at the engines that had a free slot when they last said so. Ruled out: always six agents (no difference in the model), means of at least 0.01 and 0.06 s (no difference).

--- a/src/acaciarelay/coordination/engine_choice.py
+++ b/src/acaciarelay/coordination/engine_choice.py
@@ -30,8 +30,8 @@
 LONG_OUTPUT_TOKENS = 200
 # Penalty for an engine that is too slow to finish the answer before the deadline.
 TOO_SLOW_PENALTY_S = 10.0
-# Upper bound of a random addition that decides between engines of equal cost.
-TIE_BREAK_S = 0.002
+# Least expected wait: a slot that was free when an agent said so may be taken since.
+MIN_EXPECTED_WAIT_S = 0.03
 
 
 @attrs.frozen(kw_only=True)
@@ -84,10 +84,8 @@
     If all entries compared the means, they would ask the same few agents until the next
     states arrive.
     """
-    wait_s = option.round_trip_s + rng.random() * TIE_BREAK_S
-    if option.queue_s > 0:
-        wait_s += rng.expovariate(1 / option.queue_s)
-    return wait_s
+    mean_s = max(option.queue_s, MIN_EXPECTED_WAIT_S)
+    return option.round_trip_s + rng.expovariate(1 / mean_s)
 
 
 def _cost_s(option: EngineOption, answer: ExpectedAnswer, min_token_s: float) -> float:
