Send engine states in coarser steps and less often

Waits were published in steps of 0.02 s however long they were, so that long ones changed with each message. Now they are rounded to powers of 1.25, and the intervals grow from 12 near and 24 far entries on (24 and 48 before).

--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -53,10 +53,12 @@
 STATE_INTERVAL_S = 0.1
 FAR_STATE_INTERVAL_S = 0.5
 MAX_STATE_INTERVAL_S = 1.0
-NEAR_ENTRIES = 24
-FAR_ENTRIES = 48
-# Published waits are rounded to multiples of this.
-WAIT_STEP_S = 0.02
+NEAR_ENTRIES = 12
+FAR_ENTRIES = 24
+# Published waits are rounded to powers of this ratio. Shorter ones than the least are
+# published as it or as none.
+WAIT_STEP_RATIO = 1.25
+MIN_WAIT_S = 0.02
 # Requests granted beyond the engine's slots, so that the next one is already at the
 # engine when a run ends.
 EXTRA_SLOTS = 1
@@ -351,10 +353,17 @@
 
 def coarse_waits(waits_s: list[float]) -> list[float]:
     """Round waits, and drop trailing ones that repeat the wait before them."""
-    coarse = [round(wait / WAIT_STEP_S) * WAIT_STEP_S for wait in waits_s]
+    coarse = [coarse_wait(wait_s) for wait_s in waits_s]
     while len(coarse) > 1 and coarse[-1] == coarse[-2]:
         coarse.pop()
-    return [round(wait, 3) for wait in coarse]
+    return coarse
+
+
+def coarse_wait(wait_s: float) -> float:
+    """Round a wait, so that a small change of a long one is not sent to all entries."""
+    if wait_s < MIN_WAIT_S / 2:
+        return 0.0
+    return round(max(MIN_WAIT_S, round_to_power(wait_s, WAIT_STEP_RATIO)), 3)
 
 
 def main() -> int:
