--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -68,8 +68,8 @@
 # a body is passed on there are up to three copies of it.
 BODY_MEMORY_SHARE = 0.2
 BYTES_PER_MB = 1_000_000
-# Bodies on the addresses for readiness and metrics, where none are expected.
-OWN_BODY_BYTES = 65_536
+# Bodies on the address for readiness, where none are expected.
+READY_BODY_BYTES = 65_536
 
 
 class RelayEntry:
@@ -228,7 +228,7 @@
             self.refuse,
             CallerLimits,
             set(),
-            MemoryBudget(OWN_BODY_BYTES),
+            MemoryBudget(READY_BODY_BYTES),
         )
 
     async def serve(
