Let the interval of far engine states grow from 48 far entries on again

Now the near interval grows from 12 entries on and the far one from 48, as before; the test is unchanged and passes.

--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -54,7 +54,7 @@
 FAR_STATE_INTERVAL_S = 0.5
 MAX_STATE_INTERVAL_S = 1.0
 NEAR_ENTRIES = 12
-FAR_ENTRIES = 24
+FAR_ENTRIES = 48
 # Published waits are rounded to powers of this ratio. Shorter ones than the least are
 # published as it or as none.
 WAIT_STEP_RATIO = 1.25
