--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -297,7 +297,7 @@
             case ZoneUsage():
                 self.receive_zone(message)
             case PeerRows(rows=rows, versions=versions):
-                self.cache.apply_peer_rows(rows, versions)
+                self.cache.apply_peer_rows(link.peer.name, rows, versions)
 
     def receive_status(
         self, link: MessageLink, peer: Hello, status: PeerStatus
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -169,7 +169,9 @@
             )
         return result
 
-    def apply_peer_rows(self, rows: list[PeerRow], versions: dict[str, int]) -> None:
+    def apply_peer_rows(
+        self, peer: str, rows: list[PeerRow], versions: dict[str, int]
+    ) -> None:
         """Apply rows that a peer sent; unreadable ones are logged and skipped."""
         for table in TABLES:
             decoded = []
@@ -184,7 +186,11 @@
                 decoded.append(StoreRow(key=row.key, value=value, version=row.version))
             if decoded:
                 log_event(
-                    "rows_from_peer", table=table, rows=len(decoded), known=versions
+                    "rows_from_peer",
+                    peer=peer,
+                    table=table,
+                    rows=len(decoded),
+                    known=versions,
                 )
                 self.apply_changes(table, decoded, versions.get(table, 0), False)
 
--- a/tests/unit/platform_path/test_relay_state_cache.py
+++ b/tests/unit/platform_path/test_relay_state_cache.py
@@ -116,7 +116,7 @@
         sender = StateCache()
         sender.apply_changes("servers", [item], item.version, False)
         versions = {"servers": item.version}
-        via_peers.apply_peer_rows(sender.rows_after("servers", 0), versions)
+        via_peers.apply_peer_rows("entry-2", sender.rows_after("servers", 0), versions)
     expected = sorted(e.address for e in direct.endpoints.of_service("orders"))
     found = sorted(e.address for e in via_peers.endpoints.of_service("orders"))
     assert found == expected
