Test that a call lost at the end of a disturbance hides no change beyond contact

All entries' calls end with a change and start again together, so one lost answer each leaves no peer that knows more.

--- a/tests/unit/platform_path/test_store_follower.py
+++ b/tests/unit/platform_path/test_store_follower.py
@@ -86,6 +86,23 @@
         await followed.until_version(2, max(unnoticed_s, 0.0) + RETURN_BOUND_S)
 
 
+async def test_a_call_lost_at_the_end_of_a_disturbance_hides_no_change_beyond_contact():
+    """Guards against confirmed changes that calls lost by all entries at once hide."""
+    async with FollowedStore() as followed:
+        await asyncio.sleep(0.2)
+        calls = followed.store.calls
+        before = calls["/rows-feed"]
+        followed.store.faults.silent = True
+        followed.configure(2)
+        await followed.until_version(2, 1.0)
+        # The next call for the configuration gets no answer; then all is well again.
+        while calls["/rows-feed"] == before:
+            await asyncio.sleep(0.002)
+        followed.store.faults.silent = False
+        followed.configure(3)
+        await followed.until_version(3, SILENCE_LIMIT_S)
+
+
 async def test_a_probe_confirms_the_tables_at_once():
     """Guards against requests that wait for a feed which is quiet for seconds."""
     async with FollowedStore() as followed:
