Leave time for the next call in the silence that may hide a change

Ruled out: rows not passed on (no entry knew a newer version before 15.2 s) and skipped rows (each version was applied in order).

The call now ends 0.15 s before the limit, for the same wait, and what follows a call that hung is not delayed by a pause.

--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -21,7 +21,9 @@
 __all__ = ["StoreFollower"]
 
 # What the answer to a call may take beyond the wait that the call asks for.
-ANSWER_MARGIN_S = 0.6
+ANSWER_MARGIN_S = 0.45
+# Part of the tolerated silence that is left for the call that follows a lost one.
+NEXT_CALL_S = 0.15
 # Part of the tolerated silence after which a call is given up that asks for no wait.
 PROBE_FRACTION = 1 / 3
 # Minimum time between the starts of two requests for the operator table.
@@ -33,6 +35,7 @@
 MIN_ENDPOINT_INTERVAL_S = 1.0
 ENDPOINT_INTERVAL_S_PER_ENTRY = 0.08
 MAX_ENDPOINT_INTERVAL_S = 2.0
+# Mean time between the starts of two failing calls, if they fail sooner.
 RETRY_INTERVAL_S = 0.25
 # Failures that last longer than this count as an outage, in which registrations may
 # lapse.
@@ -63,9 +66,11 @@
     """Follow each table with a feed of its own.
 
     A store that falls silent is noticed within ``silence_limit_s`` of the start of the
-    silence, and its return within ``PROBE_FRACTION`` of that time and a pause. The
-    first failure of one feed makes the others ask again. ``entry_count`` returns the
-    number of entries that follow the store.
+    silence, and its return within ``PROBE_FRACTION`` of that time and a pause. A change
+    is known within ``silence_limit_s`` of the end of any silence, however short: the
+    entries' calls end together with each change, so all of them may be lost at once and
+    no peer may know more. The first failure of one feed makes the others ask again.
+    ``entry_count`` returns the number of entries that follow the store.
     """
 
     def __init__(
@@ -124,9 +129,11 @@
             while True:
                 began = time.monotonic()
                 failed = await self.update(client, table, feed)
-                pause_s = self.interval_s(table) - (time.monotonic() - began)
+                interval_s = self.interval_s(table)
                 if failed or feed.version is None:
-                    pause_s = max(pause_s, RETRY_INTERVAL_S * (0.5 + self.rng.random()))
+                    retry_interval_s = RETRY_INTERVAL_S * (0.5 + self.rng.random())
+                    interval_s = max(interval_s, retry_interval_s)
+                pause_s = interval_s - (time.monotonic() - began)
                 if pause_s > 0:
                     await asyncio.sleep(pause_s)
         finally:
@@ -148,16 +155,15 @@
     async def next_page(
         self, client: StoreClient, table: str, feed: _Feed
     ) -> Result[RowPage, StoreError | HistoryCompacted]:
+        longest_s = self.silence_limit_s - NEXT_CALL_S
         if feed.version is None:
-            return await client.read_table(table, self.silence_limit_s)
+            return await client.read_table(table, longest_s)
         if feed.probing or feed.failing_since is not None:
             limit_s = self.silence_limit_s * PROBE_FRACTION
             return await client.wait_for_changes(table, feed.version, 0.0, limit_s)
         # A renewed registration is no change, so both feeds may be quiet for long.
-        wait_s = self.silence_limit_s - ANSWER_MARGIN_S
-        return await client.wait_for_changes(
-            table, feed.version, wait_s, wait_s + ANSWER_MARGIN_S
-        )
+        wait_s = longest_s - ANSWER_MARGIN_S
+        return await client.wait_for_changes(table, feed.version, wait_s, longest_s)
 
     def apply(self, table: str, feed: _Feed, page: RowPage) -> None:
         """Apply the rows of an answer, unless it is older than what is known."""
