--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -177,13 +177,20 @@
         feed.probing = False
         after_outage = now < feed.grace_until
         if feed.version is None:
-            if self.cache.apply_snapshot(table, page, after_outage):
-                feed.version = page.version
-        elif page.version >= feed.version:
+            if not self.cache.apply_snapshot(table, page, after_outage):
+                return
+        elif page.version < feed.version:
+            log_event(
+                "stale_read_ignored",
+                table=table,
+                version=page.version,
+                known_version=feed.version,
+            )
+            return
+        else:
             self.cache.apply_changes(table, page.rows, page.version, after_outage)
-            feed.version = page.version
-        if feed.version is not None:
-            self.cache.mark_current(table)
+        feed.version = page.version
+        self.cache.mark_current(table)
 
     def record_failure(self, table: str, feed: _Feed, detail: str) -> None:
         """Record a failed call; the first one makes the other feeds ask again."""
--- a/tests/unit/platform_path/test_store_follower.py
+++ b/tests/unit/platform_path/test_store_follower.py
@@ -7,6 +7,7 @@
 import pytest
 from relay_rig import configuration, registration
 
+from acaciarelay.platform.store import RowPage
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.store_follower import (
     PROBE_FRACTION,
@@ -100,6 +101,19 @@
         await followed.until_version(3, SILENCE_LIMIT_S)
 
 
+async def test_an_answer_older_than_the_cache_confirms_nothing():
+    """Guards against an old state that counts as fresh and is not asked of peers."""
+    async with FollowedStore() as followed:
+        follower, cache = followed.follower, followed.cache
+        feed = follower.feeds["servers"]
+        feed.task.cancel()
+        known = feed.version
+        cache.distrust()
+        follower.apply("servers", feed, RowPage(rows=[], version=known - 1))
+        assert cache.staleness_s("servers") > SILENCE_LIMIT_S
+        assert feed.version == known
+
+
 async def test_a_probe_confirms_the_tables_at_once():
     """Guards against requests that wait for a feed which is quiet for seconds."""
     async with FollowedStore() as followed:
