--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -58,7 +58,9 @@
     a refusal that names no request. ``endless``, a name in ``ENDLESS_PARTS``, sends
     bytes of that part of an answer until the caller closes. ``drip_s`` sends one byte
     in that many seconds instead of an answer. ``lying`` answers health checks with 200
-    despite the other faults, and with 503 when cleared.
+    despite the other faults, and with 503 when cleared. ``deadly_part``, the id of a
+    part of a prompt, crashes the runner when it begins to write an answer to a prompt
+    with this part.
     """
 
     lose: bool = False
@@ -78,13 +80,15 @@
     endless: str = ""
     drip_s: float = 0.0
     lying: bool = True
+    deadly_part: str = ""
 
 
 @attrs.frozen
 class Run:
     """A run that was started; ``at`` is monotonic, in seconds.
 
-    ``target`` is the method and the request target.
+    ``target`` is the method and the request target, ``parts`` the ids of the parts of
+    its prompt.
     """
 
     attempt: str
@@ -93,6 +97,7 @@
     body: bytes
     time_limit_ms: int
     at: float
+    parts: tuple[str, ...] = ()
 
 
 @attrs.define(eq=False)
@@ -101,7 +106,8 @@
 
     An answer starts after ``work_s`` seconds. A stream has ``events`` events, which
     are ``step_s`` seconds apart. ``slowdown`` returns the factor by which work takes
-    longer on the VM at a time; if set, answers report it with the load.
+    longer on the VM at a time; if set, answers report it with the load. ``on_crash``
+    is called after a crash, which breaks all connections.
     """
 
     endpoint_id: str
@@ -116,6 +122,8 @@
     headers_seen: list[dict[str, str]] = attrs.Factory(list)
     running: int = 0
     endless_bytes: int = 0
+    connections: set[InboundConnection] = attrs.Factory(set)
+    on_crash: Callable[[], None] | None = None
     _queue: collections.deque[asyncio.Future] = attrs.Factory(collections.deque)
 
     async def handle(
@@ -123,6 +131,7 @@
     ) -> None:
         """Answer one request."""
         fields = dict(request.headers)
+        self.connections.add(connection)
         if request.target == "/faults":
             self.faults = cattrs.structure(orjson.loads(request.body), RunnerFaults)
             return connection.respond(200, [], b"")
@@ -178,9 +187,13 @@
             body=request.body,
             time_limit_ms=int(fields.get("deadline-ms", 0)),
             at=time.monotonic(),
+            parts=_part_ids(fields.get("prompt-prefix", "")),
         )
         self.runs.append(run)
         try:
+            if self.faults.deadly_part in run.parts:
+                await self.work(self.work_s)
+                return self.crash()
             await self.answer(connection, fields, attempt)
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
@@ -193,6 +206,14 @@
                     waiter.set_result(None)
                     break
 
+    def crash(self) -> None:
+        """Break all connections, as a process does that ends."""
+        for connection in list(self.connections):
+            connection.abort()
+        self.connections.clear()
+        if self.on_crash is not None:
+            self.on_crash()
+
     async def answer(
         self, connection: InboundConnection, fields: dict[str, str], attempt: str
     ) -> None:
@@ -289,6 +310,10 @@
         connection.finish()
 
 
+def _part_ids(prefix: str) -> tuple[str, ...]:
+    return tuple(part.partition(":")[0] for part in prefix.split(",") if part)
+
+
 async def _register(
     store: str, runner: PlatformRunner, address: str, service: str, zone: str
 ) -> None:
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -30,6 +30,8 @@
 START_TIMEOUT_S = 15.0
 STOP_GRACE_S = 4.0
 REGISTRATION_INTERVAL_S = 0.4
+# How long a crashed runner is down.
+CRASHED_S = 1.5
 # The range of the programs' own links, and the ports for callers, readiness, metrics.
 PORTS_PER_FLEET = 23
 
@@ -105,6 +107,9 @@
         self.servers: dict[str, asyncio.Server] = {}
         self.registrations: dict[str, asyncio.Task] = {}
         self.states: dict[str, str] = {}
+        # Times of crashes, and the tasks that start crashed runners again.
+        self.crashes: list[float] = []
+        self.restarts: list[asyncio.Task] = []
         self.stop_grace_s = STOP_GRACE_S
 
     async def __aenter__(self) -> "PlatformFleet":
@@ -120,7 +125,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for task in self.registrations.values():
+        for task in (*self.registrations.values(), *self.restarts):
             task.cancel()
         for program in self.programs.values():
             if program.process is not None:
@@ -159,6 +164,7 @@
         server, address = await listen(runner.handle, f"127.0.2.{number}:0")
         if through is not None:
             address = await through(name, address)
+        runner.on_crash = lambda: self.crash_runner(name, service, address)
         self.runners[name] = runner
         self.servers[name] = server
         self.states[name] = "ready"
@@ -169,13 +175,32 @@
     async def register(self, name: str, service: str, address: str) -> None:
         """Write the registration of a runner periodically."""
         sequence = 0
+        born = int(time.time() * 1000)
         while True:
             sequence += 1
             state = self.states[name]
-            value = registration(service, address, seq=sequence, state=state)
-            self.store.put("servers", name, value)
+            value = registration(service, address, seq=sequence, state=state, born=born)
+            self.store.put("servers", self.runners[name].endpoint_id, value)
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
 
+    def crash_runner(self, name: str, service: str, address: str) -> None:
+        """Let a runner be down for ``CRASHED_S`` and start again under a new id."""
+        self.crashes.append(time.monotonic())
+        self.registrations[name].cancel()
+        self.servers[name].close()
+        restart = self.restart_runner(name, service, address)
+        self.restarts.append(asyncio.create_task(restart))
+
+    async def restart_runner(self, name: str, service: str, address: str) -> None:
+        await asyncio.sleep(CRASHED_S)
+        runner = self.runners[name]
+        self.store.put("servers", runner.endpoint_id, None)
+        runner.endpoint_id = f"{name}.{len(self.crashes)}"
+        self.servers[name], _ = await listen(runner.handle, address)
+        self.registrations[name] = asyncio.create_task(
+            self.register(name, service, address)
+        )
+
     def settings(self, name: str, host: str, **fields: Any) -> dict[str, Any]:
         seeds = [f"127.0.1.{number}:1" for number in (1, 2)]
         value = {
@@ -245,11 +270,21 @@
             await asyncio.sleep(0.05)
 
     async def call(
-        self, entry: str, target: str, attempt: str = "a-1", method: str = "POST"
+        self,
+        entry: str,
+        target: str,
+        attempt: str = "a-1",
+        method: str = "POST",
+        parts: str = "",
     ) -> RawAnswer:
-        """Send one request to an entry and read its answer."""
+        """Send one request to an entry and read its answer.
+
+        ``parts`` lists the parts of the prompt as the platform's header does.
+        """
         address = self.programs[entry].settings["caller_address"]
         tokens = "Token-Usage: 100,30\r\n" if target.startswith("/chat/") else ""
+        if parts:
+            tokens += f"Prompt-Prefix: {parts}\r\n"
         head = (
             f"{method} {target} HTTP/1.1\r\nHost: shop.example\r\nApi-Key: {KEY}\r\n"
             f"Attempt-Id: {attempt}\r\nDeadline-Ms: 2000\r\n{tokens}"
--- /dev/null
+++ b/tests/integration/test_deadly_prompts.py
@@ -0,0 +1,134 @@
+"""A prompt part that crashes engines is kept from them; sound prompts are served."""
+
+import asyncio
+import time
+
+import attrs
+import pytest
+from integration.platform_fleet import PlatformFleet
+from integration.test_platform_path import wait_until
+
+ENGINES = (1, 2, 3, 4, 5)
+ENTRIES = ("entry-1", "entry-2")
+CONTACT_S = 3.0
+# Requests with the part that may reach engines once the processes must know it.
+MAX_LATE_ARRIVALS = 3
+CRASHES_THAT_TELL = 5
+DEADLY = "dead"
+DEADLY_INTERVAL_S = 0.3
+SOUND_INTERVAL_S = 0.08
+OTHER_CALLERS = 12
+
+
+@attrs.frozen
+class Answer:
+    """When a sound request was sent, and whether it was served."""
+
+    sent_at: float
+    served: bool
+
+
+class Callers:
+    """Callers of a fleet whose prompts share parts; some prompts are deadly."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.answers = []
+        self.tasks = []
+        self.count = 0
+
+    def send(self, parts, answers=None):
+        self.count += 1
+        entry = ENTRIES[self.count % len(ENTRIES)]
+        # The last part belongs to the request alone.
+        prefix = "".join(f"{part}:60," for part in parts) + f"{self.count:06x}:500"
+        call = self.call(entry, prefix, f"r-{self.count}", answers)
+        self.tasks.append(asyncio.create_task(call))
+
+    async def call(self, entry, prefix, attempt, answers):
+        sent_at = time.monotonic()
+        try:
+            answer = await self.fleet.call(entry, "/chat/a", attempt, parts=prefix)
+        except OSError:
+            answer = None
+        if answers is not None:
+            served = answer is not None and answer.status == 200 and answer.complete
+            answers.append(Answer(sent_at, served))
+
+    async def send_for(self, seconds, deadly_parts=None):
+        """Send sound requests, some with the first part of the deadly ones."""
+        end_at = time.monotonic() + seconds
+        deadly_at = 0.0
+        while time.monotonic() < end_at:
+            self.send(["first"], self.answers)
+            self.send([f"other{self.count % OTHER_CALLERS}"])
+            if deadly_parts and time.monotonic() >= deadly_at:
+                deadly_at = time.monotonic() + DEADLY_INTERVAL_S
+                self.send(deadly_parts)
+            await asyncio.sleep(SOUND_INTERVAL_S)
+
+    def served_after(self, at):
+        served = [answer.served for answer in self.answers if answer.sent_at >= at]
+        return sum(served) / len(served)
+
+
+async def start(fleet):
+    for number in ENGINES:
+        await fleet.add_runner("engine", number)
+        await fleet.add_agent(number)
+    for number in range(1, len(ENTRIES) + 1):
+        await fleet.add_entry(number)
+    await wait_until(fleet, lambda: linked(fleet))
+    for runner in fleet.runners.values():
+        runner.faults.deadly_part = DEADLY
+
+
+def linked(fleet):
+    for name in ENTRIES:
+        lines = fleet.programs[name].log()
+        events = [line["message_type"] for line in lines]
+        if events.count("agent_regained") < len(ENGINES):
+            return False
+    return True
+
+
+def deadly_arrivals(fleet, after):
+    arrivals = 0
+    for runner in fleet.runners.values():
+        for run in runner.runs:
+            arrivals += DEADLY in run.parts and run.at >= after
+    return arrivals
+
+
+@pytest.mark.parametrize(
+    "deadly_parts",
+    [["first", DEADLY], [DEADLY], [DEADLY, "first"]],
+    ids=["second", "alone", "before-a-shared-one"],
+)
+async def test_prompts_that_crash_engines_stop_reaching_them(tmp_path, deadly_parts):
+    """Guards against a kind of request that crashes one engine after the other."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await start(fleet)
+        callers = Callers(fleet)
+        await callers.send_for(1.0)
+        await callers.send_for(12.0, deadly_parts)
+        await asyncio.gather(*callers.tasks)
+        assert fleet.crashes, "no engine crashed"
+        known_at = fleet.crashes[:CRASHES_THAT_TELL][-1] + CONTACT_S
+        assert deadly_arrivals(fleet, known_at) <= MAX_LATE_ARRIVALS
+        assert callers.served_after(known_at + CONTACT_S) >= 0.5
+
+
+async def test_a_restarted_entry_keeps_deadly_prompts_from_engines(tmp_path):
+    """Guards against what a restart forgets of prompts that crash engines."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await start(fleet)
+        callers = Callers(fleet)
+        await callers.send_for(4.0, ["first", DEADLY])
+        await fleet.programs["entry-2"].stop()
+        await fleet.programs["entry-2"].start()
+        await fleet.until_ready("entry-2")
+        known_at = time.monotonic() + CONTACT_S
+        await callers.send_for(CONTACT_S + 3.0, ["first", DEADLY])
+        await asyncio.gather(*callers.tasks)
+        assert deadly_arrivals(fleet, known_at) <= MAX_LATE_ARRIVALS
