Keep prompts with a part that crashes engines from them

Cause: a broken run was a failure of its engine and nothing else; the prompt went on to the next engine, by the entry's retry and the callers' own, and nothing joined the crashes.

Now an entry tells the agent beside the engine of each run that was broken off before its answer had begun, with the ids of the prompt's shared parts. The agent confirms the crash (the engine refuses connections) and reports it with all these prompts to all entries; entries without the agent do so themselves. A pure decision (coordination/crash_suspicion.py) finds what explains the crashes: parts in two crashes or more and in no answered prompt since; what always came together is suspected together, so that sound prompts with a part of it are served and tell the parts apart. A suspected prompt gets code 307, not run, with the time of the next trial; one entry tries one prompt after 5 s, later ones after 25 and 125 s; an answer ends the suspicion at all entries. Agents report again to each entry that connects, peers to new peers.

Ruled out as the only cause: the retries (one new request a second crashes an engine each).

--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -30,10 +30,14 @@
 _TOKENS = "token-usage"
 _LENGTH_HINT = "length-hint"
 _LAST_EVENT = "last-event-id"
+_PROMPT_PARTS = "prompt-prefix"
 _SEAL = "runner-seal"
 _NOT_RUN = "not-executed"
 _LOAD = "runner-load"
 _ENCODING = "content-encoding"
+# Parts of a prompt beyond this number, and those with longer ids, are not read.
+MAX_PROMPT_PARTS = 16
+MAX_PART_ID_CHARS = 64
 # The slowdown of a VM on which work takes as long as usual.
 _USUAL_SLOWDOWN = 100
 # Reserved for the relay, or read or set by it: a caller's value is never forwarded to
@@ -61,7 +65,8 @@
 
     ``key`` is the caller key. ``output_tokens`` is the most that may be generated;
     ``expected_output`` is the caller's estimate. ``last_event`` is the number of the
-    last event that the caller has received. ``forwarded`` lists the header fields to
+    last event that the caller has received. ``shared_parts`` holds the ids of the parts
+    of the prompt that other prompts may share. ``forwarded`` lists the header fields to
     forward to an endpoint.
     """
 
@@ -72,6 +77,7 @@
     output_tokens: int | None
     expected_output: int | None
     last_event: int | None
+    shared_parts: frozenset[str]
     forwarded: list[Header]
 
 
@@ -132,10 +138,18 @@
         output_tokens=output,
         expected_output=int(hint) if hint and hint.isdigit() else None,
         last_event=int(last_event) if last_event and last_event.isdigit() else None,
+        shared_parts=_shared_parts(fields.get(_PROMPT_PARTS, "")),
         forwarded=forwarded,
     )
 
 
+def _shared_parts(text: str) -> frozenset[str]:
+    """Return the ids of all parts but the last, which is the request's own."""
+    *shared, _ = text.split(",", MAX_PROMPT_PARTS)
+    ids = (part.partition(":")[0].strip() for part in shared)
+    return frozenset(part for part in ids if 0 < len(part) <= MAX_PART_ID_CHARS)
+
+
 def _token_counts(text: str | None) -> tuple[int | None, int | None]:
     if text is None:
         return None, None
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -154,6 +154,12 @@
         "Difference between the predicted and the real time to the first event of an "
         "answer, in seconds.",
     ),
+    Metric(
+        "acaciarelay_engine_crashes_total",
+        "counter",
+        (),
+        "Crashes of the engine while it had requests, and reports of further ones.",
+    ),
     Metric(
         "acaciarelay_places_used",
         "gauge",
@@ -191,6 +197,12 @@
         (),
         "Peers to which a link is open.",
     ),
+    Metric(
+        "acaciarelay_suspected_prompts",
+        "gauge",
+        (),
+        "Groups of prompt parts that are kept from engines, which crashed on them.",
+    ),
     Metric(
         "acaciarelay_body_bytes",
         "gauge",
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -11,6 +11,7 @@
 import h11
 from result import Err, Ok
 
+from acaciarelay.coordination.crash_suspicion import Crash
 from acaciarelay.coordination.engine_model import SPEED_STEP_RATIO, EngineModel
 from acaciarelay.coordination.rounding import round_to_power
 from acaciarelay.coordination.slot_queue import SlotQueue, SlotRequestState
@@ -18,6 +19,7 @@
 from acaciarelay.platform.configuration import FormatError
 from acaciarelay.platform.endpoints import EngineReport, decode_report
 from acaciarelay.platform.headers import REPORT_PATH, decode_load
+from acaciarelay.programs.crash_detector import CrashDetector, crash_record
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
@@ -29,6 +31,8 @@
     settings_path,
 )
 from acaciarelay.protocol.link_messages import (
+    BrokenRun,
+    CrashReport,
     EngineState,
     EntryList,
     Hello,
@@ -95,6 +99,7 @@
             lifetime=secrets.token_hex(6),
             address=f"{settings.host}:{settings.agent_port}",
             zone=settings.zone,
+            reports_crashes=True,
         )
         self.server = LinkServer(
             self.hello,
@@ -103,6 +108,7 @@
             ),
         )
         self.links: dict[MessageLink, _SentState] = {}
+        self.crashes = CrashDetector(self.report_crash)
         self.stopping = asyncio.Event()
         self.publish_timer: asyncio.TimerHandle | None = None
         # Runs at the engine that hold no granted slot.
@@ -129,6 +135,7 @@
             except TimeoutError:
                 continue
         log_event("stopped", places=len(self.queue.granted), always=True)
+        self.crashes.close()
         self.server.close()
         metrics.close()
         return 0
@@ -204,6 +211,7 @@
         log_event("entry_regained", entry=link.peer.name, lifetime=link.peer.lifetime)
         self.send_entry_list()
         self.schedule_publish()
+        self.send_crashes([link], list(self.crashes.crashes.values()))
 
     def closed(self, link: MessageLink) -> None:
         assert link.peer is not None
@@ -227,9 +235,26 @@
             case SlotRelease():
                 self.release(link, message, now)
                 self.grant()
+            case BrokenRun():
+                self.crashes.record(message, self.settings.engine_address)
             case _:
                 return
 
+    def report_crash(self, crash: Crash) -> None:
+        """Tell all entries of a crash of the engine."""
+        self.metrics.count("engine_crashes_total")
+        self.send_crashes(self.links, [crash])
+
+    def send_crashes(self, links: Iterable[MessageLink], crashes: list[Crash]) -> None:
+        if not crashes:
+            return
+        now = time.monotonic()
+        records = [crash_record(crash, now) for crash in crashes]
+        line = encode_message(CrashReport(crashes=records, sound_s={}))
+        for link in links:
+            if link.peer is not None and link.peer.reports_crashes:
+                link.send_line(line)
+
     def refuse_if_infeasible(
         self, link: MessageLink, message: SlotRequest, now: float
     ) -> None:
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -15,6 +15,7 @@
     decode_answer,
     endpoint_headers,
 )
+from acaciarelay.programs.crash_guard import MIN_EVENTS_BEGUN, CrashGuard
 from acaciarelay.programs.logs import log_event
 from acaciarelay.protocol.http_message import Header, InboundRequest
 from acaciarelay.state.endpoints import Endpoint
@@ -30,6 +31,7 @@
 from acaciarelay.transport.endpoint_call import (
     ConnectionFault,
     EndpointConnection,
+    FaultKind,
     connect,
 )
 from acaciarelay.transport.event_stream import (
@@ -58,13 +60,17 @@
 MISDIRECTED_STATUS = 421
 WRONG_ENDPOINT = "another endpoint has the address"
 MAX_ANSWER_BYTES = 16_777_216
+# Faults with which a connection ends when its endpoint does; an answer that is cut off
+# is malformed.
+DISCONNECTIONS = frozenset([FaultKind.RESET, FaultKind.CLOSED, FaultKind.MALFORMED])
 
 
 class Attempts:
     """Make attempts and record their outcomes in the health of the endpoints.
 
     ``may_abandon`` returns whether an attempt at a stalled endpoint may be abandoned.
-    Answers that are collected before they are passed on share ``memory``.
+    Answers that are collected before they are passed on share ``memory``. ``crashes``
+    learns which prompts endpoints answer and which runs they broke off.
     """
 
     def __init__(
@@ -72,7 +78,9 @@
         health: EndpointHealth,
         may_abandon: Callable[[RelayedRequest], bool],
         memory: MemoryBudget,
+        crashes: CrashGuard,
     ) -> None:
+        self.crashes = crashes
         self.health = health
         self.may_abandon = may_abandon
         self.memory = memory
@@ -112,6 +120,7 @@
             )
             evidence_before = relayed.evidence
             relayed.run_count += 1
+            relayed.events_received = 0
             relayed.evidence = Evidence.MAY_HAVE_RUN
             relayed.sent_at = self.loop.time()
             relayed.first_sent_at = relayed.first_sent_at or relayed.sent_at
@@ -144,12 +153,16 @@
         match outcome:
             case Delivered():
                 self.health.record_success(relayed.endpoint.endpoint_id, now)
+                self.crashes.run_sound(relayed)
             case ErrorResponse(status=status) if status < 500:
                 self.health.record_success(relayed.endpoint.endpoint_id, now)
             case NotRun(reason=reason):
                 wrong_endpoint = reason == WRONG_ENDPOINT
                 weight = WRONG_ENDPOINT_WEIGHT if wrong_endpoint else DECLINED_WEIGHT
                 self.health.record_failure(relayed.endpoint.endpoint_id, now, weight)
+            case Broken(disconnected=True):
+                self.health.record_failure(relayed.endpoint.endpoint_id, now)
+                self.crashes.run_broken(relayed)
             case _:
                 self.health.record_failure(relayed.endpoint.endpoint_id, now)
 
@@ -161,7 +174,7 @@
     ) -> AttemptOutcome:
         event = await endpoint_connection.next_event()
         if isinstance(event, ConnectionFault):
-            return Broken(str(event))
+            return _broken_by(event)
         assert isinstance(event, h11.Response)
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -237,7 +250,7 @@
                 case h11.EndOfMessage():
                     break
                 case ConnectionFault() as fault:
-                    return Broken(str(fault))
+                    return _broken_by(fault)
         if not 200 <= response.status_code < 300:
             if not decode_answer(headers).sealed:
                 return Broken(f"unsealed status {response.status_code}")
@@ -272,6 +285,7 @@
                         events = splitter.feed(bytes(data))
                     except EventTooLargeError:
                         return Broken("event too large")
+                    self.count_events(relayed, len(events))
                     unsent = self.unsent_events(relayed, events)
                     if unsent is None:
                         return Broken("events out of order")
@@ -307,7 +321,14 @@
                     caller_connection.finish()
                     return Delivered()
                 case ConnectionFault() as fault:
-                    return Broken(str(fault))
+                    return _broken_by(fault)
+
+    def count_events(self, relayed: RelayedRequest, count: int) -> None:
+        """Count events of the current attempt; a begun answer shows a sound prompt."""
+        before = relayed.events_received
+        relayed.events_received += count
+        if before < MIN_EVENTS_BEGUN <= relayed.events_received:
+            self.crashes.run_sound(relayed)
 
     def unsent_events(
         self, relayed: RelayedRequest, events: list[StreamEvent]
@@ -330,3 +351,7 @@
             relayed.last_event = event.number
             unsent.append(event)
         return unsent
+
+
+def _broken_by(fault: ConnectionFault) -> Broken:
+    return Broken(str(fault), fault.kind in DISCONNECTIONS)
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -16,6 +16,7 @@
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.headers import READY_PATH
+from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
@@ -33,7 +34,12 @@
 from acaciarelay.programs.store_follower import StoreFollower
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import InboundRequest
-from acaciarelay.protocol.link_messages import EntryList, Hello, LinkMessage
+from acaciarelay.protocol.link_messages import (
+    CrashReport,
+    EntryList,
+    Hello,
+    LinkMessage,
+)
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.state.run_clock import RunClock
 from acaciarelay.transport.inbound_server import (
@@ -104,6 +110,8 @@
         self.body_memory = MemoryBudget(
             int(settings.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE)
         )
+        own_address = f"{settings.host}:{settings.peer_port}"
+        self.crashes = CrashGuard(own_address, self.slot_client, self.metrics)
         self.relay = RequestRelay(
             self.cache,
             self.usage,
@@ -112,15 +120,17 @@
             self.slot_client,
             self.run_clock,
             self.body_memory,
+            self.crashes,
             self.metrics,
             self.rng,
         )
         self.hello = Hello(
             name=settings.name,
             lifetime=secrets.token_hex(6),
-            address=f"{settings.host}:{settings.peer_port}",
+            address=own_address,
             zone=settings.zone,
             gathers_usage=True,
+            reports_crashes=True,
         )
         self.ticker = LinkTicker()
         self.peers = Peers(
@@ -128,6 +138,7 @@
             self.cache,
             self.usage,
             self.retry_budget,
+            self.crashes,
             self.ticker,
         )
         self.follower = StoreFollower(
@@ -295,9 +306,13 @@
         self.slot_client.link_closed(link.peer_host, link)
 
     def agent_message(self, link: MessageLink, message: LinkMessage) -> None:
-        self.slot_client.receive(link.peer_host, message)
-        if isinstance(message, EntryList):
-            self.peers.add(message.entries)
+        match message:
+            case EntryList(entries=entries):
+                self.peers.add(entries)
+            case CrashReport():
+                self.crashes.receive(message)
+            case _:
+                self.slot_client.receive(link.peer_host, message)
 
     # Reload and stop.
 
@@ -338,6 +353,7 @@
         log_event("stopped", cut=busy, after_s=self.loop.time() - began, always=True)
         self.follower.close()
         self.peers.close()
+        self.crashes.close()
         for dialer in self.agents.values():
             dialer.close()
         for connection in list(self.connections):
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -7,11 +7,13 @@
 
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.usage_ledger import UsageLedger
+from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.table_exchange import TableExchange
 from acaciarelay.programs.zone_usage import ZoneUsageExchange
 from acaciarelay.protocol.link_messages import (
+    CrashReport,
     EntryUsage,
     Hello,
     LinkMessage,
@@ -69,6 +71,7 @@
         cache: StateCache,
         usage: UsageLedger,
         retry_budget: SharedRetryBudget,
+        crashes: CrashGuard,
         ticker: LinkTicker,
     ) -> None:
         self.hello = hello
@@ -78,6 +81,7 @@
         self.cache = cache
         self.usage = usage
         self.retry_budget = retry_budget
+        self.crashes = crashes
         self.peers: dict[str, _Peer] = {}
         self.sent = _StatusFields()
         self.sent_at = -math.inf
@@ -156,6 +160,11 @@
         peer.reachable_at = time.monotonic()
         log_event("peer_regained", peer=link.peer.address, lifetime=link.peer.lifetime)
         link.send(self.status(_StatusFields()))
+        if not link.peer.reports_crashes:
+            return
+        report = self.crashes.report_to_new_peer(link.peer.address, peer.reachable_at)
+        if report is not None:
+            link.send(report)
 
     def closed(self, link: MessageLink) -> None:
         assert link.peer is not None
@@ -172,6 +181,7 @@
 
     def tick(self, now: float) -> None:
         """Send all peers a status with what changed here, if one is due."""
+        self.send_crashes(now)
         gathered = self.gathered_links()
         near = self.near_links()
         interval_s = self.usage.message_interval_s
@@ -201,6 +211,18 @@
         self.send_zones(gathered, near, now)
         self.update_process_count()
 
+    def send_crashes(self, now: float) -> None:
+        """Send all peers what they have to learn of crashes of engines."""
+        self.crashes.entries = self.live_addresses()
+        report = self.crashes.report_to_peers(now)
+        if report is None:
+            return
+        line = encode_message(report)
+        for peer in self.peers.values():
+            link = peer.link
+            if link is not None and link.peer is not None and link.peer.reports_crashes:
+                link.send_line(line)
+
     def remove_if_lost(self, address: str, peer: _Peer, now: float) -> None:
         if now - peer.reachable_at <= REMOVE_PEER_S:
             return
@@ -296,6 +318,8 @@
                 self.receive_tables(link, versions, wanted, peers)
             case ZoneUsage():
                 self.receive_zone(message)
+            case CrashReport():
+                self.crashes.receive(message)
             case PeerRows(rows=rows, versions=versions):
                 self.cache.apply_peer_rows(link.peer.name, rows, versions)
 
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -11,6 +11,7 @@
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.platform.headers import answer_headers, decode_request_id
+from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_admission import Admission
@@ -63,6 +64,7 @@
         slot_client: SlotClient,
         run_clock: RunClock,
         body_memory: MemoryBudget,
+        crashes: CrashGuard,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -73,7 +75,8 @@
         self.metrics = metrics
         self.slot_client = slot_client
         self.placer = Placer(cache, health, slot_client, retry_budget)
-        self.attempts = Attempts(health, self.may_abandon, body_memory)
+        self.crashes = crashes
+        self.attempts = Attempts(health, self.may_abandon, body_memory, crashes)
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.configured = asyncio.Event()
@@ -123,6 +126,8 @@
         """Try endpoints until the request is answered or no attempt is left."""
         self.retry_budget.record_first_attempt(relayed.service, time.monotonic())
         while True:
+            if refusal := self.suspicion_refusal(relayed):
+                return refusal
             placement = await self.placer.place(relayed)
             if placement is None:
                 return self.give_up(relayed, "shed")
@@ -137,6 +142,8 @@
                 code = self.admission.recheck(relayed)
                 if code is not None:
                     return self.give_up(relayed, code)
+                if refusal := self.suspicion_refusal(relayed):
+                    return refusal
                 if (
                     relayed.first_sent_at is not None
                     and not self.retry_budget.try_spend(
@@ -178,6 +185,16 @@
                         return self.give_up(relayed, "endpoint_failed")
                     self.metrics.count("retries_total", reason="endpoint_failed")
 
+    def suspicion_refusal(self, relayed: RelayedRequest) -> Refusal | None:
+        """Return the refusal of a prompt that is suspected to crash engines."""
+        suspicion = self.crashes.suspicion_of(relayed)
+        if suspicion is None:
+            return None
+        relayed.steps.append(f"suspected after {suspicion.crashes} crashes")
+        if not relayed.certainly_not_run:
+            return self.give_up(relayed, "outcome_unknown")
+        return refuse("prompt_suspected", "", self.crashes.retry_after_s(suspicion))
+
     def may_retry(self, relayed: RelayedRequest) -> bool:
         return relayed.repeatable and relayed.run_count < relayed.route.max_attempts
 
--- a/src/acaciarelay/protocol/codes.py
+++ b/src/acaciarelay/protocol/codes.py
@@ -77,6 +77,14 @@
     (304, "entry_stopping", 503, _N, "Retry; another entry will answer.", True),
     (305, "not_ready", 503, _N, "Retry; this entry has no configuration yet.", True),
     (306, "retry_budget_spent", 503, _N, "Wait for Retry-After, then retry.", True),
+    (
+        307,
+        "prompt_suspected",
+        503,
+        _N,
+        "A part of this prompt ended several endpoints. Retry after Retry-After.",
+        True,
+    ),
     # 4xx: idempotency.
     (400, "key_required", 400, _N, "Send an Idempotency-Key with this call.", False),
     (401, "key_conflict", 409, _N, "Use a new key for a different body.", False),
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -15,6 +15,9 @@
 import orjson
 
 __all__ = [
+    "BrokenRun",
+    "CrashRecord",
+    "CrashReport",
     "EngineState",
     "EntryList",
     "EntryUsage",
@@ -46,7 +49,8 @@
     """Opens a link; ``lifetime`` identifies the incarnation of the sender.
 
     ``gathers_usage`` is true when the sender understands ``ZoneUsage`` and
-    ``TableVersions``.
+    ``TableVersions``, ``reports_crashes`` when it understands ``BrokenRun`` and
+    ``CrashReport``.
     """
 
     name: str
@@ -54,6 +58,7 @@
     address: str
     zone: str
     gathers_usage: bool = False
+    reports_crashes: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -223,6 +228,42 @@
     rows: list[PeerRow]
 
 
+@attrs.frozen(kw_only=True)
+class BrokenRun:
+    """Tells an agent that its engine broke off a run before the answer began.
+
+    ``engine`` identifies the incarnation of the engine, and ``parts`` are the ids of
+    the shared parts of the prompt.
+    """
+
+    engine: str
+    parts: list[str]
+
+
+@attrs.frozen(kw_only=True)
+class CrashRecord:
+    """Crash of an incarnation of an engine, ``age_s`` seconds ago.
+
+    ``prompts`` holds the ids of the shared parts of each prompt whose answer the engine
+    had not begun.
+    """
+
+    engine: str
+    age_s: float
+    prompts: list[list[str]]
+
+
+@attrs.frozen(kw_only=True)
+class CrashReport:
+    """Tells entries of crashes, and when parts of prompts were last answered.
+
+    ``sound_s`` holds by part the seconds since then.
+    """
+
+    crashes: list[CrashRecord]
+    sound_s: dict[str, float]
+
+
 LinkMessage = (
     Hello
     | Heartbeat
@@ -237,6 +278,8 @@
     | PeerRows
     | TableVersions
     | ZoneUsage
+    | BrokenRun
+    | CrashReport
 )
 
 _KINDS: dict[str, Any] = {
@@ -253,6 +296,8 @@
     "rows": PeerRows,
     "tables": TableVersions,
     "zone": ZoneUsage,
+    "broken": BrokenRun,
+    "crash": CrashReport,
 }
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 _FIELDS = {
@@ -280,7 +325,7 @@
     """Encode an object within a message: the usage of an entry without field names."""
     if isinstance(part, EntryUsage):
         return [getattr(part, name) for name in _USAGE_FIELDS]
-    assert isinstance(part, PeerRow)
+    assert isinstance(part, PeerRow | CrashRecord)
     return attrs.asdict(part)
 
 
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -46,9 +46,13 @@
 
 @attrs.frozen
 class Broken:
-    """The endpoint may have run the request, and its answer is incomplete."""
+    """The endpoint may have run the request, and its answer is incomplete.
+
+    ``disconnected`` is true when the endpoint closed or reset the connection.
+    """
 
     reason: str
+    disconnected: bool = False
 
 
 @attrs.frozen
@@ -75,7 +79,9 @@
     it, and ``connect_failures`` those that reached none; ``tried`` holds the ids of all
     endpoints tried. ``last_event`` is the number of the last event that the caller has.
     ``error_response`` is the last error response, passed on when no further attempt is
-    allowed. ``steps`` describes the attempts for the log.
+    allowed. ``events_received`` counts the events of the current attempt's answer.
+    ``on_trial`` is true once it may run despite a suspicion, in one attempt. ``steps``
+    describes the attempts for the log.
     """
 
     traits: RequestTraits
@@ -95,6 +101,8 @@
     tried: set[str] = attrs.Factory(set)
     last_event: int | None = None
     head_sent: bool = False
+    events_received: int = 0
+    on_trial: bool = False
     error_response: ErrorResponse | None = None
     endpoint: Endpoint | None = None
     first_sent_at: float | None = None
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -31,6 +31,7 @@
     """How a connection failed; the values are labels of the retry metric."""
 
     CONNECT = "connect"
+    CONNECT_TIMEOUT = "connect_timeout"
     RESET = "reset"
     CLOSED = "closed"
     MALFORMED = "malformed"
@@ -271,7 +272,9 @@
             )
     except TimeoutError:
         return Err(
-            ConnectionFault(FaultKind.CONNECT, f"not connected within {timeout_s:g} s")
+            ConnectionFault(
+                FaultKind.CONNECT_TIMEOUT, f"not connected within {timeout_s:g} s"
+            )
         )
     except OSError as error:
         return Err(ConnectionFault(FaultKind.CONNECT, str(error)))
--- a/tests/integration/test_deadly_prompts.py
+++ b/tests/integration/test_deadly_prompts.py
@@ -1,6 +1,8 @@
 """A prompt part that crashes engines is kept from them; sound prompts are served."""
 
 import asyncio
+import os
+import signal
 import time
 
 import attrs
@@ -72,13 +74,15 @@
         return sum(served) / len(served)
 
 
-async def start(fleet):
+async def start(fleet, with_agents=True):
     for number in ENGINES:
         await fleet.add_runner("engine", number)
-        await fleet.add_agent(number)
+        if with_agents:
+            await fleet.add_agent(number)
     for number in range(1, len(ENTRIES) + 1):
         await fleet.add_entry(number)
-    await wait_until(fleet, lambda: linked(fleet))
+    if with_agents:
+        await wait_until(fleet, lambda: linked(fleet))
     for runner in fleet.runners.values():
         runner.faults.deadly_part = DEADLY
 
@@ -100,6 +104,18 @@
     return arrivals
 
 
+async def check(fleet, callers, deadly_parts):
+    """Send deadly prompts until their effect can be judged, and judge it."""
+    known_at = time.monotonic() + CONTACT_S
+    while time.monotonic() < known_at + CONTACT_S + 2.0:
+        await callers.send_for(1.0, deadly_parts)
+        assert fleet.crashes, "no engine crashed"
+        known_at = fleet.crashes[:CRASHES_THAT_TELL][-1] + CONTACT_S
+    await asyncio.gather(*callers.tasks)
+    assert deadly_arrivals(fleet, known_at) <= MAX_LATE_ARRIVALS
+    assert callers.served_after(known_at + CONTACT_S) >= 0.5
+
+
 @pytest.mark.parametrize(
     "deadly_parts",
     [["first", DEADLY], [DEADLY], [DEADLY, "first"]],
@@ -111,12 +127,7 @@
         await start(fleet)
         callers = Callers(fleet)
         await callers.send_for(1.0)
-        await callers.send_for(12.0, deadly_parts)
-        await asyncio.gather(*callers.tasks)
-        assert fleet.crashes, "no engine crashed"
-        known_at = fleet.crashes[:CRASHES_THAT_TELL][-1] + CONTACT_S
-        assert deadly_arrivals(fleet, known_at) <= MAX_LATE_ARRIVALS
-        assert callers.served_after(known_at + CONTACT_S) >= 0.5
+        await check(fleet, callers, deadly_parts)
 
 
 async def test_a_restarted_entry_keeps_deadly_prompts_from_engines(tmp_path):
@@ -132,3 +143,28 @@
         await callers.send_for(CONTACT_S + 3.0, ["first", DEADLY])
         await asyncio.gather(*callers.tasks)
         assert deadly_arrivals(fleet, known_at) <= MAX_LATE_ARRIVALS
+
+
+async def test_entries_without_agents_keep_deadly_prompts_from_engines(tmp_path):
+    """Guards against crashes that nobody sees while the agents are gone."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await start(fleet, with_agents=False)
+        callers = Callers(fleet)
+        await callers.send_for(1.0)
+        await check(fleet, callers, ["first", DEADLY])
+
+
+async def test_an_entry_frozen_during_the_crashes_learns_of_them(tmp_path):
+    """Guards against a process that wakes and sends on what crashed engines."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await start(fleet)
+        callers = Callers(fleet)
+        await callers.send_for(1.0)
+        process = fleet.programs["entry-2"].process
+        os.kill(process.pid, signal.SIGSTOP)
+        await callers.send_for(3.0, ["first", DEADLY])
+        os.kill(process.pid, signal.SIGCONT)
+        known_at = time.monotonic() + CONTACT_S
+        await callers.send_for(CONTACT_S + 3.0, ["first", DEADLY])
+        await asyncio.gather(*callers.tasks)
+        assert deadly_arrivals(fleet, known_at) <= MAX_LATE_ARRIVALS
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -14,6 +14,7 @@
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.store import StoreRow
+from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_refusal import respond_refusal
 from acaciarelay.programs.relay_request import RequestRelay
@@ -118,6 +119,8 @@
         self.slot_client = SlotClient()
         self.run_clock = RunClock()
         self.body_memory = MemoryBudget(body_memory_bytes)
+        metrics = Metrics()
+        self.crashes = CrashGuard("127.0.0.1:1", self.slot_client, metrics)
         self.relay = RequestRelay(
             self.cache,
             self.usage,
@@ -126,7 +129,8 @@
             self.slot_client,
             self.run_clock,
             self.body_memory,
-            Metrics(),
+            self.crashes,
+            metrics,
             rng,
         )
         self.runners: list[PlatformRunner] = []
--- /dev/null
+++ b/tests/unit/coordination/deadly_prompt_model.py
@@ -0,0 +1,183 @@
+"""Model of a fleet whose engines crash on parts of prompts; no network, own clock."""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from acaciarelay.coordination.crash_suspicion import Crash, CrashSuspicions
+
+__all__ = ["FleetModel", "Load"]
+
+DOWN_S = 3.0
+RETRY_DELAY_S = 0.01
+REPORT_DELAYS_S = (0.06, 0.2)
+TICK_S = 0.2
+MAX_ATTEMPTS = 2
+# Time until an answer begins, and until it ends after that.
+BEGIN_S = (0.03, 0.3)
+ANSWER_S = (0.1, 1.5)
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """Requests of a model; rates are requests per second.
+
+    ``deadly`` returns the parts of one deadly prompt, and ``sound`` those of a sound
+    one. Deadly prompts come from ``deadly_from`` to ``deadly_to``.
+    """
+
+    deadly: object
+    sound: object
+    deadly_parts: frozenset
+    deadly_per_s: float
+    sound_per_s: float
+    deadly_from: float = 4.0
+    deadly_to: float = 26.0
+
+
+@attrs.define(eq=False)
+class Request:
+    entry: int
+    parts: frozenset
+    sent_at: float
+    sound: bool
+    attempts: int = 0
+    repeated: bool = False
+    begun: bool = False
+    refused: bool = False
+    served: bool = False
+
+
+class FleetModel:
+    """Entries that refuse suspected prompts, and engines that crash on deadly ones."""
+
+    def __init__(self, load, seed, engines=5, entries=5):
+        self.load = load
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.numbers = itertools.count()
+        self.events = []
+        self.up = dict.fromkeys(range(engines), 0)
+        self.running = {engine: [] for engine in range(engines)}
+        self.entries = [CrashSuspicions() for _ in range(entries)]
+        self.crash_times = []
+        self.deadly_arrivals = []
+        self.requests = []
+
+    def at(self, delay_s, action, *arguments):
+        item = (self.now + delay_s, next(self.numbers), action, arguments)
+        heapq.heappush(self.events, item)
+
+    def run(self, seconds):
+        """Play the load, with some seconds of sound requests at both ends."""
+        self.at(0.0, self.send_sound)
+        self.at(self.load.deadly_from, self.send_deadly)
+        self.at(TICK_S, self.tick)
+        while self.events and self.events[0][0] < seconds:
+            self.now, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+
+    def send_sound(self):
+        self.at(self.rng.expovariate(self.load.sound_per_s), self.send_sound)
+        self.send(frozenset(self.load.sound(self.rng)), True)
+
+    def send_deadly(self):
+        if self.now < self.load.deadly_to:
+            self.at(self.rng.expovariate(self.load.deadly_per_s), self.send_deadly)
+            self.send(frozenset(self.load.deadly(self.rng)), False)
+
+    def send(self, parts, sound, repeated=False):
+        entry = self.rng.randrange(len(self.entries))
+        request = Request(entry, parts, self.now, sound, repeated=repeated)
+        self.requests.append(request)
+        self.try_engine(request)
+
+    def try_engine(self, request):
+        suspicions = self.entries[request.entry]
+        suspicion = suspicions.suspicion_of(request.parts)
+        if suspicion is not None and not self.is_trial(request, suspicion):
+            request.refused = True
+            return
+        up = [engine for engine, number in self.up.items() if number is not None]
+        if not up:
+            return
+        engine = self.rng.choice(up)
+        request.attempts += 1
+        request.begun = False
+        self.running[engine].append(request)
+        if request.parts & self.load.deadly_parts:
+            self.deadly_arrivals.append(self.now)
+        self.at(self.rng.uniform(*BEGIN_S), self.begin, request, engine)
+
+    def is_trial(self, request, suspicion):
+        """Let one entry, drawn by the parts, try a prompt when it is time."""
+        suspicions = self.entries[request.entry]
+        owner = sum(map(ord, "".join(sorted(suspicion.parts)))) % len(self.entries)
+        if owner != request.entry or self.now < suspicions.next_trial_at(suspicion):
+            return False
+        suspicions.start_trial(suspicion, self.now)
+        return True
+
+    def begin(self, request, engine):
+        if request not in self.running[engine]:
+            return
+        if request.parts & self.load.deadly_parts:
+            self.crash(engine)
+            return
+        request.begun = True
+        self.entries[request.entry].record_sound(request.parts, self.now)
+        self.at(self.rng.uniform(*ANSWER_S), self.end, request, engine)
+
+    def end(self, request, engine):
+        if request in self.running[engine]:
+            self.running[engine].remove(request)
+            request.served = True
+
+    def crash(self, engine):
+        self.crash_times.append(self.now)
+        broken, self.running[engine] = self.running[engine], []
+        prompts = frozenset(r.parts for r in broken if not r.begun and r.parts)
+        crash = Crash(key=f"{engine}@{self.now}", at=self.now, prompts=prompts)
+        self.up[engine] = None
+        self.at(DOWN_S, self.restart, engine)
+        for entry in self.entries:
+            self.at(self.rng.uniform(*REPORT_DELAYS_S), self.report, entry, crash)
+        for request in broken:
+            if request.attempts < MAX_ATTEMPTS:
+                self.at(RETRY_DELAY_S, self.try_engine, request)
+            elif not request.repeated:
+                self.at(RETRY_DELAY_S, self.send, request.parts, request.sound, True)
+
+    def report(self, entry, crash):
+        entry.record_crash(crash, self.now)
+
+    def restart(self, engine):
+        self.up[engine] = 0
+
+    def tick(self):
+        """Exchange what entries know of sound prompts."""
+        self.at(TICK_S, self.tick)
+        for entry in self.entries:
+            untold = entry.take_untold()
+            for other in self.entries:
+                if untold and other is not entry:
+                    other.record_sound_at_peers(untold)
+
+    # What came of it.
+
+    def late_deadly_arrivals(self, contact_s):
+        if len(self.crash_times) < 5:
+            return 0
+        since = self.crash_times[4] + contact_s
+        return sum(at > since for at in self.deadly_arrivals)
+
+    def sound_share(self, parts, since):
+        """Return the share of sound requests with a part that were not refused."""
+        sent = [
+            request
+            for request in self.requests
+            if request.sound and request.sent_at > since and request.parts & parts
+        ]
+        return 1.0 - sum(request.refused for request in sent) / max(1, len(sent))
--- /dev/null
+++ b/tests/unit/platform_path/test_crash_guard.py
@@ -0,0 +1,222 @@
+"""What entries and agents tell each other of crashes of engines."""
+
+import asyncio
+import time
+
+import pytest
+from relay_rig import RelayRig
+
+from acaciarelay.coordination.crash_suspicion import (
+    MAX_CRASHES,
+    MAX_PROMPTS_PER_CRASH,
+    Crash,
+)
+from acaciarelay.coordination.slot_client import SlotClient
+from acaciarelay.platform.headers import (
+    MAX_PART_ID_CHARS,
+    MAX_PROMPT_PARTS,
+    decode_request,
+)
+from acaciarelay.programs.crash_detector import COLLECT_S, CrashDetector
+from acaciarelay.programs.crash_guard import FIRST_REPORTERS, CrashGuard
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.protocol.link_messages import (
+    BrokenRun,
+    CrashRecord,
+    CrashReport,
+    decode_message,
+    encode_message,
+)
+
+ENTRIES = [f"10.0.{number // 200}.{number % 200}:7601" for number in range(320)]
+PARTS = frozenset(["first", "d"])
+# A report of all crashes that an entry remembers may take this many bytes.
+MAX_REPORT_BYTES = 64_000
+
+
+def guard(own="10.0.0.1:7601"):
+    return CrashGuard(own, SlotClient(), Metrics())
+
+
+def crash_report(age_s, engine, *prompts, **sound_s):
+    record = CrashRecord(engine=engine, age_s=age_s, prompts=[list(p) for p in prompts])
+    return CrashReport(crashes=[record], sound_s=sound_s)
+
+
+def suspecting(own="10.0.0.1:7601"):
+    entry = guard(own)
+    entry.receive(crash_report(2.0, "e-1@1", PARTS))
+    entry.receive(crash_report(1.0, "e-2@1", PARTS))
+    assert entry.suspicions.suspicions
+    return entry
+
+
+class Detected:
+    """A detector and the crashes that it reports."""
+
+    def __init__(self):
+        self.crashes = []
+        self.detector = CrashDetector(self.crashes.append)
+
+    async def broken(self, address, *parts, engine="e-1@1"):
+        self.detector.record(BrokenRun(engine=engine, parts=list(parts)), address)
+        await asyncio.sleep(COLLECT_S * 2)
+
+
+async def closed_address():
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    server.close()
+    await server.wait_closed()
+    return f"{host}:{port}"
+
+
+async def test_an_engine_that_refuses_connections_has_crashed():
+    detected = Detected()
+    address = await closed_address()
+    await detected.broken(address, "a")
+    await detected.broken(address, "b")
+    assert [crash.prompts for crash in detected.crashes] == [
+        frozenset([frozenset(["a"])]),
+        frozenset([frozenset(["a"]), frozenset(["b"])]),
+    ]
+    # A later run adds a prompt to the crash, whose time stays.
+    assert detected.crashes[0].at == detected.crashes[1].at
+
+
+async def test_a_broken_run_of_a_live_engine_is_no_crash():
+    """Guards against suspicions after connections that the network broke."""
+    detected = Detected()
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    await detected.broken(f"{host}:{port}", "a")
+    server.close()
+    assert detected.crashes == []
+
+
+async def test_open_checks_are_bounded():
+    """Guards against a connection and a task for each broken run of many engines."""
+    detected = Detected()
+    address = await closed_address()
+    for number in range(500):
+        detected.detector.record(
+            BrokenRun(engine=f"e-{number}@1", parts=["a"]), address
+        )
+    await asyncio.sleep(COLLECT_S * 4)
+    assert 0 < len(detected.crashes) <= 32
+    assert len(detected.detector.crashes) <= 8
+
+
+def test_a_report_survives_the_link():
+    report = crash_report(0.5, "e-1@1", ["a", "b"], ["c"], a=1.5)
+    assert decode_message(encode_message(report)) == report
+
+
+def test_a_known_crash_is_not_counted_again():
+    entry = guard()
+    for age_s in (2.0, 2.1, 2.2):
+        entry.receive(crash_report(age_s, "e-1@1", PARTS))
+    assert entry.suspicions.suspicions == []
+
+
+def test_a_new_peer_learns_of_suspicions_from_few_entries():
+    """Guards against restarted entries that forget, and against 319 reports to one."""
+    restarted = guard(ENTRIES[7])
+    reporters = 0
+    for own in ENTRIES:
+        if own == ENTRIES[7]:
+            continue
+        entry = suspecting(own)
+        entry.entries = ENTRIES
+        report = entry.report_to_new_peer(ENTRIES[7], time.monotonic())
+        if report is not None:
+            reporters += 1
+            restarted.receive(report)
+    assert 1 <= reporters <= FIRST_REPORTERS
+    assert restarted.suspicions.suspicion_of(PARTS) is not None
+
+
+def test_nothing_is_sent_while_no_prompt_is_suspected():
+    entry = guard()
+    entry.receive(crash_report(1.0, "e-1@1", PARTS))
+    now = time.monotonic()
+    assert entry.report_to_peers(now) is None
+    assert entry.report_to_new_peer(ENTRIES[7], now) is None
+
+
+def test_the_largest_report_is_bounded():
+    entry = guard()
+    now = time.monotonic()
+    for number in range(2 * MAX_CRASHES):
+        prompts = [["d", f"{number:08x}{count:04x}"] for count in range(100)]
+        entry.receive(
+            crash_report(number / 100, f"{number:012x}@{number:013}", *prompts)
+        )
+    entry.entries = [entry.own, "10.0.0.2:7601"]
+    report = entry.report_to_new_peer("10.0.0.2:7601", now)
+    assert len(report.crashes) <= MAX_CRASHES
+    assert all(len(each.prompts) <= MAX_PROMPTS_PER_CRASH for each in report.crashes)
+    assert len(encode_message(report)) <= MAX_REPORT_BYTES
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("a:60,b:40,own:5", {"a", "b"}),
+        ("own:5", set()),
+        ("", set()),
+        (",,:,", set()),
+        (" a : 60 , own", {"a"}),
+        ("x" * (MAX_PART_ID_CHARS + 1) + ":1,b:2,own:1", {"b"}),
+        (",".join(f"p{n}:1" for n in range(5000)), None),
+    ],
+)
+def test_parts_of_a_prompt_are_read_within_bounds(text, parts):
+    """Guards against headers of any form and length from outside."""
+    found = decode_request([("prompt-prefix", text)]).shared_parts
+    if parts is None:
+        assert len(found) == MAX_PROMPT_PARTS
+    else:
+        assert found == parts
+
+
+async def test_a_suspected_prompt_gets_a_numbered_refusal_that_is_true():
+    """Guards against a refusal that lies, holds the caller up, or names no time."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("engine")
+        now = time.monotonic()
+        for age_s, engine in ((2.0, "e-1@1"), (1.0, "e-2@1")):
+            prompts = frozenset([PARTS])
+            rig.crashes.suspicions.record_crash(
+                Crash(key=engine, at=now - age_s, prompts=prompts), now
+            )
+        refused = await rig.call("/chat/a", Prompt_Prefix="first:60,d:40,own:500")
+        assert refused.status == 503
+        assert refused.headers["acaciarelay-code"] == "307"
+        assert refused.headers["acaciarelay-outcome"] == "not_run"
+        assert 0 < float(refused.headers["retry-after"]) <= 5.0
+        assert runner.runs == []
+        sound = await rig.call(
+            "/chat/a", attempt="a-2", Prompt_Prefix="first:60,own:500"
+        )
+        assert sound.status == 200 and sound.complete
+
+
+async def test_a_suspected_prompt_is_not_sent_again_after_it_may_have_run():
+    """Guards against a refusal as not run of a prompt that an engine had."""
+    async with RelayRig() as rig:
+        runner = await rig.add_runner("engine", work_s=0.2)
+        runner.faults.lose = True
+        call = asyncio.create_task(
+            rig.call("/chat/a", Prompt_Prefix="first:60,d:40,own:500")
+        )
+        await asyncio.sleep(0.1)
+        now = time.monotonic()
+        for age_s, engine in ((2.0, "e-1@1"), (1.0, "e-2@1")):
+            prompts = frozenset([PARTS])
+            rig.crashes.suspicions.record_crash(
+                Crash(key=engine, at=now - age_s, prompts=prompts), now
+            )
+        answer = await call
+        assert answer.status == 502
+        assert len(runner.runs) == 1
--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -8,8 +8,11 @@
 
 from acaciarelay.coordination.row_senders import rounds_until_all_send
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
+from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.store import StoreRow
+from acaciarelay.programs.crash_guard import CrashGuard
+from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_peers import Peers
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.table_exchange import STORE_LEAD_S
@@ -76,6 +79,7 @@
             self.cache,
             self.ledger,
             SharedRetryBudget(0.2, 50, 10),
+            CrashGuard(f"10.0.0.{number}:7601", SlotClient(), Metrics()),
             LinkTicker(),
         )
 
--- a/tests/unit/platform_path/test_zone_usage.py
+++ b/tests/unit/platform_path/test_zone_usage.py
@@ -6,7 +6,10 @@
 from test_relay_peers import FakeDialer
 
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
+from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
+from acaciarelay.programs.crash_guard import CrashGuard
+from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_peers import Peers
 from acaciarelay.programs.relay_state_cache import TABLES, StateCache
 from acaciarelay.programs.zone_usage import COMPLETE_ROUNDS, ZONE_SILENCE_S
@@ -83,7 +86,8 @@
         )
         ledger = UsageLedger(tolerance, True, self.now)
         budget = SharedRetryBudget(0.2, 50, 10)
-        peers = Peers(hello, StateCache(), ledger, budget, LinkTicker())
+        crashes = CrashGuard(hello.address, SlotClient(), Metrics())
+        peers = Peers(hello, StateCache(), ledger, budget, crashes, LinkTicker())
         self.members[hello.address] = peers
         self.zones[hello.address] = zone
 
