--- a/tests/unit/platform_path/test_crash_guard.py
+++ b/tests/unit/platform_path/test_crash_guard.py
@@ -27,6 +27,8 @@
     decode_message,
     encode_message,
 )
+from acaciarelay_standins.inbound_standin import listen
+from acaciarelay_standins.platform_runner import PlatformRunner
 
 ENTRIES = [f"10.0.{number // 200}.{number % 200}:7601" for number in range(320)]
 PARTS = frozenset(["first", "d"])
@@ -64,11 +66,10 @@
 
 
 async def closed_address():
-    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
+    server, address = await listen(PlatformRunner("i-1").handle, "127.0.0.1:0")
     server.close()
     await server.wait_closed()
-    return f"{host}:{port}"
+    return address
 
 
 async def test_an_engine_that_refuses_connections_has_crashed():
@@ -87,9 +88,8 @@
 async def test_a_broken_run_of_a_live_engine_is_no_crash():
     """Guards against suspicions after connections that the network broke."""
     detected = Detected()
-    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    await detected.broken(f"{host}:{port}", "a")
+    server, address = await listen(PlatformRunner("i-1").handle, "127.0.0.1:0")
+    await detected.broken(address, "a")
     server.close()
     assert detected.crashes == []
 
