--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -36,6 +36,7 @@
     CLOSED = "closed"
     MALFORMED = "malformed"
     SILENT = "silent"
+    WITHDRAWN = "withdrawn"
 
 
 @attrs.frozen
@@ -188,6 +189,10 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def withdraw(self, reason: str) -> None:
+        """Cancel the request; its next event is a fault with this reason."""
+        self._fail(ConnectionFault(FaultKind.WITHDRAWN, reason))
+
     def send(
         self, method: str, target: str, headers: Sequence[Header], body: bytes
     ) -> None:
