Read a registration only if each of its figures and its address are usable

Reported by other operators: one odd entry among those of the runners ends the processes that read the list, or stops their following it.

Here: a port of 99999 was decoded, and each connect to it raised OverflowError, which is no OSError, so that the request ended with an internal error and no other runner was tried; a host name reached the resolver, and some raise UnicodeError; slots below one or beyond any engine were calculated with. Deep nesting and numbers beyond a float were rejected already.

--- a/src/acaciarelay/platform/configuration.py
+++ b/src/acaciarelay/platform/configuration.py
@@ -38,7 +38,13 @@
     """Decode a configuration; raises ``FormatError``."""
     try:
         return _decode(orjson.loads(data))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise FormatError(f"unreadable configuration: {error!r}") from error
 
 
--- a/src/acaciarelay/platform/endpoints.py
+++ b/src/acaciarelay/platform/endpoints.py
@@ -1,5 +1,8 @@
 """Decode endpoint registrations from the store, and engines' reports of their load."""
 
+import ipaddress
+from typing import Any
+
 import attrs
 import orjson
 
@@ -8,6 +11,10 @@
 
 __all__ = ["EngineReport", "decode_endpoint", "decode_report"]
 
+MAX_PORT = 65_535
+MAX_SLOTS = 65_536
+# A larger number is not exact in all JSON libraries.
+MAX_STARTED_MS = 2**53
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -26,29 +33,51 @@
 
 
 def decode_endpoint(endpoint_id: str, data: bytes) -> Endpoint:
-    """Decode an endpoint's registration; raises ``FormatError``."""
+    """Decode an endpoint's registration; raises ``FormatError``.
+
+    A row of another writer may hold anything; its figures are used by calculations and
+    its address by connects, which expect them within their bounds.
+    """
     try:
         raw = orjson.loads(data)
-        address = raw["address"]
-        host, _, port = address.rpartition(":")
-        if not host or not isinstance(raw["service"], str):
-            raise ValueError("address or service is not usable")
-        # Raises ``ValueError`` unless the port is a number.
-        int(port)
-        started = raw.get("born")
         return Endpoint(
             endpoint_id=endpoint_id,
-            service=raw["service"],
-            address=address,
-            zone=str(raw["zone"]),
-            slots=int(raw["slots"]),
-            draining=DRAINING_BY_STATE[raw["state"]],
-            started_ms=int(started) if started is not None else 0,
+            service=_text(raw["service"]),
+            address=_address(raw["address"]),
+            zone=_text(raw["zone"]),
+            slots=_whole(raw["slots"], 1, MAX_SLOTS),
+            draining=DRAINING_BY_STATE[_text(raw["state"])],
+            started_ms=_whole(raw.get("born", 0), 0, MAX_STARTED_MS),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise FormatError(f"unreadable registration: {error!r}") from error
 
 
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError("a field is no text")
+    return value
+
+
+def _whole(value: Any, least: int, most: int) -> int:
+    """Return a whole number within bounds; raises ``ValueError``."""
+    if type(value) is not int or not least <= value <= most:
+        raise ValueError(f"a field is no whole number from {least} to {most}")
+    return value
+
+
+def _address(value: Any) -> str:
+    """Return ``IP:PORT`` of one host; raises ``ValueError``."""
+    host, _, port = _text(value).rpartition(":")
+    ip = ipaddress.IPv4Address(host)
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise ValueError(f"{host} is not the address of one host")
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError("the port is no number")
+    _whole(int(port), 1, MAX_PORT)
+    return f"{ip}:{int(port)}"
+
+
 def decode_report(data: bytes) -> EngineReport:
     """Decode an engine's report; raises ``FormatError``."""
     try:
@@ -60,5 +89,5 @@
             memory_used=int(raw["kvUsed"]),
             memory_total=int(raw["kvTotal"]),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, OverflowError) as error:
         raise FormatError(f"unreadable report: {error!r}") from error
--- a/src/acaciarelay/platform/store.py
+++ b/src/acaciarelay/platform/store.py
@@ -171,7 +171,7 @@
         rows = [_decode_row(item) for item in raw["rows"]]
         page = RowPage(rows=rows, version=int(raw["ver"]))
         return page, bool(raw.get("hasMore"))
-    except (ValueError, KeyError, TypeError, binascii.Error):
+    except (ValueError, KeyError, TypeError, OverflowError, binascii.Error):
         return None, False
 
 
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -267,7 +267,7 @@
 async def connect(
     address: str, timeout_s: float
 ) -> Result[EndpointConnection, ConnectionFault]:
-    """Open a connection to ``IP:PORT``."""
+    """Open a connection to ``IP:PORT``; an address in another form is a fault too."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
@@ -281,6 +281,6 @@
                 FaultKind.CONNECT_TIMEOUT, f"not connected within {timeout_s:g} s"
             )
         )
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
         return Err(ConnectionFault(FaultKind.CONNECT, str(error)))
     return Ok(connection)
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -284,7 +284,9 @@
         host, _, port = self.address.rpartition(":")
         while True:
             link = None
-            with contextlib.suppress(OSError, TimeoutError):
+            # A malformed address, which only another process can have sent, raises the
+            # other errors.
+            with contextlib.suppress(OSError, TimeoutError, ValueError, OverflowError):
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     _, link = await loop.create_connection(self.build, host, int(port))
             if link is not None:
