--- a/src/acaciarelay/programs/crash_guard.py
+++ b/src/acaciarelay/programs/crash_guard.py
@@ -11,7 +11,6 @@
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.protocol.link_messages import BrokenRun, CrashReport
 from acaciarelay.state.relayed_request import RelayedRequest
-from acaciarelay.transport.endpoint_call import EndpointConnection
 
 __all__ = ["CrashGuard"]
 
@@ -39,21 +38,9 @@
         self.entries: list[str] = [own]
         # Crashes that this entry has detected and not yet reported to its peers.
         self._unreported: list[Crash] = []
-        # Requests with shared parts of a prompt that are at an endpoint.
-        self._runs: dict[RelayedRequest, EndpointConnection] = {}
 
     # Runs.
 
-    def run_started(
-        self, relayed: RelayedRequest, connection: EndpointConnection
-    ) -> None:
-        """Remember a run, in order to withdraw it if its prompt becomes suspected."""
-        if relayed.traits.shared_parts:
-            self._runs[relayed] = connection
-
-    def run_ended(self, relayed: RelayedRequest) -> None:
-        self._runs.pop(relayed, None)
-
     def run_broken(self, relayed: RelayedRequest) -> None:
         """Report a run that an engine broke off, unless its answer had begun."""
         endpoint = relayed.endpoint
@@ -166,23 +153,11 @@
                     "prompt_suspected",
                     parts=sorted(suspicion.parts),
                     crashes=suspicion.crashes,
-                    withdrawn=self._withdraw(suspicion),
                     always=True,
                 )
         for parts in known - {suspicion.parts for suspicion in after}:
             log_event("suspicion_ended", parts=sorted(parts), always=True)
 
-    def _withdraw(self, suspicion: Suspicion) -> int:
-        """Withdraw suspected prompts from endpoints; return how many they were."""
-        withdrawn = 0
-        for relayed, connection in self._runs.items():
-            if has_begun(relayed) or relayed.on_trial:
-                continue
-            if suspicion.parts <= relayed.traits.shared_parts:
-                connection.withdraw("suspected to crash the engine")
-                withdrawn += 1
-        return withdrawn
-
 
 def has_begun(relayed: RelayedRequest) -> bool:
     """Return whether an engine has begun to answer in the current attempt."""
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -124,7 +124,6 @@
             relayed.evidence = Evidence.MAY_HAVE_RUN
             relayed.sent_at = self.loop.time()
             relayed.first_sent_at = relayed.first_sent_at or relayed.sent_at
-            self.crashes.run_started(relayed, endpoint_connection)
             endpoint_connection.send(
                 request.method, request.target, headers, request.body
             )
@@ -144,7 +143,6 @@
                 )
         finally:
             stats.in_flight -= 1
-            self.crashes.run_ended(relayed)
             endpoint_connection.close()
         self.record_outcome(relayed, outcome)
         return outcome
