Bound the figures in headers of callers and runners; forward headers beyond ASCII

A number of tokens with 400 digits ended in an internal error (OverflowError in the cost), so did a load report of a runner with such a figure, which lost its sound answer; a header byte beyond ASCII, which HTTP allows, ended in an internal error too, after the request counted as sent. Whole numbers are read up to 12 digits now, NaN is no time limit, and headers keep their bytes.

--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -1,5 +1,7 @@
 """Decode and encode the headers of requests and answers on the platform."""
 
+import math
+
 import attrs
 
 from acaciarelay.protocol.http_message import Header, end_to_end_headers
@@ -38,6 +40,11 @@
 # Parts of a prompt beyond this number, and those with longer ids, are not read.
 MAX_PROMPT_PARTS = 16
 MAX_PART_ID_CHARS = 64
+# Digits of the whole numbers that are read. Sums and products of longer ones might not
+# fit the calculations.
+MAX_DIGITS = 12
+# Digits of event numbers, which are only compared.
+MAX_EVENT_DIGITS = 18
 # The slowdown of a VM on which work takes as long as usual.
 _USUAL_SLOWDOWN = 100
 # Reserved for the relay, or read or set by it: a caller's value is never forwarded to
@@ -132,12 +139,12 @@
         forwarded.append(header)
     return RequestTraits(
         request_id=fields.get(_ATTEMPT, ""),
-        time_limit_s=max(0.0, float(limit)) / 1000 if limit else None,
+        time_limit_s=_milliseconds(limit) / 1000 if limit else None,
         key=fields.get(_KEY),
         prompt_tokens=prompt,
         output_tokens=output,
-        expected_output=int(hint) if hint and hint.isdigit() else None,
-        last_event=int(last_event) if last_event and last_event.isdigit() else None,
+        expected_output=_whole(hint, MAX_DIGITS),
+        last_event=_whole(last_event, MAX_EVENT_DIGITS),
         shared_parts=_shared_parts(fields.get(_PROMPT_PARTS, "")),
         forwarded=forwarded,
     )
@@ -154,13 +161,29 @@
     if text is None:
         return None, None
     prompt, _, output = text.partition(",")
-    counts = int(prompt), int(output or 0)
-    if min(counts) < 0:
-        # A negative cost would add to what the organisation may use.
-        raise ValueError("a negative number of tokens")
+    counts = _whole(prompt, MAX_DIGITS), _whole(output or "0", MAX_DIGITS)
+    if None in counts:
+        # A negative cost, for one, would add to what the organisation may use.
+        raise ValueError("unusable numbers of tokens")
     return counts
 
 
+def _whole(text: str | None, most_digits: int) -> int | None:
+    """Return a whole number; ``None`` for other text and for too many digits."""
+    text = (text or "").strip()
+    if not (text.isascii() and text.isdigit() and len(text) <= most_digits):
+        return None
+    return int(text)
+
+
+def _milliseconds(text: str) -> float:
+    """Return a duration, at least 0; raises ``ValueError`` if it is not a number."""
+    milliseconds = float(text)
+    if math.isnan(milliseconds):
+        raise ValueError("a duration that is not a number")
+    return max(0.0, milliseconds)
+
+
 def endpoint_headers(
     traits: RequestTraits,
     *,
@@ -212,10 +235,10 @@
     text = dict(headers).get(_LOAD)
     if text is None:
         return None
-    try:
-        running, waiting, slots, *others = (int(part) for part in text.split(","))
-    except ValueError:
+    figures = [_whole(part, MAX_DIGITS) for part in text.split(",")]
+    if None in figures or len(figures) < 3:
         return None
+    running, waiting, slots, *others = [figure or 0 for figure in figures]
     slowdown = others[0] / _USUAL_SLOWDOWN if others and others[0] > 0 else None
     return LoadReport(running=running, waiting=waiting, slots=slots, slowdown=slowdown)
 
--- a/src/acaciarelay/protocol/http_message.py
+++ b/src/acaciarelay/protocol/http_message.py
@@ -1,5 +1,7 @@
 """HTTP request heads and header fields, independent of the transport."""
 
+from collections.abc import Iterable
+
 import attrs
 import h11
 
@@ -8,6 +10,7 @@
     "Header",
     "HttpRequest",
     "InboundRequest",
+    "encode_headers",
     "end_to_end_headers",
 ]
 
@@ -104,6 +107,16 @@
         return None
 
 
+def encode_headers(headers: Iterable[Header]) -> list[tuple[bytes, bytes]]:
+    """Encode headers as they are decoded, one byte a character.
+
+    h11 encodes text itself, but only ASCII.
+    """
+    return [
+        (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
+    ]
+
+
 def end_to_end_headers(headers: list[Header]) -> list[Header]:
     """Return the headers without ``NOT_FORWARDED`` and those that Connection names."""
     dropped = set(NOT_FORWARDED)
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -12,7 +12,7 @@
 import h11
 from result import Err, Ok, Result
 
-from acaciarelay.protocol.http_message import Header
+from acaciarelay.protocol.http_message import Header, encode_headers
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
 __all__ = ["ConnectionFault", "EndpointConnection", "FaultKind", "connect"]
@@ -194,7 +194,7 @@
         """Write a complete request; from then on the endpoint may have received it."""
         assert self.transport is not None
         head = self.http.send(
-            h11.Request(method=method, target=target, headers=list(headers))
+            h11.Request(method=method, target=target, headers=encode_headers(headers))
         )
         assert head is not None
         if body:
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -8,7 +8,7 @@
 
 from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
 from acaciarelay.protocol.codes import Refusal, refuse
-from acaciarelay.protocol.http_message import Header, InboundRequest
+from acaciarelay.protocol.http_message import Header, InboundRequest, encode_headers
 from acaciarelay.protocol.request_head import HEAD_END, find_head_problem
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.sockets import enable_dead_peer_detection
@@ -300,9 +300,9 @@
 
     def start(self, status: int, headers: Sequence[Header], flush: bool = True) -> None:
         """Write a response head; buffer it for the next write without ``flush``."""
-        fields = list(headers)
+        fields = encode_headers(headers)
         if self.last_request:
-            fields.append(("Connection", "close"))
+            fields.append((b"Connection", b"close"))
         self.response_started = True
         self.write_event(h11.Response(status_code=status, headers=fields), flush)
 
