Send nothing further to a runner that says in an answer that it leaves

The entry read the registration only, which may say ready for long, or come back after a removal. It now marks the incarnation at the head of the answer, an error or refusal included, and neither chooses it nor uses a slot that was granted for it.

The header is not passed on: it concerns the channel between entry and runner.

--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -36,6 +36,7 @@
 _SEAL = "runner-seal"
 _NOT_RUN = "not-executed"
 _LOAD = "runner-load"
+_LEAVING = "server-leaving"
 _ENCODING = "content-encoding"
 # Parts of a prompt beyond this number, and those with longer ids, are not read.
 MAX_PROMPT_PARTS = 16
@@ -108,14 +109,16 @@
 
     ``sealed`` is true when it has the runner's seal, without which no answer is passed
     on to the caller; ``not_run`` when the endpoint reports that it did not run the
-    request; ``encoded`` when the body has a content encoding. ``load_text`` is the load
-    report as received, and ``load`` what it says, ``None`` if it is unreadable.
+    request; ``encoded`` when the body has a content encoding; ``leaving`` when the
+    endpoint reports that it leaves. ``load_text`` is the load report as received, and
+    ``load`` what it says, ``None`` if it is unreadable.
     """
 
     request_id: str | None
     sealed: bool
     not_run: bool
     encoded: bool
+    leaving: bool
     load_text: str | None
     load: LoadReport | None
 
@@ -222,6 +225,7 @@
         sealed=_SEAL in fields,
         not_run=_NOT_RUN in fields,
         encoded=_ENCODING in fields,
+        leaving=_LEAVING in fields,
         load_text=fields.get(_LOAD),
         load=decode_load(headers),
     )
@@ -247,7 +251,7 @@
     """Return the fields of an endpoint's answer to forward to the caller."""
     kept = []
     for header in end_to_end_headers(headers):
-        if header[0] in ("content-length", _LOAD):
+        if header[0] in ("content-length", _LOAD, _LEAVING):
             continue
         kept.append(header)
     return kept
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -18,7 +18,7 @@
 from acaciarelay.programs.crash_guard import MIN_EVENTS_BEGUN, CrashGuard
 from acaciarelay.programs.logs import log_event
 from acaciarelay.protocol.http_message import Header, InboundRequest
-from acaciarelay.state.endpoints import Endpoint
+from acaciarelay.state.endpoints import Endpoint, EndpointList
 from acaciarelay.state.relayed_request import (
     AttemptOutcome,
     Broken,
@@ -70,7 +70,8 @@
 
     ``may_abandon`` returns whether an attempt at a stalled endpoint may be abandoned.
     Answers that are collected before they are passed on share ``memory``. ``crashes``
-    learns which prompts endpoints answer and which runs they broke off.
+    learns which prompts endpoints answer and which runs they broke off, and
+    ``endpoints`` which of them leave.
     """
 
     def __init__(
@@ -79,7 +80,9 @@
         may_abandon: Callable[[RelayedRequest], bool],
         memory: MemoryBudget,
         crashes: CrashGuard,
+        endpoints: EndpointList,
     ) -> None:
+        self.endpoints = endpoints
         self.crashes = crashes
         self.health = health
         self.may_abandon = may_abandon
@@ -191,6 +194,7 @@
             return Broken("refusal without a request id")
         if event.status_code == MISDIRECTED_STATUS:
             return NotRun(WRONG_ENDPOINT, True)
+        self.record_leaving(relayed, traits)
         if traits.not_run:
             return NotRun(f"declined with {event.status_code}", True)
         succeeded = 200 <= event.status_code < 300
@@ -213,6 +217,13 @@
         finally:
             memory.release()
 
+    def record_leaving(self, relayed: RelayedRequest, traits: AnswerTraits) -> None:
+        endpoint = relayed.endpoint
+        if not traits.leaving or endpoint is None:
+            return
+        if self.endpoints.mark_leaving(endpoint):
+            log_event("endpoint_leaves", endpoint=endpoint.endpoint_id)
+
     def record_load(self, relayed: RelayedRequest, traits: AnswerTraits) -> None:
         if traits.load_text is None or relayed.endpoint is None:
             return
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -136,7 +136,7 @@
             case EngineSlot() as slot:
                 chosen = by_host[slot.agent.host]
                 current = self.cache.endpoints.get(chosen.endpoint_id)
-                if current is not None and not current.draining:
+                if current is not None and self.cache.endpoints.is_usable(current):
                     return Placement(current, slot)
                 slot.release()
                 return SlotDenied(refused=False)
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -76,7 +76,9 @@
         self.slot_client = slot_client
         self.placer = Placer(cache, health, slot_client, retry_budget)
         self.crashes = crashes
-        self.attempts = Attempts(health, self.may_abandon, body_memory, crashes)
+        self.attempts = Attempts(
+            health, self.may_abandon, body_memory, crashes, cache.endpoints
+        )
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.configured = asyncio.Event()
--- a/src/acaciarelay/state/endpoints.py
+++ b/src/acaciarelay/state/endpoints.py
@@ -1,5 +1,7 @@
 """Registered endpoints, and the selection of those that may get new requests."""
 
+import collections
+
 import attrs
 
 __all__ = ["Endpoint", "EndpointList"]
@@ -7,6 +9,8 @@
 # A live endpoint whose row was removed during a store outage registers again within
 # this time after the store is back.
 REREGISTRATION_TIMEOUT_S = 2.2
+# Endpoints that are remembered to have said that they leave.
+MAX_LEAVING = 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -41,10 +45,16 @@
 
     An endpoint whose row was removed during a store outage stays listed until it
     expires or registers again.
+
+    ``leaving`` holds id and start of the endpoints that have said themselves that they
+    leave, the oldest first. Their registrations may still say that they are ready.
     """
 
     def __init__(self) -> None:
         self._listed: dict[str, _Listed] = {}
+        self.leaving: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
 
     def upsert(self, endpoint: Endpoint) -> bool:
         """Add or replace an endpoint; ``True`` when it changed."""
@@ -85,6 +95,21 @@
             expired.append(endpoint_id)
         return expired
 
+    def mark_leaving(self, endpoint: Endpoint) -> bool:
+        """Use an endpoint for no new requests; ``True`` when it was in use."""
+        incarnation = (endpoint.endpoint_id, endpoint.started_ms)
+        if incarnation in self.leaving:
+            return False
+        self.leaving[incarnation] = None
+        if len(self.leaving) > MAX_LEAVING:
+            self.leaving.popitem(last=False)
+        return True
+
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may get new requests."""
+        incarnation = (endpoint.endpoint_id, endpoint.started_ms)
+        return not endpoint.draining and incarnation not in self.leaving
+
     def get(self, endpoint_id: str) -> Endpoint | None:
         listed = self._listed.get(endpoint_id)
         return listed.endpoint if listed is not None else None
@@ -102,9 +127,8 @@
                 newest[endpoint.address] = endpoint
         usable = []
         for endpoint in newest.values():
-            if endpoint.service != service or endpoint.draining:
-                continue
-            usable.append(endpoint)
+            if endpoint.service == service and self.is_usable(endpoint):
+                usable.append(endpoint)
         return usable
 
     def all(self) -> list[Endpoint]:
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -58,7 +58,8 @@
     a refusal that names no request. ``endless``, a name in ``ENDLESS_PARTS``, sends
     bytes of that part of an answer until the caller closes. ``drip_s`` sends one byte
     in that many seconds instead of an answer. ``lying`` answers health checks with 200
-    despite the other faults, and with 503 when cleared. ``deadly_part``, the id of a
+    despite the other faults, and with 503 when cleared. ``leaving`` says in each answer
+    that the runner leaves. ``deadly_part``, the id of a
     part of a prompt, crashes the runner when it begins to write an answer to a prompt
     with this part.
     """
@@ -80,6 +81,7 @@
     endless: str = ""
     drip_s: float = 0.0
     lying: bool = True
+    leaving: bool = False
     deadly_part: str = ""
 
 
@@ -144,6 +146,8 @@
         if request.target == "/health":
             return connection.respond(200 if self.faults.lying else 503, [], b"")
         named = [("Attempt-Id", fields.get("attempt-id", ""))]
+        if self.faults.leaving:
+            named.append(("Server-Leaving", "1"))
         expected = fields.get("expect-instance", self.endpoint_id)
         if expected != self.endpoint_id or self.faults.wrong_endpoint:
             return connection.respond(
@@ -235,6 +239,8 @@
         if not faults.unsealed:
             headers.append(("Runner-Seal", f"seal-of-{self.endpoint_id}"))
         headers += self.load_report()
+        if faults.leaving:
+            headers.append(("Server-Leaving", "1"))
         if faults.encoded:
             headers.append(("Content-Encoding", "gzip"))
         if "token-usage" in fields:
