--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -8,19 +8,14 @@
 from collections.abc import Iterable
 
 import attrs
-import h11
-from result import Err, Ok
 
 from acaciarelay.coordination.crash_suspicion import Crash
 from acaciarelay.coordination.engine_model import SPEED_STEP_RATIO, EngineModel
 from acaciarelay.coordination.rounding import round_to_power
 from acaciarelay.coordination.slot_queue import SlotQueue, SlotRequestState
-from acaciarelay.coordination.slowdown import SlowdownEstimate
-from acaciarelay.platform.configuration import FormatError
-from acaciarelay.platform.endpoints import EngineReport, decode_report
-from acaciarelay.platform.headers import REPORT_PATH, decode_load
 from acaciarelay.programs.crash_detector import CrashDetector, crash_record
 from acaciarelay.programs.decision_log import configure_decision_log
+from acaciarelay.programs.engine_reports import EngineReports
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.metrics_server import serve_metrics
@@ -43,7 +38,6 @@
     SlotRequest,
     encode_message,
 )
-from acaciarelay.transport.endpoint_call import ConnectionFault, connect
 from acaciarelay.transport.message_link import LinkHandlers, LinkServer, MessageLink
 
 __all__ = ["RelayAgent", "main"]
@@ -68,7 +62,6 @@
 EXTRA_SLOTS = 1
 # Ranks for which waits are published.
 PUBLISHED_RANKS = 16
-REPORT_TIMEOUT_S = 0.5
 REPORT_INTERVAL_S = 0.25
 # How long the engine's report is checked for untracked runs after a start or a lost
 # link.
@@ -93,7 +86,7 @@
         self.metrics = Metrics()
         self.queue = SlotQueue()
         self.model = EngineModel()
-        self.slowdown = SlowdownEstimate()
+        self.reports = EngineReports(settings.engine_address)
         self.hello = Hello(
             name=settings.name,
             lifetime=secrets.token_hex(6),
@@ -142,7 +135,7 @@
 
     async def update_untracked_runs(self) -> None:
         """Count the engine's runs that hold no granted slot."""
-        report = await self.read_report()
+        report = await self.reports.read()
         if report is None:
             return
         runs = report.running + report.waiting
@@ -158,53 +151,6 @@
             self.untracked_runs = 0
             self.grant()
 
-    async def read_report(self) -> EngineReport | None:
-        try:
-            async with asyncio.timeout(REPORT_TIMEOUT_S):
-                return await self.fetch_report()
-        except TimeoutError:
-            log_event("report_failed", detail="no report in time")
-            return None
-
-    async def fetch_report(self) -> EngineReport | None:
-        match await connect(self.settings.engine_address, REPORT_TIMEOUT_S):
-            case Err(fault):
-                log_event("report_failed", detail=str(fault))
-                return None
-            case Ok(call):
-                pass
-        try:
-            host = self.settings.engine_address
-            call.send("GET", REPORT_PATH, [("Host", host)], b"")
-            pieces: list[bytes] = []
-            while True:
-                match await call.next_event():
-                    case h11.Response(headers=headers):
-                        self.record_slowdown(headers)
-                    case h11.Data(data=data):
-                        pieces.append(bytes(data))
-                    case h11.EndOfMessage():
-                        return decode_report(b"".join(pieces))
-                    case ConnectionFault() as fault:
-                        log_event("report_failed", detail=str(fault))
-                        return None
-        except FormatError as error:
-            log_event("report_failed", detail=str(error))
-            return None
-        finally:
-            call.close()
-
-    def record_slowdown(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
-        """Record the slowdown that the engine reports in a header, if it does."""
-        load = decode_load(
-            [
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in headers
-            ]
-        )
-        if load is not None and load.slowdown is not None:
-            self.slowdown.record(load.slowdown, time.monotonic())
-
     def opened(self, link: MessageLink) -> None:
         assert link.peer is not None
         self.links[link] = _SentState(self.is_near(link))
@@ -333,7 +279,7 @@
             waits_s=coarse_waits(waits_s),
             first_s=speed.first_s,
             token_s=speed.token_s,
-            slowdown=round_to_power(self.slowdown.mean, SPEED_STEP_RATIO),
+            slowdown=round_to_power(self.reports.slowdown.mean, SPEED_STEP_RATIO),
         )
         line = encode_message(state)
         near_interval_s, far_interval_s = self.state_intervals_s()
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -16,6 +16,7 @@
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.headers import READY_PATH
+from acaciarelay.programs.agent_links import AgentLinks, engine_hosts
 from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.logs import log_event
@@ -34,24 +35,14 @@
 from acaciarelay.programs.store_follower import StoreFollower
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import InboundRequest
-from acaciarelay.protocol.link_messages import (
-    CrashReport,
-    EntryList,
-    Hello,
-    LinkMessage,
-)
+from acaciarelay.protocol.link_messages import Hello
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.state.run_clock import RunClock
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
 )
-from acaciarelay.transport.message_link import (
-    Dialer,
-    LinkHandlers,
-    LinkTicker,
-    MessageLink,
-)
+from acaciarelay.transport.message_link import LinkTicker
 from acaciarelay.transport.sockets import accept_completed, listen
 
 __all__ = ["RelayEntry", "main"]
@@ -149,11 +140,8 @@
             lambda: self.usage.process_count,
         )
         self.connections: set[InboundConnection] = set()
-        self.agents: dict[str, Dialer] = {}
-        self.agent_handlers = LinkHandlers(
-            on_open=self.agent_opened,
-            on_message=self.agent_message,
-            on_close=self.agent_closed,
+        self.agents = AgentLinks(
+            self.hello, self.slot_client, self.crashes, self.peers, self.ticker
         )
         self.servers: list[asyncio.Server] = []
         # The listening socket for callers while new connections are accepted.
@@ -228,6 +216,12 @@
         routing = self.cache.routing
         return routing.limits if routing is not None else CallerLimits()
 
+    def reconcile_agents(self) -> None:
+        """Link to the agents of the engines that are registered now."""
+        if self.cache.routing is not None:
+            hosts = engine_hosts(self.cache.endpoints.all(), self.cache.routing)
+            self.agents.reconcile(hosts, self.settings.agent_port)
+
     def build_inbound(self) -> InboundConnection:
         return InboundConnection(
             self.serve, self.refuse, self.limits, self.connections, self.body_memory
@@ -274,46 +268,6 @@
         status = 404 if not known else 200 if self.ready else 503
         connection.respond(status, [], b"")
 
-    # Links to agents.
-
-    def reconcile_agents(self) -> None:
-        """Keep one link to the agent on each VM that has a registered engine."""
-        routing = self.cache.routing
-        if routing is None:
-            return
-        hosts = set()
-        for endpoint in self.cache.endpoints.all():
-            service = routing.services.get(endpoint.service)
-            if service is not None and service.engine is not None:
-                hosts.add(endpoint.host)
-        for host in hosts - self.agents.keys():
-            self.agents[host] = Dialer(
-                f"{host}:{self.settings.agent_port}",
-                self.hello,
-                self.agent_handlers,
-                self.ticker,
-                sends_pings=True,
-            )
-        for host in self.agents.keys() - hosts:
-            self.agents.pop(host).close()
-
-    def agent_opened(self, link: MessageLink) -> None:
-        log_event("agent_regained", host=link.peer_host)
-        self.slot_client.link_opened(link.peer_host, link)
-
-    def agent_closed(self, link: MessageLink) -> None:
-        log_event("agent_lost", host=link.peer_host)
-        self.slot_client.link_closed(link.peer_host, link)
-
-    def agent_message(self, link: MessageLink, message: LinkMessage) -> None:
-        match message:
-            case EntryList(entries=entries):
-                self.peers.add(entries)
-            case CrashReport():
-                self.crashes.receive(message)
-            case _:
-                self.slot_client.receive(link.peer_host, message)
-
     # Reload and stop.
 
     def reload(self) -> None:
@@ -354,8 +308,7 @@
         self.follower.close()
         self.peers.close()
         self.crashes.close()
-        for dialer in self.agents.values():
-            dialer.close()
+        self.agents.close()
         for connection in list(self.connections):
             connection.close()
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
--- a/tests/unit/platform_path/test_agent_states.py
+++ b/tests/unit/platform_path/test_agent_states.py
@@ -130,7 +130,7 @@
 async def test_untracked_runs_are_forgotten_when_no_report_comes(agent, monkeypatch):
     """Guards against slots that stay taken because a window's last report failed."""
     monkeypatch.setattr(relay_agent, "UNTRACKED_RUNS_WINDOW_S", 0.2)
-    agent.settings = attrs.evolve(agent.settings, engine_address="127.0.0.1:1")
+    agent.reports.address = "127.0.0.1:1"
     agent.untracked_runs = 4
     agent.untracked_until = time.monotonic() + 0.2
     agent.settings = attrs.evolve(
