--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -8,16 +8,16 @@
 from result import Err, Ok
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
-from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
+from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.platform.headers import (
     AnswerTraits,
-    answer_headers,
     decode_answer,
     endpoint_headers,
 )
-from acaciarelay.programs.crash_guard import MIN_EVENTS_BEGUN, CrashGuard
+from acaciarelay.programs.answer_forwarder import AnswerForwarder, broken_by
+from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.logs import log_event
-from acaciarelay.protocol.http_message import Header, InboundRequest
+from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.endpoints import Endpoint, EndpointList
 from acaciarelay.state.relayed_request import (
     AttemptOutcome,
@@ -31,14 +31,8 @@
 from acaciarelay.transport.endpoint_call import (
     ConnectionFault,
     EndpointConnection,
-    FaultKind,
     connect,
 )
-from acaciarelay.transport.event_stream import (
-    EventSplitter,
-    EventTooLargeError,
-    StreamEvent,
-)
 from acaciarelay.transport.inbound_server import InboundConnection
 
 __all__ = ["Attempts"]
@@ -48,9 +42,6 @@
 # route's timeout, up to an upper bound.
 STALL_FRACTION = 0.5
 MAX_STALL_S = 1.0
-# Bytes of a body that count as progress. Fewer within the time without progress are
-# those of an endpoint that only keeps its connection busy.
-MIN_PROGRESS_BYTES = 1024
 # Weights of failures in the endpoint's health; other failures have weight 1. An address
 # that now belongs to another endpoint has the greatest weight, since the intended
 # endpoint is no longer there.
@@ -60,10 +51,6 @@
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 WRONG_ENDPOINT = "another endpoint has the address"
-MAX_ANSWER_BYTES = 16_777_216
-# Faults with which a connection ends when its endpoint does; an answer that is cut off
-# is malformed.
-DISCONNECTIONS = frozenset([FaultKind.RESET, FaultKind.CLOSED, FaultKind.MALFORMED])
 
 
 class Attempts:
@@ -87,7 +74,7 @@
         self.crashes = crashes
         self.health = health
         self.may_abandon = may_abandon
-        self.memory = memory
+        self.forwarder = AnswerForwarder(memory, crashes)
         self.loop = asyncio.get_running_loop()
 
     async def attempt(
@@ -178,7 +165,7 @@
     ) -> AttemptOutcome:
         event = await endpoint_connection.next_event()
         if isinstance(event, ConnectionFault):
-            return _broken_by(event)
+            return broken_by(event)
         assert isinstance(event, h11.Response)
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -205,20 +192,16 @@
         if succeeded and (not traits.sealed or traits.encoded):
             return Broken("success without a seal")
         if succeeded and relayed.route.streaming:
-            return await self.forward_stream(
+            return await self.forwarder.forward_stream(
                 caller_connection,
                 relayed,
                 endpoint_connection,
                 event.status_code,
                 headers,
             )
-        memory = BodyMemory(self.memory)
-        try:
-            return await self.forward_buffered(
-                caller_connection, relayed, endpoint_connection, event, headers, memory
-            )
-        finally:
-            memory.release()
+        return await self.forwarder.forward_body(
+            caller_connection, relayed, endpoint_connection, event, headers
+        )
 
     def record_leaving(self, relayed: RelayedRequest, traits: AnswerTraits) -> None:
         endpoint = relayed.endpoint
@@ -245,134 +228,3 @@
         self.health.record_load(
             endpoint_id, load.running + load.waiting, load.slowdown, time.monotonic()
         )
-
-    async def forward_buffered(
-        self,
-        caller_connection: InboundConnection,
-        relayed: RelayedRequest,
-        endpoint_connection: EndpointConnection,
-        response: h11.Response,
-        headers: list[Header],
-        memory: BodyMemory,
-    ) -> AttemptOutcome:
-        body = bytearray()
-        progress_bytes = 0
-        while True:
-            match await endpoint_connection.next_event():
-                case h11.Data(data=data):
-                    body += data
-                    if len(body) > MAX_ANSWER_BYTES:
-                        return Broken("answer too large")
-                    if not memory.grow_to(len(body)):
-                        return Broken("no room for the answer")
-                    if len(body) - progress_bytes >= MIN_PROGRESS_BYTES:
-                        progress_bytes = len(body)
-                        endpoint_connection.record_progress()
-                case h11.EndOfMessage():
-                    break
-                case ConnectionFault() as fault:
-                    return _broken_by(fault)
-        if not 200 <= response.status_code < 300:
-            if not decode_answer(headers).sealed:
-                return Broken(f"unsealed status {response.status_code}")
-            return ErrorResponse(response.status_code, headers, bytes(body))
-        if relayed.head_sent:
-            return Broken("an answer that is no stream")
-        relayed.first_event_at = self.loop.time()
-        caller_connection.respond(
-            response.status_code, answer_headers(headers), bytes(body)
-        )
-        await caller_connection.drain()
-        return Delivered()
-
-    async def forward_stream(
-        self,
-        caller_connection: InboundConnection,
-        relayed: RelayedRequest,
-        endpoint_connection: EndpointConnection,
-        status: int,
-        headers: list[Header],
-    ) -> AttemptOutcome:
-        """Forward complete events to the caller.
-
-        The HTTP head is sent once, so a resumed stream keeps the head that an earlier
-        attempt sent.
-        """
-        splitter = EventSplitter()
-        while True:
-            match await endpoint_connection.next_event():
-                case h11.Data(data=data):
-                    try:
-                        events = splitter.feed(bytes(data))
-                    except EventTooLargeError:
-                        return Broken("event too large")
-                    self.count_events(relayed, len(events))
-                    unsent = self.unsent_events(relayed, events)
-                    if unsent is None:
-                        return Broken("events out of order")
-                    if not unsent:
-                        continue
-                    endpoint_connection.record_progress()
-                    if not relayed.head_sent:
-                        relayed.head_sent = True
-                        relayed.first_event_at = self.loop.time()
-                        caller_connection.start(
-                            status, answer_headers(headers), flush=False
-                        )
-                    # When the end of the answer is already here, the last events are
-                    # written together with it.
-                    last = (
-                        bool(endpoint_connection.events)
-                        and not splitter.has_partial_event
-                    )
-                    last = last and isinstance(
-                        endpoint_connection.events[0], h11.EndOfMessage
-                    )
-                    caller_connection.write(
-                        b"".join(event.data for event in unsent), flush=not last
-                    )
-                    if not last:
-                        await caller_connection.drain()
-                case h11.EndOfMessage():
-                    if splitter.has_partial_event:
-                        return Broken("stream ended inside an event")
-                    if not relayed.head_sent:
-                        relayed.head_sent = True
-                        caller_connection.start(status, answer_headers(headers))
-                    caller_connection.finish()
-                    return Delivered()
-                case ConnectionFault() as fault:
-                    return _broken_by(fault)
-
-    def count_events(self, relayed: RelayedRequest, count: int) -> None:
-        """Count events of the current attempt; a begun answer shows a sound prompt."""
-        before = relayed.events_received
-        relayed.events_received += count
-        if before < MIN_EVENTS_BEGUN <= relayed.events_received:
-            self.crashes.run_sound(relayed)
-
-    def unsent_events(
-        self, relayed: RelayedRequest, events: list[StreamEvent]
-    ) -> list[StreamEvent] | None:
-        """Return the events to forward, and advance ``relayed.last_event`` past them.
-
-        Events up to ``relayed.last_event`` are dropped; those without a number are
-        always forwarded. Returns ``None`` when an event number is missing.
-        """
-        unsent = []
-        for event in events:
-            if event.number is None:
-                unsent.append(event)
-                continue
-            if relayed.last_event is not None:
-                if event.number <= relayed.last_event:
-                    continue
-                if event.number != relayed.last_event + 1:
-                    return None
-            relayed.last_event = event.number
-            unsent.append(event)
-        return unsent
-
-
-def _broken_by(fault: ConnectionFault) -> Broken:
-    return Broken(str(fault), fault.kind in DISCONNECTIONS)
