Search the crashes again only when an answer changes what they say

After a crash each answered prompt with a part of it started a search of all crashes, 4 ms at the bounds (32 crashes of 32 prompts), on the entry's one loop. An answer counts once for each part and crash now; an entry compares with what its peers know only after a change.

--- a/src/acaciarelay/coordination/crash_suspicion.py
+++ b/src/acaciarelay/coordination/crash_suspicion.py
@@ -175,7 +175,10 @@
         # The part of ``sound_at`` that the peers know too.
         self.told_sound_at: dict[str, float] = {}
         self.trial_at: dict[Prompt, float] = {}
-        self._crashed_parts: set[str] = set()
+        # When each part was last in a crash.
+        self._crashed_at: dict[str, float] = {}
+        # Whether peers may have to be told something.
+        self._untold = False
 
     def record_crash(self, crash: Crash, now: float) -> None:
         """Add a crash, or further prompts of a known one."""
@@ -196,9 +199,14 @@
         """Record that a prompt with these parts is being answered."""
         concerned = False
         for part in parts:
-            self.sound_at[part] = max(at, self.sound_at.get(part, at))
+            before = self.sound_at.get(part)
+            self.sound_at[part] = at if before is None else max(at, before)
             self.sound_at.move_to_end(part)
-            concerned |= part in self._crashed_parts
+            crashed_at = self._crashed_at.get(part)
+            # A later answer changes nothing more.
+            concerned |= crashed_at is not None and (
+                before is None or before < crashed_at
+            )
         while len(self.sound_at) > MAX_SOUND_PARTS:
             self.sound_at.popitem(last=False)
         if concerned:
@@ -206,6 +214,7 @@
 
     def record_sound_at_peers(self, sound_at: Mapping[str, float]) -> None:
         """Record when parts were in prompts that peers answered."""
+        self._untold = True
         for part, at in sound_at.items():
             self.told_sound_at[part] = max(at, self.told_sound_at.get(part, at))
             self.record_sound([part], at)
@@ -215,8 +224,9 @@
 
         Only what changes the peers' suspicions is returned, and only once.
         """
-        if not self.crashes:
+        if not self._untold:
             return {}
+        self._untold = False
         at_peers = find_suspicions(self.crashes.values(), self.told_sound_at)
         if at_peers == self.suspicions:
             return {}
@@ -257,7 +267,7 @@
         """Return when the parts of crashed prompts were last sound, if ever."""
         return {
             part: self.sound_at[part]
-            for part in sorted(self._crashed_parts)
+            for part in sorted(self._crashed_at)
             if part in self.sound_at
         }
 
@@ -268,13 +278,16 @@
         for crash in in_order:
             if now - crash.at > FORGET_CRASH_S:
                 self.crashes.pop(crash.key, None)
-        self._crashed_parts = set()
-        for crash in self.crashes.values():
-            self._crashed_parts.update(*crash.prompts)
-        kept = self.told_sound_at.keys() & self._crashed_parts
+        self._crashed_at = {}
+        for crash in in_order:
+            if crash.key in self.crashes:
+                parts = itertools.chain.from_iterable(crash.prompts)
+                self._crashed_at.update(dict.fromkeys(parts, crash.at))
+        kept = self.told_sound_at.keys() & self._crashed_at.keys()
         self.told_sound_at = {part: self.told_sound_at[part] for part in kept}
 
     def _update(self) -> None:
+        self._untold = True
         self.suspicions = find_suspicions(self.crashes.values(), self.sound_at)
         suspected = {suspicion.parts for suspicion in self.suspicions}
         for parts in self.trial_at.keys() - suspected:
--- a/tests/unit/coordination/test_crash_suspicion.py
+++ b/tests/unit/coordination/test_crash_suspicion.py
@@ -3,6 +3,7 @@
 import pytest
 from deadly_prompt_model import FleetModel, Load
 
+from acaciarelay.coordination import crash_suspicion
 from acaciarelay.coordination.crash_suspicion import (
     FIRST_TRIAL_S,
     MAX_CRASHES,
@@ -224,3 +225,24 @@
     fleet.run(30.0)
     refused = sum(request.refused for request in fleet.requests)
     assert refused <= 0.01 * len(fleet.requests)
+
+
+def test_answers_after_a_crash_cost_little(monkeypatch):
+    """Guards against a search of all crashes for each answered prompt."""
+    searches = []
+
+    def counted(crashes, sound_at):
+        searches.append(1)
+        return find_suspicions(crashes, sound_at)
+
+    monkeypatch.setattr(crash_suspicion, "find_suspicions", counted)
+    suspicions = CrashSuspicions()
+    for number in range(MAX_CRASHES):
+        at = float(number)
+        suspicions.record_crash(crash(at, *(f"p{part}" for part in range(20))), at)
+    searches.clear()
+    for number in range(1000):
+        suspicions.record_sound([f"p{number % 20}"], 100.0 + number)
+        suspicions.take_untold()
+    # One for each part, and one each for what the peers know.
+    assert len(searches) <= 2 * 20
