--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -109,6 +109,7 @@
         self.states: dict[str, str] = {}
         # Times of crashes, and the tasks that start crashed runners again.
         self.crashes: list[float] = []
+        self.down: set[str] = set()
         self.restarts: list[asyncio.Task] = []
         self.stop_grace_s = STOP_GRACE_S
 
@@ -161,10 +162,11 @@
         """
         name = f"i-{number}"
         runner = PlatformRunner(name, **fields)
-        server, address = await listen(runner.handle, f"127.0.2.{number}:0")
+        server, bound = await listen(runner.handle, f"127.0.2.{number}:0")
+        address = bound
         if through is not None:
-            address = await through(name, address)
-        runner.on_crash = lambda: self.crash_runner(name, service, address)
+            address = await through(name, bound)
+        runner.on_crash = lambda: self.crash_runner(name, service, bound, address)
         self.runners[name] = runner
         self.servers[name] = server
         self.states[name] = "ready"
@@ -183,20 +185,29 @@
             self.store.put("servers", self.runners[name].endpoint_id, value)
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
 
-    def crash_runner(self, name: str, service: str, address: str) -> None:
-        """Let a runner be down for ``CRASHED_S`` and start again under a new id."""
+    def crash_runner(self, name: str, service: str, bound: str, address: str) -> None:
+        """Let a runner be down for ``CRASHED_S`` and start again under a new id.
+
+        It listens at ``bound`` and registers ``address``.
+        """
+        if name in self.down:
+            return
+        self.down.add(name)
         self.crashes.append(time.monotonic())
         self.registrations[name].cancel()
         self.servers[name].close()
-        restart = self.restart_runner(name, service, address)
+        restart = self.restart_runner(name, service, bound, address)
         self.restarts.append(asyncio.create_task(restart))
 
-    async def restart_runner(self, name: str, service: str, address: str) -> None:
+    async def restart_runner(
+        self, name: str, service: str, bound: str, address: str
+    ) -> None:
         await asyncio.sleep(CRASHED_S)
+        self.down.discard(name)
         runner = self.runners[name]
         self.store.put("servers", runner.endpoint_id, None)
         runner.endpoint_id = f"{name}.{len(self.crashes)}"
-        self.servers[name], _ = await listen(runner.handle, address)
+        self.servers[name], _ = await listen(runner.handle, bound)
         self.registrations[name] = asyncio.create_task(
             self.register(name, service, address)
         )
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -40,7 +40,11 @@
 RUNNER_FAULTS = (
     *("lose", "shed", "error", "foreign", "unsealed", "short", "garbage"),
     *("silent", "extra", "wrong_endpoint", "old_refusal", "endless", "drip_s"),
+    *("leaving", "retry_after", "deadly_part"),
 )
+# A part of some prompts, on which a runner with this fault crashes.
+DEADLY_PART = "dead"
+DEADLY_TARGET = "/chat/deadly"
 
 
 @attrs.frozen
@@ -122,7 +126,9 @@
         writer: asyncio.StreamWriter | None = None
         while time.monotonic() < stop_at:
             count += 1
-            target = rng.choice(("/read/a", "/order/a", "/chat/a", "/extra/a"))
+            target = rng.choice(
+                ("/read/a", "/order/a", "/chat/a", "/extra/a", DEADLY_TARGET)
+            )
             attempt = f"c{number}-{count}"
             entry = rng.choice(ENTRIES)
             answer = None
@@ -212,11 +218,19 @@
                 value = self.rng.choice(sorted(ENDLESS_PARTS))
             elif name_of_fault == "drip_s":
                 value = self.rng.uniform(0.05, 0.4)
+            elif name_of_fault == "retry_after":
+                faults.shed = True
+                value = f"{self.rng.uniform(0.1, 1.5):.2f}"
+            elif name_of_fault == "deadly_part":
+                value = DEADLY_PART
             setattr(faults, name_of_fault, value)
         self.log(f"runner {name}: {faults}")
         self.fleet.runners[name].faults = faults
         await asyncio.sleep(self.rng.uniform(0.2, 1.0))
         self.fleet.runners[name].faults = RunnerFaults()
+        if faults.leaving:
+            # It ends, and another one starts in its place.
+            self.fleet.runners[name].crash()
 
     async def pause_program(self) -> None:
         name = self.rng.choice(sorted(self.fleet.programs))
@@ -327,7 +341,10 @@
 
 def request_bytes(target: str, attempt: str) -> bytes:
     """Return the bytes of a caller's request."""
-    tokens = "Token-Usage: 100,30\r\n" if target.startswith("/chat/") else ""
+    tokens = ""
+    if target.startswith("/chat/"):
+        parts = f"first:40,{DEADLY_PART}:30" if target == DEADLY_TARGET else "first:40"
+        tokens = f"Token-Usage: 100,30\r\nPrompt-Prefix: {parts},{attempt}:9\r\n"
     timeout_ms = int(CALL_TIMEOUT_S * 1000)
     return (
         f"POST {target} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
