--- a/src/acaciarelay/coordination/crash_suspicion.py
+++ b/src/acaciarelay/coordination/crash_suspicion.py
@@ -1,9 +1,9 @@
 """Find the parts of prompts that crash engines.
 
-A crash of an engine lists the prompts whose answers it had not begun. A deadly part is
+A crash of an engine lists the prompts whose answers it had not begun. A fatal part is
 in one of them each time, and never in a prompt that is answered. Parts that always came
 together can't be told apart: they are suspected together, and only prompts with all of
-them are refused, so that other prompts with some of them show which ones are sound.
+them are refused, so that other prompts with some of them show which ones are benign.
 """
 
 import collections
@@ -22,7 +22,7 @@
 MIN_CRASHES = 2
 MIN_CRASHES_OF_A_KNOWN_PART = 3
 # Engines that crash within this time of each other count as one crash, since a common
-# cause such as a loss of power is more likely than that many deadly prompts.
+# cause such as a loss of power is more likely than that many fatal prompts.
 SIMULTANEOUS_S = 0.05
 # Time from the last crash, or the last trial, to a trial with one prompt: after the
 # least number of crashes, its growth with each further one, and its upper bound.
@@ -32,7 +32,7 @@
 # Bounds of what is remembered.
 MAX_CRASHES = 32
 MAX_PROMPTS_PER_CRASH = 32
-MAX_SOUND_PARTS = 4096
+MAX_BENIGN_PARTS = 4096
 FORGET_CRASH_S = 600.0
 
 
@@ -70,22 +70,22 @@
 
 
 def find_suspicions(
-    crashes: Iterable[Crash], sound_at: Mapping[str, float]
+    crashes: Iterable[Crash], benign_at: Mapping[str, float]
 ) -> list[Suspicion]:
     """Return the suspicions that explain the crashes.
 
-    ``sound_at`` holds for parts of answered prompts when the last one was answered.
+    ``benign_at`` holds for parts of answered prompts when the last one was answered.
     What is in most crashes explains these; other parts have to explain the rest.
     """
     unexplained = set(_join_simultaneous(crashes))
     suspicions: list[Suspicion] = []
     while True:
-        events_by_part = _events_by_part(unexplained, sound_at)
-        strongest = _strongest(events_by_part, sound_at)
+        events_by_part = _events_by_part(unexplained, benign_at)
+        strongest = _strongest(events_by_part, benign_at)
         if strongest is None:
             return suspicions
         tied = {part for part, events in events_by_part.items() if events == strongest}
-        unknown = {part for part in tied if part not in sound_at}
+        unknown = {part for part in tied if part not in benign_at}
         for parts in _that_came_together(unknown or tied, strongest):
             suspicions.append(
                 Suspicion(
@@ -110,29 +110,29 @@
 
 
 def _events_by_part(
-    events: Iterable[_Event], sound_at: Mapping[str, float]
+    events: Iterable[_Event], benign_at: Mapping[str, float]
 ) -> dict[str, frozenset[_Event]]:
     """Return the crashes under each part since it was last in an answered prompt."""
     found: dict[str, set[_Event]] = collections.defaultdict(set)
     for event in events:
         for part in itertools.chain.from_iterable(event.prompts):
-            if event.last_at > sound_at.get(part, event.at - 1.0):
+            if event.last_at > benign_at.get(part, event.at - 1.0):
                 found[part].add(event)
     return {part: frozenset(events) for part, events in found.items()}
 
 
 def _strongest(
-    events_by_part: Mapping[str, frozenset[_Event]], sound_at: Mapping[str, float]
+    events_by_part: Mapping[str, frozenset[_Event]], benign_at: Mapping[str, float]
 ) -> frozenset[_Event] | None:
     """Return the crashes under the most suspicious part; ``None`` if there is none.
 
-    Of parts with equally many crashes one that was never sound comes first.
+    Of parts with equally many crashes one that was never benign comes first.
     """
     best: frozenset[_Event] | None = None
     best_key = (0, False)
     for part in sorted(events_by_part):
         events = events_by_part[part]
-        known = part in sound_at
+        known = part in benign_at
         least = MIN_CRASHES_OF_A_KNOWN_PART if known else MIN_CRASHES
         key = (len(events), not known)
         if len(events) >= least and key > best_key:
@@ -171,9 +171,9 @@
         self.crashes: dict[str, Crash] = {}
         self.suspicions: list[Suspicion] = []
         # The least recently answered part comes first.
-        self.sound_at: collections.OrderedDict[str, float] = collections.OrderedDict()
-        # The part of ``sound_at`` that the peers know too.
-        self.told_sound_at: dict[str, float] = {}
+        self.benign_at: collections.OrderedDict[str, float] = collections.OrderedDict()
+        # The part of ``benign_at`` that the peers know too.
+        self.told_benign_at: dict[str, float] = {}
         self.trial_at: dict[Prompt, float] = {}
         # When each part was last in a crash.
         self._crashed_at: dict[str, float] = {}
@@ -195,47 +195,47 @@
         self._forget_crashes(now)
         self._update()
 
-    def record_sound(self, parts: Iterable[str], at: float) -> None:
+    def record_benign(self, parts: Iterable[str], at: float) -> None:
         """Record that a prompt with these parts is being answered."""
         concerned = False
         for part in parts:
-            before = self.sound_at.get(part)
-            self.sound_at[part] = at if before is None else max(at, before)
-            self.sound_at.move_to_end(part)
+            before = self.benign_at.get(part)
+            self.benign_at[part] = at if before is None else max(at, before)
+            self.benign_at.move_to_end(part)
             crashed_at = self._crashed_at.get(part)
             # A later answer changes nothing more.
             concerned |= crashed_at is not None and (
                 before is None or before < crashed_at
             )
-        while len(self.sound_at) > MAX_SOUND_PARTS:
-            self.sound_at.popitem(last=False)
+        while len(self.benign_at) > MAX_BENIGN_PARTS:
+            self.benign_at.popitem(last=False)
         if concerned:
             self._update()
 
-    def record_sound_at_peers(self, sound_at: Mapping[str, float]) -> None:
+    def record_benign_at_peers(self, benign_at: Mapping[str, float]) -> None:
         """Record when parts were in prompts that peers answered."""
         self._untold = True
-        for part, at in sound_at.items():
-            self.told_sound_at[part] = max(at, self.told_sound_at.get(part, at))
-            self.record_sound([part], at)
+        for part, at in benign_at.items():
+            self.told_benign_at[part] = max(at, self.told_benign_at.get(part, at))
+            self.record_benign([part], at)
 
     def take_untold(self) -> dict[str, float]:
-        """Return when suspected parts were sound, as far as peers don't know it yet.
+        """Return when suspected parts were benign, as far as peers don't know it yet.
 
         Only what changes the peers' suspicions is returned, and only once.
         """
         if not self._untold:
             return {}
         self._untold = False
-        at_peers = find_suspicions(self.crashes.values(), self.told_sound_at)
+        at_peers = find_suspicions(self.crashes.values(), self.told_benign_at)
         if at_peers == self.suspicions:
             return {}
         untold = {}
         for part in sorted(set().union(*(each.parts for each in at_peers))):
-            at = self.sound_at.get(part)
-            if at is not None and at > self.told_sound_at.get(part, at - 1.0):
+            at = self.benign_at.get(part)
+            if at is not None and at > self.told_benign_at.get(part, at - 1.0):
                 untold[part] = at
-        self.told_sound_at |= untold
+        self.told_benign_at |= untold
         return untold
 
     def suspicion_of(self, parts: Prompt) -> Suspicion | None:
@@ -263,12 +263,12 @@
                 found.append(crash)
         return found
 
-    def sound_at_crashes(self) -> dict[str, float]:
-        """Return when the parts of crashed prompts were last sound, if ever."""
+    def benign_at_crashes(self) -> dict[str, float]:
+        """Return when the parts of crashed prompts were last benign, if ever."""
         return {
-            part: self.sound_at[part]
+            part: self.benign_at[part]
             for part in sorted(self._crashed_at)
-            if part in self.sound_at
+            if part in self.benign_at
         }
 
     def _forget_crashes(self, now: float) -> None:
@@ -283,12 +283,12 @@
             if crash.key in self.crashes:
                 parts = itertools.chain.from_iterable(crash.prompts)
                 self._crashed_at.update(dict.fromkeys(parts, crash.at))
-        kept = self.told_sound_at.keys() & self._crashed_at.keys()
-        self.told_sound_at = {part: self.told_sound_at[part] for part in kept}
+        kept = self.told_benign_at.keys() & self._crashed_at.keys()
+        self.told_benign_at = {part: self.told_benign_at[part] for part in kept}
 
     def _update(self) -> None:
         self._untold = True
-        self.suspicions = find_suspicions(self.crashes.values(), self.sound_at)
+        self.suspicions = find_suspicions(self.crashes.values(), self.benign_at)
         suspected = {suspicion.parts for suspicion in self.suspicions}
         for parts in self.trial_at.keys() - suspected:
             del self.trial_at[parts]
--- a/src/acaciarelay/programs/answer_forwarder.py
+++ b/src/acaciarelay/programs/answer_forwarder.py
@@ -171,11 +171,11 @@
                     return broken_by(fault)
 
     def count_events(self, relayed: RelayedRequest, count: int) -> None:
-        """Count events of the current attempt; a begun answer shows a sound prompt."""
+        """Count events of the current attempt; a begun answer shows a benign prompt."""
         before = relayed.events_received
         relayed.events_received += count
         if before < MIN_EVENTS_BEGUN <= relayed.events_received:
-            self.crashes.run_sound(relayed)
+            self.crashes.run_benign(relayed)
 
     def unsent_events(
         self, relayed: RelayedRequest, events: list[StreamEvent]
--- a/src/acaciarelay/programs/crash_guard.py
+++ b/src/acaciarelay/programs/crash_guard.py
@@ -14,7 +14,7 @@
 
 __all__ = ["CrashGuard"]
 
-# Events after which an answer counts as begun, so that its prompt is sound.
+# Events after which an answer counts as begun, so that its prompt is benign.
 MIN_EVENTS_BEGUN = 2
 # Peers that report known crashes to an entry which has just been reached.
 FIRST_REPORTERS = 3
@@ -56,11 +56,11 @@
         else:
             self.detector.record(broken, endpoint.address)
 
-    def run_sound(self, relayed: RelayedRequest) -> None:
+    def run_benign(self, relayed: RelayedRequest) -> None:
         """Record that an engine answers a prompt."""
         parts = relayed.traits.shared_parts
         if parts:
-            self._apply(lambda: self.suspicions.record_sound(parts, time.monotonic()))
+            self._apply(lambda: self.suspicions.record_benign(parts, time.monotonic()))
 
     def suspicion_of(self, relayed: RelayedRequest) -> Suspicion | None:
         """Return the suspicion for which a request is refused; ``None`` if it may run.
@@ -98,7 +98,7 @@
     def receive(self, report: CrashReport) -> None:
         """Merge what an agent or a peer reports."""
         now = time.monotonic()
-        sound_at = {part: now - age_s for part, age_s in report.sound_s.items()}
+        benign_at = {part: now - age_s for part, age_s in report.benign_s.items()}
         crashes = [
             Crash(
                 key=record.engine,
@@ -109,7 +109,7 @@
         ]
 
         def merge() -> None:
-            self.suspicions.record_sound_at_peers(sound_at)
+            self.suspicions.record_benign_at_peers(benign_at)
             for crash in crashes:
                 self.suspicions.record_crash(crash, now)
 
@@ -129,7 +129,7 @@
         others = sorted({self.own, *self.entries} - {peer})
         if not evidence or self.own not in choose_subset(peer, others, FIRST_REPORTERS):
             return None
-        return _report(evidence, self.suspicions.sound_at_crashes(), now)
+        return _report(evidence, self.suspicions.benign_at_crashes(), now)
 
     def close(self) -> None:
         self.detector.close()
@@ -165,9 +165,9 @@
 
 
 def _report(
-    crashes: list[Crash], sound_at: dict[str, float], now: float
+    crashes: list[Crash], benign_at: dict[str, float], now: float
 ) -> CrashReport:
     return CrashReport(
         crashes=[crash_record(crash, now) for crash in crashes],
-        sound_s={part: round(now - at, 3) for part, at in sound_at.items()},
+        benign_s={part: round(now - at, 3) for part, at in benign_at.items()},
     )
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -196,7 +196,7 @@
             return
         now = time.monotonic()
         records = [crash_record(crash, now) for crash in crashes]
-        line = encode_message(CrashReport(crashes=records, sound_s={}))
+        line = encode_message(CrashReport(crashes=records, benign_s={}))
         for link in links:
             if link.peer is not None and link.peer.reports_crashes:
                 link.send_line(line)
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -144,7 +144,7 @@
         match outcome:
             case Delivered():
                 self.health.record_success(relayed.endpoint.endpoint_id, now)
-                self.crashes.run_sound(relayed)
+                self.crashes.run_benign(relayed)
             case ErrorResponse(status=status) if status < 500:
                 self.health.record_success(relayed.endpoint.endpoint_id, now)
             case NotRun(reason=reason):
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -257,11 +257,11 @@
 class CrashReport:
     """Tells entries of crashes, and when parts of prompts were last answered.
 
-    ``sound_s`` holds by part the seconds since then.
+    ``benign_s`` holds by part the seconds since then.
     """
 
     crashes: list[CrashRecord]
-    sound_s: dict[str, float]
+    benign_s: dict[str, float]
 
 
 LinkMessage = (
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -60,7 +60,7 @@
     in that many seconds instead of an answer. ``lying`` answers health checks with 200
     despite the other faults, and with 503 when cleared. ``leaving`` says in each answer
     that the runner leaves; ``retry_after`` is the text of that header in a refusal.
-    ``deadly_part``, the id of a
+    ``fatal_part``, the id of a
     part of a prompt, crashes the runner when it begins to write an answer to a prompt
     with this part.
     """
@@ -84,7 +84,7 @@
     lying: bool = True
     leaving: bool = False
     retry_after: str = ""
-    deadly_part: str = ""
+    fatal_part: str = ""
 
 
 @attrs.frozen
@@ -201,7 +201,7 @@
         )
         self.runs.append(run)
         try:
-            if self.faults.deadly_part in run.parts:
+            if self.faults.fatal_part in run.parts:
                 await self.work(self.work_s)
                 return self.crash()
             await self.answer(connection, fields, attempt)
