--- a/tests/unit/platform_path/test_ends_of_answers.py
+++ b/tests/unit/platform_path/test_ends_of_answers.py
@@ -1,6 +1,7 @@
 """Answers that end with their channel, or break off at any byte: what callers get."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -53,6 +54,8 @@
             writer.transport.abort()
         else:
             writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
 
 
 def unframed(body, status="200 OK"):
