--- a/tests/unit/coordination/fatal_prompt_model.py
+++ b/tests/unit/coordination/fatal_prompt_model.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -28,9 +29,9 @@
     one. Fatal prompts come from ``fatal_from`` to ``fatal_to``.
     """
 
-    fatal: object
-    benign: object
-    fatal_parts: frozenset
+    fatal: Callable[[random.Random], list[str]]
+    benign: Callable[[random.Random], list[str]]
+    fatal_parts: frozenset[str]
     fatal_per_s: float
     benign_per_s: float
     fatal_from: float = 4.0
@@ -59,7 +60,7 @@
         self.now = 0.0
         self.numbers = itertools.count()
         self.events = []
-        self.up = dict.fromkeys(range(engines), 0)
+        self.up = set(range(engines))
         self.running = {engine: [] for engine in range(engines)}
         self.entries = [CrashSuspicions() for _ in range(entries)]
         self.crash_times = []
@@ -100,10 +101,9 @@
         if suspicion is not None and not self.is_trial(request, suspicion):
             request.refused = True
             return
-        up = [engine for engine, number in self.up.items() if number is not None]
-        if not up:
+        if not self.up:
             return
-        engine = self.rng.choice(up)
+        engine = self.rng.choice(sorted(self.up))
         request.attempts += 1
         request.begun = False
         self.running[engine].append(request)
@@ -140,10 +140,11 @@
         broken, self.running[engine] = self.running[engine], []
         prompts = frozenset(r.parts for r in broken if not r.begun and r.parts)
         crash = Crash(key=f"{engine}@{self.now}", at=self.now, prompts=prompts)
-        self.up[engine] = None
-        self.at(DOWN_S, self.restart, engine)
+        self.up.discard(engine)
+        self.at(DOWN_S, self.up.add, engine)
         for entry in self.entries:
-            self.at(self.rng.uniform(*REPORT_DELAYS_S), self.report, entry, crash)
+            delay_s = self.rng.uniform(*REPORT_DELAYS_S)
+            self.at(delay_s, self.report, entry, crash)
         for request in broken:
             if request.attempts < MAX_ATTEMPTS:
                 self.at(RETRY_DELAY_S, self.try_engine, request)
@@ -153,9 +154,6 @@
     def report(self, entry, crash):
         entry.record_crash(crash, self.now)
 
-    def restart(self, engine):
-        self.up[engine] = 0
-
     def tick(self):
         """Exchange what entries know of benign prompts."""
         self.at(TICK_S, self.tick)
