--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -33,6 +33,8 @@
 KEY = "key-1"
 TENANT = "workshop"
 START_LIMIT_S = 20.0
+# A case may take 120 s.
+CASE_LIMIT_S = 115.0
 # Bounds of the small deployment hylly-relay, as the pages give them.
 BOUNDS = {
     "contactMs": 3000,
@@ -487,9 +489,18 @@
 
 def run_case(case: Callable[[], Awaitable[int]]) -> None:
     """Run a case and exit: 0 rule held, 1 rule broken, 2 the case could not run."""
+
+    async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # All processes are ended also if the case itself is.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        async with asyncio.timeout(CASE_LIMIT_S):
+            return await case()
+
     try:
-        code = asyncio.run(case())
-    except Exception as error:
+        code = asyncio.run(bounded())
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         code = NOT_RUN
     print({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[code])
