Count and log by connection what holds an entry's event loop

Each step that reads from a caller, an endpoint, a link or the store is timed now, from the arrival of its bytes to what follows in the same step. The sums are the metric acaciarelay_reading_seconds; a step of 50 ms or more is counted by acaciarelay_long_steps_total and logged as event_loop_held, with the peer's address, the time and the bytes.

Two tests' stand-ins of connect() accept its new argument.

--- a/src/acaciarelay/platform/store.py
+++ b/src/acaciarelay/platform/store.py
@@ -10,6 +10,7 @@
 import orjson
 from result import Err, Ok, Result
 
+from acaciarelay.coordination.loop_budget import LoopBudget, Reader
 from acaciarelay.state.cached_table import StoreRow
 from acaciarelay.state.store_era import StoreVersion
 from acaciarelay.transport.endpoint_call import (
@@ -64,8 +65,11 @@
     ``era`` is the store's newest known era. An answer without an era is of this one.
     """
 
-    def __init__(self, address: str, era: int = 0) -> None:
+    def __init__(
+        self, address: str, era: int = 0, loop_budget: LoopBudget | None = None
+    ) -> None:
         self.address = address
+        self.loop_budget = loop_budget
         self.era = era
         self._connection: EndpointConnection | None = None
         self._lock = asyncio.Lock()
@@ -146,7 +150,9 @@
     ) -> Result[_Answer, StoreError]:
         connection = self._connection
         if connection is None or not connection.reusable:
-            match await connect(self.address, CONNECT_TIMEOUT_S):
+            match await connect(
+                self.address, CONNECT_TIMEOUT_S, self.loop_budget, Reader.STORE
+            ):
                 case Err(fault):
                     return Err(StoreError(str(fault)))
                 case Ok(connection):
--- a/src/acaciarelay/programs/answer_forwarder.py
+++ b/src/acaciarelay/programs/answer_forwarder.py
@@ -128,6 +128,7 @@
         while True:
             match await endpoint_connection.next_event():
                 case h11.Data(data=data):
+                    began = self.loop.time()
                     try:
                         events = splitter.feed(bytes(data))
                     except EventTooLargeError:
@@ -157,6 +158,9 @@
                     caller_connection.write(
                         b"".join(event.data for event in unsent), flush=not last
                     )
+                    endpoint_connection.loop_time.spend(
+                        self.loop.time() - began, len(data)
+                    )
                     if not last:
                         await caller_connection.drain()
                 case h11.EndOfMessage():
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -215,6 +215,20 @@
         (),
         "Bytes that the bodies under way occupy.",
     ),
+    Metric(
+        "acaciarelay_reading_seconds",
+        "gauge",
+        ("reader",),
+        "Seconds of the event loop spent on what others sent, by who sends: caller, "
+        "endpoint, link or store.",
+    ),
+    Metric(
+        "acaciarelay_long_steps_total",
+        "counter",
+        ("reader",),
+        "Steps that kept the event loop from other tasks for 50 ms or more, by who "
+        "sends.",
+    ),
     Metric(
         "acaciarelay_commands_total",
         "counter",
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.platform.headers import (
     AnswerTraits,
@@ -58,7 +59,8 @@
     """Make attempts and record their outcomes in the health of the endpoints.
 
     ``on_stall`` is called again and again while an attempt is stalled. Answers that are
-    collected before they are passed on share ``memory``. ``crashes`` learns which
+    collected before they are passed on share ``memory``, and reading all answers takes
+    its time from ``loop_budget``. ``crashes`` learns which
     prompts endpoints answer and which runs they broke off, and ``endpoints`` which of
     them leave.
     """
@@ -68,12 +70,14 @@
         health: EndpointHealth,
         on_stall: Callable[[RelayedRequest, EndpointConnection], None],
         memory: MemoryBudget,
+        loop_budget: LoopBudget,
         crashes: CrashGuard,
         endpoints: EndpointList,
     ) -> None:
         self.endpoints = endpoints
         self.crashes = crashes
         self.health = health
+        self.loop_budget = loop_budget
         self.on_stall = on_stall
         self.forwarder = AnswerForwarder(memory, crashes)
         self.loop = asyncio.get_running_loop()
@@ -104,7 +108,7 @@
         endpoint: Endpoint,
     ) -> AttemptOutcome:
         called_at = time.monotonic()
-        match await connect(endpoint.address, CONNECT_TIMEOUT_S):
+        match await connect(endpoint.address, CONNECT_TIMEOUT_S, self.loop_budget):
             case Err(fault):
                 self.record_connect_failure(endpoint, fault, called_at)
                 return NotRun(f"connect: {fault.detail}", False)
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -11,6 +11,7 @@
 import eliot
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.loop_budget import LongStep, LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import SlotClient
@@ -106,6 +107,7 @@
         self.body_memory = MemoryBudget(
             int(settings.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE)
         )
+        self.loop_budget = LoopBudget(self.record_long_step)
         own_address = f"{settings.host}:{settings.peer_port}"
         self.crashes = CrashGuard(own_address, self.slot_client, self.metrics)
         self.relay = RequestRelay(
@@ -116,6 +118,7 @@
             self.slot_client,
             self.run_clock,
             self.body_memory,
+            self.loop_budget,
             self.crashes,
             self.metrics,
             self.rng,
@@ -129,7 +132,7 @@
             reports_crashes=True,
             orders_eras=True,
         )
-        self.ticker = LinkTicker()
+        self.ticker = LinkTicker(self.loop_budget)
         self.peers = Peers(
             self.hello,
             self.cache,
@@ -144,6 +147,7 @@
             self.rng,
             settings.store_silence_ms / 1000,
             lambda: self.usage.process_count,
+            self.loop_budget,
         )
         self.peers.on_era = self.follower.probe_era
         self.connections: set[InboundConnection] = set()
@@ -207,6 +211,19 @@
         self.metrics.set("store_era", self.cache.era)
         self.metrics.set("peers_reached", len(self.peers.addresses()))
         self.metrics.set("body_bytes", self.body_memory.used_bytes)
+        for reader, seconds in self.loop_budget.seconds.items():
+            self.metrics.set("reading_seconds", seconds, reader=reader)
+
+    def record_long_step(self, step: LongStep) -> None:
+        """Count and log a step that kept the event loop from other tasks."""
+        self.metrics.count("long_steps_total", reader=step.reader)
+        log_event(
+            "event_loop_held",
+            reader=step.reader,
+            peer=step.peer,
+            seconds=round(step.seconds, 4),
+            bytes=step.size,
+        )
 
     async def listen(self) -> None:
         host, port = _split(self.settings.caller_address)
@@ -240,7 +257,12 @@
 
     def build_inbound(self) -> InboundConnection:
         return InboundConnection(
-            self.serve, self.refuse, self.limits, self.connections, self.body_memory
+            self.serve,
+            self.refuse,
+            self.limits,
+            self.connections,
+            self.body_memory,
+            self.loop_budget,
         )
 
     def build_ready(self) -> InboundConnection:
@@ -250,6 +272,7 @@
             CallerLimits,
             set(),
             MemoryBudget(READY_BODY_BYTES),
+            self.loop_budget,
         )
 
     async def serve(
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -6,6 +6,7 @@
 import time
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import SlotClient
@@ -69,6 +70,7 @@
         slot_client: SlotClient,
         run_clock: RunClock,
         body_memory: MemoryBudget,
+        loop_budget: LoopBudget,
         crashes: CrashGuard,
         metrics: Metrics,
         rng: random.Random,
@@ -86,7 +88,12 @@
             self.placer, self.drain, retry_budget, slot_client, self.may_go_elsewhere
         )
         self.attempts = Attempts(
-            health, self.takeovers.on_stall, body_memory, crashes, cache.endpoints
+            health,
+            self.takeovers.on_stall,
+            body_memory,
+            loop_budget,
+            crashes,
+            cache.endpoints,
         )
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -9,6 +9,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.platform.configuration import OPERATOR_TABLE
 from acaciarelay.platform.store import (
     HistoryCompacted,
@@ -91,7 +92,8 @@
     is known within ``silence_limit_s`` of the end of any silence, however short: the
     entries' calls end together with each change, so all of them may be lost at once and
     no peer may know more. The first failure of one feed makes the others ask again.
-    ``entry_count`` returns the number of entries that follow the store.
+    ``entry_count`` returns the number of entries that follow the store. Reading its
+    answers takes its time from ``loop_budget``.
     """
 
     def __init__(
@@ -101,8 +103,10 @@
         rng: random.Random,
         silence_limit_s: float,
         entry_count: Callable[[], int],
+        loop_budget: LoopBudget | None = None,
     ) -> None:
         self.address = address
+        self.loop_budget = loop_budget
         self.cache = cache
         self.rng = rng
         self.silence_limit_s = silence_limit_s
@@ -164,7 +168,7 @@
         return min(MAX_ENDPOINT_INTERVAL_S, interval_s)
 
     async def follow(self, table: str) -> None:
-        client = StoreClient(self.address, self.cache.era)
+        client = StoreClient(self.address, self.cache.era, self.loop_budget)
         feed = self.feeds[table]
         try:
             while True:
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -12,6 +12,7 @@
 import h11
 from result import Err, Ok, Result
 
+from acaciarelay.coordination.loop_budget import LoopBudget, LoopTime, Reader
 from acaciarelay.protocol.http_message import Header, encode_headers
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
@@ -53,9 +54,14 @@
 
 
 class EndpointConnection(asyncio.Protocol):
-    """Drive h11 as a client over one connection and queue the events of a response."""
+    """Drive h11 as a client over one connection and queue the events of a response.
 
-    def __init__(self) -> None:
+    ``loop_time`` accounts for the time that the connection takes of the event loop.
+    """
+
+    def __init__(self, loop_time: LoopTime) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.loop_time = loop_time
         self.http = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport | None = None
         self.events: collections.deque[h11.Event | ConnectionFault] = (
@@ -89,6 +95,11 @@
         return False
 
     def data_received(self, data: bytes) -> None:
+        began = self.loop.time()
+        self._read(data)
+        self.loop_time.spend(self.loop.time() - began, len(data))
+
+    def _read(self, data: bytes) -> None:
         if self.fault is not None:
             return
         if self.http.their_state is h11.DONE:
@@ -100,14 +111,14 @@
 
     def record_progress(self) -> None:
         """Record that the endpoint makes progress with its answer."""
-        self.progress_at = asyncio.get_running_loop().time()
+        self.progress_at = self.loop.time()
 
     @property
     def stalled_s(self) -> float:
         """Return the seconds without progress, 0 while the caller is the slow one."""
         if self.fault is not None or self.reading_paused or self.events:
             return 0.0
-        return asyncio.get_running_loop().time() - self.progress_at
+        return self.loop.time() - self.progress_at
 
     def watch_progress(self, stall_s: float, on_stall: Callable[[], None]) -> None:
         """Call ``on_stall`` again and again after ``stall_s`` without progress.
@@ -115,20 +126,19 @@
         The head of the answer counts as progress, and what ``record_progress`` is
         called for.
         """
-        loop = asyncio.get_running_loop()
-        self.progress_at = loop.time()
+        self.progress_at = self.loop.time()
 
         def check(due_at: float) -> None:
-            if loop.time() - due_at > MAX_TIMER_DELAY_S:
-                self.progress_at = loop.time()
+            if self.loop.time() - due_at > MAX_TIMER_DELAY_S:
+                self.progress_at = self.loop.time()
             left_s = stall_s - self.stalled_s
             check_after(left_s if left_s > 0 else STALL_RECHECK_S)
             if left_s <= 0:
                 on_stall()
 
         def check_after(delay_s: float) -> None:
-            due_at = loop.time() + delay_s
-            self.stall_timer = loop.call_at(due_at, check, due_at)
+            due_at = self.loop.time() + delay_s
+            self.stall_timer = self.loop.call_at(due_at, check, due_at)
 
         check_after(stall_s)
 
@@ -224,7 +234,7 @@
         while not self.events:
             if self.fault is not None:
                 return self.fault
-            self.waiter = asyncio.get_running_loop().create_future()
+            self.waiter = self.loop.create_future()
             try:
                 await self.waiter
             finally:
@@ -273,15 +283,19 @@
 
 
 async def connect(
-    address: str, timeout_s: float
+    address: str,
+    timeout_s: float,
+    loop_budget: LoopBudget | None = None,
+    reader: Reader = Reader.ENDPOINT,
 ) -> Result[EndpointConnection, ConnectionFault]:
     """Open a connection to ``IP:PORT``; an address in another form is a fault too."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
+    loop_time = (loop_budget or LoopBudget()).open(reader, address)
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                EndpointConnection, host, int(port)
+                lambda: EndpointConnection(loop_time), host, int(port)
             )
     except TimeoutError:
         return Err(
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from acaciarelay.coordination.loop_budget import LoopBudget, LoopTime, Reader
 from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import Header, InboundRequest, encode_headers
@@ -47,7 +48,7 @@
     ``handler`` is awaited with each complete request and responds through this object;
     ``on_refusal`` is called for input that is no valid request. ``registry`` contains
     the connection while it is open. The bodies of all connections with the same
-    ``memory`` share it.
+    ``memory`` share it, and reading takes its time from ``loop_budget``.
     """
 
     def __init__(
@@ -57,12 +58,15 @@
         limits: Callable[[], CallerLimits],
         registry: set["InboundConnection"],
         memory: MemoryBudget,
+        loop_budget: LoopBudget | None = None,
     ) -> None:
         self.handler = handler
         self.on_refusal = on_refusal
         self.limits = limits
         self.registry = registry
         self.loop = asyncio.get_running_loop()
+        self.loop_budget = loop_budget or LoopBudget()
+        self.loop_time: LoopTime | None = None
         self.transport: asyncio.Transport | None = None
         self.http = self.new_parser()
         self.phase = Phase.IDLE
@@ -95,6 +99,8 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.registry.add(self)
+        name = transport.get_extra_info("peername")
+        self.loop_time = self.loop_budget.open(Reader.CALLER, name[0] if name else "")
         enable_dead_peer_detection(transport, TCP_USER_TIMEOUT_S)
         self.set_timer(self.limits().idle_timeout_s)
 
@@ -122,6 +128,11 @@
         self.write_resumed = None
 
     def data_received(self, data: bytes) -> None:
+        began = self.loop.time()
+        self.read(data)
+        self.record_step(began, len(data))
+
+    def read(self, data: bytes) -> None:
         self.received_any = True
         match self.phase:
             case Phase.IDLE:
@@ -148,6 +159,10 @@
             case Phase.CLOSING:
                 return
 
+    def record_step(self, began: float, size: int) -> None:
+        assert self.loop_time is not None
+        self.loop_time.spend(self.loop.time() - began, size)
+
     # Reading a request.
 
     def read_head(self) -> None:
@@ -205,11 +220,13 @@
         self.parse_handle = None
         if self.phase is not Phase.BODY or self.transport is None:
             return
+        began = self.loop.time()
         self.set_timer(self.limits().head_timeout_s)
         try:
             self.parse()
         except h11.RemoteProtocolError:
             self.reject(refuse("malformed_http"))
+        self.record_step(began, 0)
         if self.parse_handle is None:
             self.resume_reading()
 
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from acaciarelay.coordination.loop_budget import LoopBudget, LoopTime, Reader
 from acaciarelay.protocol.link_messages import (
     Heartbeat,
     Hello,
@@ -56,9 +57,11 @@
     """Check the timers of all links of a process together.
 
     With a timer for each link, most wake-ups of an idle process would be for timers.
+    Reading from the links takes its time from ``loop_budget``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, loop_budget: LoopBudget | None = None) -> None:
+        self.loop_budget = loop_budget or LoopBudget()
         self.links: set[MessageLink] = set()
         self.timer: asyncio.TimerHandle | None = None
 
@@ -116,6 +119,7 @@
         self.peer: Hello | None = None
         self.opened_at = 0.0
         self.peer_host = ""
+        self.loop_time: LoopTime | None = None
         self.buffer = bytearray()
         self.last_received_at = self.loop.time()
         self.last_sent_at = 0.0
@@ -134,6 +138,7 @@
         enable_dead_peer_detection(transport, SILENCE_TIMEOUT_S * 2)
         name = transport.get_extra_info("peername")
         self.peer_host = name[0] if name else ""
+        self.loop_time = self.ticker.loop_budget.open(Reader.LINK, self.peer_host)
         self.last_received_at = self.loop.time()
         self.send(self.hello)
         self.ticker.add(self)
@@ -164,7 +169,13 @@
             self.send_heartbeat()
 
     def data_received(self, data: bytes) -> None:
-        self.last_received_at = self.loop.time()
+        assert self.loop_time is not None
+        began = self.loop.time()
+        self.last_received_at = began
+        self._read(data)
+        self.loop_time.spend(self.loop.time() - began, len(data))
+
+    def _read(self, data: bytes) -> None:
         self.buffer += data
         if b"\n" not in data:
             if len(self.buffer) > MAX_PARTIAL_LINE_BYTES:
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -9,6 +9,7 @@
 import orjson
 
 from acaciarelay.coordination.endpoint_health import EndpointHealth
+from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import SlotClient
@@ -120,6 +121,7 @@
         self.slot_client = SlotClient()
         self.run_clock = RunClock()
         self.body_memory = MemoryBudget(body_memory_bytes)
+        self.loop_budget = LoopBudget()
         metrics = Metrics()
         self.crashes = CrashGuard("127.0.0.1:1", self.slot_client, metrics)
         self.relay = RequestRelay(
@@ -130,6 +132,7 @@
             self.slot_client,
             self.run_clock,
             self.body_memory,
+            self.loop_budget,
             self.crashes,
             metrics,
             rng,
--- a/tests/unit/platform_path/test_silent_spells.py
+++ b/tests/unit/platform_path/test_silent_spells.py
@@ -158,11 +158,11 @@
         self.silent_until = {}
         monkeypatch.setattr(relay_attempt, "connect", self.connect)
 
-    async def connect(self, address, timeout_s):
+    async def connect(self, address, timeout_s, *budget):
         left_s = self.silent_until.get(address, 0.0) - time.monotonic()
         if left_s > 0:
             await asyncio.sleep(min(left_s, timeout_s))
-        return await connect(address, max(0.0, timeout_s - max(0.0, left_s)))
+        return await connect(address, max(0.0, timeout_s - max(0.0, left_s)), *budget)
 
 
 async def send_all(rig, target, name, count, gap_s):
--- a/tests/unit/platform_path/test_unreachable_endpoints.py
+++ b/tests/unit/platform_path/test_unreachable_endpoints.py
@@ -22,12 +22,12 @@
         self.silent = silent
         monkeypatch.setattr(relay_attempt, "connect", self.connect)
 
-    async def connect(self, address, timeout_s):
+    async def connect(self, address, timeout_s, *budget):
         self.count += 1
         if self.silent:
             # Nothing is lost on loopback, so that the time-out is played here.
             await asyncio.sleep(timeout_s)
-        return await connect(address, timeout_s)
+        return await connect(address, timeout_s, *budget)
 
 
 @pytest.mark.parametrize("silent", [False, True], ids=["refused", "silent"])
