Bound the share of the event loop that reading from endpoints takes

Cause, by the steps logged since: one read of 262,144 bytes was split into 131,072 events, each with a pattern and an object, and all of them were forwarded in one step of 0.39 s. Nothing bounded a step, nor how much of the loop one connection may take, nor what all such connections may take together. The same holds for sound bytes: small numbered events, comments, repeats.

- An endpoint's connection reads 16 KiB at once and keeps 64 KiB at most for a reader that is slower (transport/bounded_reads.py, endpoint_call.py).
- Events are split and forwarded 64 at a time, and other tasks run in between.
The time is measured, so that it doesn't matter which bytes cost it.

Ruled out: a bound on the step alone.

The stream's part of the forwarder has a module of its own now; nothing else in it was changed.

Bytes that are no event are still taken for one, which is the next fault.

--- a/src/acaciarelay/programs/answer_forwarder.py
+++ b/src/acaciarelay/programs/answer_forwarder.py
@@ -6,7 +6,9 @@
 
 from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
 from acaciarelay.platform.headers import answer_headers, decode_answer
-from acaciarelay.programs.crash_guard import MIN_EVENTS_BEGUN, CrashGuard
+from acaciarelay.programs.broken_answer import broken_by
+from acaciarelay.programs.crash_guard import CrashGuard
+from acaciarelay.programs.stream_forwarder import StreamForwarder
 from acaciarelay.protocol.http_message import Header
 from acaciarelay.state.relayed_request import (
     AttemptOutcome,
@@ -15,27 +17,15 @@
     ErrorResponse,
     RelayedRequest,
 )
-from acaciarelay.transport.endpoint_call import (
-    ConnectionFault,
-    EndpointConnection,
-    FaultKind,
-)
-from acaciarelay.transport.event_stream import (
-    EventSplitter,
-    EventTooLargeError,
-    StreamEvent,
-)
+from acaciarelay.transport.endpoint_call import ConnectionFault, EndpointConnection
 from acaciarelay.transport.inbound_server import InboundConnection
 
-__all__ = ["AnswerForwarder", "broken_by"]
+__all__ = ["AnswerForwarder"]
 
 # Bytes of a body that count as progress. Fewer within the time without progress are
 # those of an endpoint that only keeps its connection busy.
 MIN_PROGRESS_BYTES = 1024
 MAX_ANSWER_BYTES = 16_777_216
-# Faults with which a connection ends when its endpoint does; an answer that is cut off
-# is malformed.
-DISCONNECTIONS = frozenset([FaultKind.RESET, FaultKind.CLOSED, FaultKind.MALFORMED])
 
 
 class AnswerForwarder:
@@ -119,95 +109,13 @@
         status: int,
         headers: list[Header],
     ) -> AttemptOutcome:
-        """Forward complete events to the caller.
-
-        The HTTP head is sent once, so a resumed stream keeps the head that an earlier
-        attempt sent.
-        """
-        splitter = EventSplitter()
-        while True:
-            match await endpoint_connection.next_event():
-                case h11.Data(data=data):
-                    began = self.loop.time()
-                    try:
-                        events = splitter.feed(bytes(data))
-                    except EventTooLargeError:
-                        return Broken("event too large")
-                    self.count_events(relayed, len(events))
-                    unsent = self.unsent_events(relayed, events)
-                    if unsent is None:
-                        return Broken("events out of order")
-                    if not unsent:
-                        continue
-                    endpoint_connection.record_progress()
-                    if not relayed.head_sent:
-                        relayed.head_sent = True
-                        relayed.first_event_at = self.loop.time()
-                        caller_connection.start(
-                            status, answer_headers(headers), flush=False
-                        )
-                    # When the end of the answer is already here, the last events are
-                    # written together with it.
-                    last = (
-                        bool(endpoint_connection.events)
-                        and not splitter.has_partial_event
-                    )
-                    last = last and isinstance(
-                        endpoint_connection.events[0], h11.EndOfMessage
-                    )
-                    caller_connection.write(
-                        b"".join(event.data for event in unsent), flush=not last
-                    )
-                    endpoint_connection.loop_time.spend(
-                        self.loop.time() - began, len(data)
-                    )
-                    if not last:
-                        await caller_connection.drain()
-                case h11.EndOfMessage():
-                    if splitter.has_partial_event:
-                        return Broken("stream ended inside an event")
-                    if not relayed.head_sent:
-                        relayed.head_sent = True
-                        caller_connection.start(status, answer_headers(headers))
-                    caller_connection.finish()
-                    return Delivered()
-                case ConnectionFault() as fault:
-                    return broken_by(fault)
-
-    def count_events(self, relayed: RelayedRequest, count: int) -> None:
-        """Count events of the current attempt; a begun answer shows a benign prompt."""
-        before = relayed.events_received
-        relayed.events_received += count
-        if before < MIN_EVENTS_BEGUN <= relayed.events_received:
-            self.crashes.run_benign(relayed)
-
-    def unsent_events(
-        self, relayed: RelayedRequest, events: list[StreamEvent]
-    ) -> list[StreamEvent] | None:
-        """Return the events to forward, and advance ``relayed.last_event`` past them.
-
-        Events up to ``relayed.last_event`` are dropped; those without a number are
-        always forwarded. Returns ``None`` when an event number is missing.
-        """
-        unsent = []
-        for event in events:
-            if event.number is None:
-                unsent.append(event)
-                continue
-            if relayed.last_event is not None:
-                if event.number <= relayed.last_event:
-                    continue
-                if event.number != relayed.last_event + 1:
-                    return None
-            relayed.last_event = event.number
-            unsent.append(event)
-        return unsent
-
-
-def broken_by(fault: ConnectionFault) -> Broken:
-    """Return the outcome of an attempt that ended with a fault."""
-    return Broken(
-        str(fault),
-        disconnected=fault.kind in DISCONNECTIONS,
-        silent=fault.kind is FaultKind.SILENT,
-    )
+        """Forward the events of a stream as they come."""
+        forwarder = StreamForwarder(
+            caller_connection,
+            relayed,
+            endpoint_connection,
+            status,
+            headers,
+            self.crashes,
+        )
+        return await forwarder.run()
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -15,7 +15,8 @@
     decode_answer,
     endpoint_headers,
 )
-from acaciarelay.programs.answer_forwarder import AnswerForwarder, broken_by
+from acaciarelay.programs.answer_forwarder import AnswerForwarder
+from acaciarelay.programs.broken_answer import broken_by
 from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.logs import log_event
 from acaciarelay.protocol.http_message import InboundRequest
--- /dev/null
+++ b/src/acaciarelay/programs/stream_forwarder.py
@@ -0,0 +1,146 @@
+"""Forward an endpoint's event stream to the caller."""
+
+import asyncio
+
+import h11
+
+from acaciarelay.platform.headers import answer_headers
+from acaciarelay.programs.broken_answer import broken_by
+from acaciarelay.programs.crash_guard import MIN_EVENTS_BEGUN, CrashGuard
+from acaciarelay.protocol.http_message import Header
+from acaciarelay.state.relayed_request import (
+    AttemptOutcome,
+    Broken,
+    Delivered,
+    RelayedRequest,
+)
+from acaciarelay.transport.endpoint_call import ConnectionFault, EndpointConnection
+from acaciarelay.transport.event_stream import (
+    EventSplitter,
+    EventTooLargeError,
+    StreamEvent,
+)
+from acaciarelay.transport.inbound_server import InboundConnection
+
+__all__ = ["StreamForwarder"]
+
+
+class StreamForwarder:
+    """Forward the stream of one attempt from the end of its head on.
+
+    The HTTP head, ``status`` and ``headers``, is sent once, so a resumed stream keeps
+    the head that an earlier attempt sent. ``crashes`` learns which prompts endpoints
+    answer.
+    """
+
+    def __init__(
+        self,
+        caller_connection: InboundConnection,
+        relayed: RelayedRequest,
+        endpoint_connection: EndpointConnection,
+        status: int,
+        headers: list[Header],
+        crashes: CrashGuard,
+    ) -> None:
+        self.caller_connection = caller_connection
+        self.relayed = relayed
+        self.endpoint_connection = endpoint_connection
+        self.status = status
+        self.headers = headers
+        self.crashes = crashes
+        self.splitter = EventSplitter()
+        self.loop = asyncio.get_running_loop()
+
+    async def run(self) -> AttemptOutcome:
+        """Forward complete events to the caller."""
+        while True:
+            match await self.endpoint_connection.next_event():
+                case h11.Data(data=data):
+                    self.splitter.feed(data)
+                    broken = await self.forward_events()
+                    if broken is not None:
+                        return broken
+                case h11.EndOfMessage():
+                    if self.splitter.has_partial_event:
+                        return Broken("stream ended inside an event")
+                    self.start_answer()
+                    self.caller_connection.finish()
+                    return Delivered()
+                case ConnectionFault() as fault:
+                    return broken_by(fault)
+
+    async def forward_events(self) -> Broken | None:
+        """Forward the events that are complete; other tasks run in between."""
+        while self.splitter.has_more:
+            began = self.loop.time()
+            try:
+                events = self.splitter.next_events()
+            except EventTooLargeError:
+                return Broken("event too large")
+            self.count_events(len(events))
+            unsent = self.unsent_events(events)
+            if unsent is None:
+                return Broken("events out of order")
+            flush = self.write(unsent)
+            size = sum(len(event.data) for event in events)
+            self.endpoint_connection.loop_time.spend(began, self.loop.time(), size)
+            if unsent and flush:
+                await self.caller_connection.drain()
+            if self.splitter.has_more:
+                await self.endpoint_connection.give_way()
+        return None
+
+    def write(self, events: list[StreamEvent]) -> bool:
+        """Write events; return whether they were flushed.
+
+        When the end of the answer is already here, the last events are written together
+        with it.
+        """
+        if not events:
+            return False
+        self.endpoint_connection.record_progress()
+        if self.relayed.first_event_at is None:
+            self.relayed.first_event_at = self.loop.time()
+        self.start_answer()
+        queued = self.endpoint_connection.events
+        is_end = bool(queued) and isinstance(queued[0], h11.EndOfMessage)
+        flush = not is_end or self.splitter.has_more or self.splitter.has_partial_event
+        data = b"".join(event.data for event in events)
+        self.caller_connection.write(data, flush=flush)
+        return flush
+
+    def start_answer(self) -> None:
+        """Write the head of the answer, unless an earlier attempt did."""
+        if self.relayed.head_sent:
+            return
+        self.relayed.head_sent = True
+        headers = answer_headers(self.headers)
+        self.caller_connection.start(self.status, headers, flush=False)
+
+    def count_events(self, count: int) -> None:
+        """Count events of the current attempt; a begun answer shows a benign prompt."""
+        before = self.relayed.events_received
+        self.relayed.events_received += count
+        if before < MIN_EVENTS_BEGUN <= self.relayed.events_received:
+            self.crashes.run_benign(self.relayed)
+
+    def unsent_events(self, events: list[StreamEvent]) -> list[StreamEvent] | None:
+        """Return the events to forward, and advance the request's last event past them.
+
+        Events up to the last one are dropped; those without a number are always
+        forwarded. Returns ``None`` when an event number is missing.
+        """
+        unsent = []
+        for event in events:
+            if event.number is None:
+                unsent.append(event)
+                continue
+            last = self.relayed.last_event
+            if last is not None:
+                if event.number <= last:
+                    continue
+                if event.number != last + 1:
+                    return None
+            self.relayed.last_event = event.number
+            unsent.append(event)
+        return unsent
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -14,14 +14,18 @@
 
 from acaciarelay.coordination.loop_budget import LoopBudget, LoopTime, Reader
 from acaciarelay.protocol.http_message import Header, encode_headers
+from acaciarelay.transport.bounded_reads import BoundedReads
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
 __all__ = ["ConnectionFault", "EndpointConnection", "FaultKind", "connect"]
 
 TCP_USER_TIMEOUT_S = 4.0
-# Parsing and reading pause at this many events, so that a slow caller slows down its
-# endpoint, and many small pieces can't occupy the event loop or the memory.
+# Bytes that are parsed in one step.
+READ_BYTES = 16_384
+# Parsing and reading pause at this many events or bytes of bodies, so that a slow
+# caller slows down its endpoint, and small pieces can't occupy the event loop.
 MAX_QUEUED_EVENTS = 64
+MAX_QUEUED_BYTES = 65_536
 # Interim responses (status 1xx) accepted before the final one.
 MAX_INTERIM_RESPONSES = 8
 # Interval of the checks of a connection that stays stalled.
@@ -53,12 +57,14 @@
         return f"{self.kind}: {self.detail}" if self.detail else str(self.kind)
 
 
-class EndpointConnection(asyncio.Protocol):
+class EndpointConnection(BoundedReads):
     """Drive h11 as a client over one connection and queue the events of a response.
 
-    ``loop_time`` accounts for the time that the connection takes of the event loop.
+    ``loop_time`` bounds the share of the event loop that the connection takes.
     """
 
+    read_bytes = READ_BYTES
+
     def __init__(self, loop_time: LoopTime) -> None:
         self.loop = asyncio.get_running_loop()
         self.loop_time = loop_time
@@ -67,6 +73,7 @@
         self.events: collections.deque[h11.Event | ConnectionFault] = (
             collections.deque()
         )
+        self.queued_bytes = 0
         self.waiter: asyncio.Future | None = None
         self.fault: ConnectionFault | None = None
         self.reading_paused = False
@@ -80,6 +87,7 @@
         enable_dead_peer_detection(transport, TCP_USER_TIMEOUT_S)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.loop_time.close()
         if self.stall_timer is not None:
             self.stall_timer.cancel()
         if exc is None and self.fault is None:
@@ -97,7 +105,7 @@
     def data_received(self, data: bytes) -> None:
         began = self.loop.time()
         self._read(data)
-        self.loop_time.spend(self.loop.time() - began, len(data))
+        self.loop_time.spend(began, self.loop.time(), len(data))
 
     def _read(self, data: bytes) -> None:
         if self.fault is not None:
@@ -162,7 +170,7 @@
                     ConnectionFault(FaultKind.MALFORMED, "data without a request")
                 )
             return
-        while len(self.events) < MAX_QUEUED_EVENTS:
+        while not self._is_full():
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
@@ -185,9 +193,20 @@
             self.reading_paused = True
             self.transport.pause_reading()
 
+    def _is_full(self) -> bool:
+        if len(self.events) >= MAX_QUEUED_EVENTS:
+            return True
+        return self.queued_bytes >= MAX_QUEUED_BYTES
+
+    def _has_room(self) -> bool:
+        if len(self.events) >= MAX_QUEUED_EVENTS // 2:
+            return False
+        return self.queued_bytes < MAX_QUEUED_BYTES // 2
+
     def _resume(self) -> None:
         """Parse what was received before the pause, then read on."""
         assert self.transport is not None
+        began = self.loop.time()
         self.reading_paused = False
         if self.fault is not None:
             return
@@ -197,9 +216,12 @@
             self._fail(ConnectionFault(FaultKind.MALFORMED, str(error)))
         if not self.reading_paused and self.fault is None:
             self.transport.resume_reading()
+        self.loop_time.spend(began, self.loop.time(), 0)
 
     def _deliver(self, event: h11.Event | ConnectionFault) -> None:
         self.events.append(event)
+        if isinstance(event, h11.Data):
+            self.queued_bytes += len(event.data)
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
@@ -230,7 +252,12 @@
             self.transport.write(tail)
 
     async def next_event(self) -> h11.Event | ConnectionFault:
-        """Return the next event of the response, or the fault that ended it."""
+        """Return the next event of the response, or the fault that ended it.
+
+        It may take as long as other connections are to be served first.
+        """
+        if self.loop_time.is_used_up:
+            await self.give_way()
         while not self.events:
             if self.fault is not None:
                 return self.fault
@@ -240,12 +267,17 @@
             finally:
                 self.waiter = None
         event = self.events.popleft()
-        if self.reading_paused and len(self.events) < MAX_QUEUED_EVENTS // 2:
-            # Many small pieces must not keep other tasks waiting.
-            await asyncio.sleep(0)
+        if isinstance(event, h11.Data):
+            self.queued_bytes -= len(event.data)
+        if self.reading_paused and self._has_room():
+            await self.give_way()
             self._resume()
         return event
 
+    async def give_way(self) -> None:
+        """Let other tasks run, for longer if this connection took much time."""
+        await asyncio.sleep(self.loop_time.pause_s(self.loop.time()))
+
     def start_next(self) -> None:
         """Prepare for another request, or close a connection that can't be reused."""
         done = (
--- a/src/acaciarelay/transport/event_stream.py
+++ b/src/acaciarelay/transport/event_stream.py
@@ -13,6 +13,8 @@
 _MAX_PARTIAL_SEPARATOR_BYTES = 3
 # Data without a separator within this size is not an event stream.
 MAX_EVENT_BYTES = 262_144
+# Events that one call returns, so that handling them takes a bounded time.
+MAX_EVENTS_PER_CALL = 64
 
 
 class EventTooLargeError(Exception):
@@ -37,26 +39,37 @@
         self.buffer = bytearray()
         # Number of bytes at the start of the buffer that contain no separator.
         self.searched = 0
+        # Whether the buffer may contain events that were not returned yet.
+        self.has_more = False
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that they complete.
+    def feed(self, data: bytes) -> None:
+        """Add bytes that the endpoint sent."""
+        self.buffer += data
+        self.has_more = True
+
+    def next_events(self) -> list[StreamEvent]:
+        """Return the next complete events, ``MAX_EVENTS_PER_CALL`` at most.
 
         Raises ``EventTooLargeError`` when the rest can't be an event.
         """
-        self.buffer += data
         events: list[StreamEvent] = []
         start = 0
-        for separator in _SEPARATOR.finditer(self.buffer, self.searched):
+        while len(events) < MAX_EVENTS_PER_CALL:
+            separator = _SEPARATOR.search(self.buffer, max(start, self.searched))
+            if separator is None:
+                self.has_more = False
+                break
             block = bytes(self.buffer[start : separator.end()])
             start = separator.end()
             match = _ID.search(block)
             number = int(match.group(1)) if match is not None else None
             events.append(StreamEvent(block, number))
-        # ``finditer`` has released its export of the buffer, which may shrink again.
         del self.buffer[:start]
-        self.searched = max(0, len(self.buffer) - _MAX_PARTIAL_SEPARATOR_BYTES)
-        if len(self.buffer) > MAX_EVENT_BYTES:
-            raise EventTooLargeError
+        self.searched = 0
+        if not self.has_more:
+            self.searched = max(0, len(self.buffer) - _MAX_PARTIAL_SEPARATOR_BYTES)
+            if not events and len(self.buffer) > MAX_EVENT_BYTES:
+                raise EventTooLargeError
         return events
 
     @property
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -161,7 +161,7 @@
 
     def record_step(self, began: float, size: int) -> None:
         assert self.loop_time is not None
-        self.loop_time.spend(self.loop.time() - began, size)
+        self.loop_time.spend(began, self.loop.time(), size)
 
     # Reading a request.
 
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -173,7 +173,7 @@
         began = self.loop.time()
         self.last_received_at = began
         self._read(data)
-        self.loop_time.spend(self.loop.time() - began, len(data))
+        self.loop_time.spend(began, self.loop.time(), len(data))
 
     def _read(self, data: bytes) -> None:
         self.buffer += data
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -8,8 +8,9 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 import cattrs
@@ -31,16 +32,46 @@
     "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nRunner-Seal: s\r\n"
     "Transfer-Encoding: chunked\r\n\r\n"
 )
-# Parts of an answer that can be sent without end: what comes first, and what repeats.
-ENDLESS_PARTS = {
-    "head": ("HTTP/1.1 200 OK\r\nX-Filler: ", "x" * 65_536),
-    "fields": ("HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n" * 4_096),
-    "interim": ("", "HTTP/1.1 102 Processing\r\n\r\n" * 2_048),
-    "body": (_CHUNKED_HEAD, f"10000\r\n{'x' * 65_536}\r\n"),
-    "small_chunks": (_CHUNKED_HEAD, "1\r\nx\r\n" * 10_000),
-    "comments": (_CHUNKED_HEAD, "4\r\n: x\n\r\n" * 8_192),
-    "extension": (_CHUNKED_HEAD + "1;", "x" * 65_536),
-    "trailer": (_CHUNKED_HEAD + "0\r\nX-Filler: ", "x" * 65_536),
+_UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nRunner-Seal: s\r\n\r\n"
+
+
+def _repeat(text: str) -> Iterator[str]:
+    return itertools.repeat(text)
+
+
+def _numbered_events() -> Iterator[str]:
+    for first in itertools.count(1, 1_000):
+        numbers = range(first, first + 1_000)
+        yield "".join(f"id: {number}\ndata:\n\n" for number in numbers)
+
+
+# Parts of an answer that can be sent without end: what comes first, and what follows.
+ENDLESS_PARTS: dict[str, tuple[str, Callable[[], Iterator[str]]]] = {
+    "head": (
+        "HTTP/1.1 200 OK\r\nX-Filler: ",
+        lambda: _repeat("x" * 65_536),
+    ),
+    "fields": ("HTTP/1.1 200 OK\r\n", lambda: _repeat("X-Filler: x\r\n" * 4_096)),
+    "interim": ("", lambda: _repeat("HTTP/1.1 102 Processing\r\n\r\n" * 2_048)),
+    "body": (_CHUNKED_HEAD, lambda: _repeat(f"10000\r\n{'x' * 65_536}\r\n")),
+    "small_chunks": (_CHUNKED_HEAD, lambda: _repeat("1\r\nx\r\n" * 10_000)),
+    "comments": (_CHUNKED_HEAD, lambda: _repeat("4\r\n: x\n\r\n" * 8_192)),
+    "extension": (_CHUNKED_HEAD + "1;", lambda: _repeat("x" * 65_536)),
+    "trailer": (_CHUNKED_HEAD + "0\r\nX-Filler: ", lambda: _repeat("x" * 65_536)),
+    "trailer_fields": (_CHUNKED_HEAD + "0\r\n", lambda: _repeat("x:\r\n" * 16_384)),
+    "blank_lines": (_UNFRAMED_HEAD, lambda: _repeat("\n" * 65_536)),
+    "blank_crlf_lines": (_UNFRAMED_HEAD, lambda: _repeat("\r\n" * 32_768)),
+    "empty_comments": (_UNFRAMED_HEAD, lambda: _repeat(":\n\n" * 21_845)),
+    "events_without_data": (
+        _UNFRAMED_HEAD,
+        lambda: _repeat("event: a\n\n" * 6_553),
+    ),
+    "events_without_number": (
+        _UNFRAMED_HEAD,
+        lambda: _repeat("data:\n\n" * 9_362),
+    ),
+    "repeated_event": (_UNFRAMED_HEAD, lambda: _repeat("id: 1\ndata:\n\n" * 4_681)),
+    "numbered_events": (_UNFRAMED_HEAD, _numbered_events),
 }
 
 
@@ -309,13 +340,12 @@
         self, connection: InboundConnection, attempt: str
     ) -> None:
         """Send one part of an answer until the caller closes the connection."""
-        first, repeated = ENDLESS_PARTS[self.faults.endless]
+        first, pieces = ENDLESS_PARTS[self.faults.endless]
         assert connection.transport is not None
         connection.transport.write(first.replace("{attempt}", attempt).encode())
-        piece = repeated.encode()
         with contextlib.suppress(CallerDisconnectedError):
-            while True:
-                connection.transport.write(piece)
+            for piece in pieces():
+                connection.transport.write(piece.encode())
                 self.endless_bytes += len(piece)
                 await connection.drain()
                 await asyncio.sleep(0)
--- a/tests/unit/platform_path/test_runners_in_trouble.py
+++ b/tests/unit/platform_path/test_runners_in_trouble.py
@@ -47,6 +47,7 @@
             splitter = EventSplitter()
             for _ in range(size // 64):
                 splitter.feed(b"x" * 64)
+                splitter.next_events()
         loop_time.append(resource.getrusage(resource.RUSAGE_SELF).ru_utime - began)
     # Four times the bytes; a search of the whole buffer would take sixteen times.
     assert loop_time[1] < 8 * loop_time[0] + 0.05
@@ -60,7 +61,8 @@
         splitter = EventSplitter()
         events = []
         for start in range(0, len(data), size):
-            events += splitter.feed(data[start : start + size])
+            splitter.feed(data[start : start + size])
+            events += splitter.next_events()
         assert [event.number for event in events] == [1, 2, 3, 4, 5]
         assert b"".join(event.data for event in events) == data
         assert not splitter.has_partial_event
