End a stream at bytes that are no event of its run

Cause: the splitter took each block up to a blank line for an event, whatever it held. A block without a number was forwarded, a number up to the last one was dropped and the next ones were taken, and both counted as progress of the endpoint.

PROTOCOL.md says what a stream is: events with increasing ids, of type text/event-stream. So a sound endpoint may send, between events, blank lines, comments and fields without data, and other fields in an event. A block that isn't made of fields, data without a number, two numbers, and a number that doesn't follow the one before it in the same answer end the answer there: events before it are passed on, the connection is closed, the endpoint's failures show it, and what may be resumed goes on elsewhere within the retry budget. So do more events than twice the tokens that the request allows and 64 more.

Ruled out: to drop repeats within one answer, as before. The events of another stream begin with smaller numbers, and the later ones would pass for the own.

--- a/src/acaciarelay/programs/stream_forwarder.py
+++ b/src/acaciarelay/programs/stream_forwarder.py
@@ -17,13 +17,17 @@
 from acaciarelay.transport.endpoint_call import ConnectionFault, EndpointConnection
 from acaciarelay.transport.event_stream import (
     EventSplitter,
-    EventTooLargeError,
+    ForeignDataError,
     StreamEvent,
 )
 from acaciarelay.transport.inbound_server import InboundConnection
 
 __all__ = ["StreamForwarder"]
 
+# Each event of an answer holds a token at least, but for a few around the answer.
+MAX_EVENTS_PER_TOKEN = 2
+MORE_EVENTS = 64
+
 
 class StreamForwarder:
     """Forward the stream of one attempt from the end of its head on.
@@ -75,9 +79,11 @@
             began = self.loop.time()
             try:
                 events = self.splitter.next_events()
-            except EventTooLargeError:
-                return Broken("event too large")
+            except ForeignDataError as error:
+                return Broken(f"foreign data: {error}")
             self.count_events(len(events))
+            if self.has_too_many_events:
+                return Broken("foreign data: more events than tokens")
             unsent = self.unsent_events(events)
             if unsent is None:
                 return Broken("events out of order")
@@ -124,17 +130,24 @@
         if before < MIN_EVENTS_BEGUN <= self.relayed.events_received:
             self.crashes.run_benign(self.relayed)
 
+    @property
+    def has_too_many_events(self) -> bool:
+        """Return whether there are more events than tokens that the request allows."""
+        tokens = self.relayed.traits.output_tokens
+        if not tokens:
+            return False
+        return (
+            self.relayed.events_received > MAX_EVENTS_PER_TOKEN * tokens + MORE_EVENTS
+        )
+
     def unsent_events(self, events: list[StreamEvent]) -> list[StreamEvent] | None:
         """Return the events to forward, and advance the request's last event past them.
 
-        Events up to the last one are dropped; those without a number are always
-        forwarded. Returns ``None`` when an event number is missing.
+        Events up to the last one are dropped, as an earlier attempt brought them.
+        Returns ``None`` when an event number is missing.
         """
         unsent = []
         for event in events:
-            if event.number is None:
-                unsent.append(event)
-                continue
             last = self.relayed.last_event
             if last is not None:
                 if event.number <= last:
--- a/tests/unit/platform_path/test_ends_of_answers.py
+++ b/tests/unit/platform_path/test_ends_of_answers.py
@@ -29,8 +29,7 @@
     async def listen(self, rig, number, service):
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         rig.servers.append(server)
-        host, port = server.sockets[0].getsockname()
-        rig.row("servers", f"i-{number}", registration(service, f"{host}:{port}"))
+        register(rig, number, service, server)
 
     async def serve(self, reader, writer):
         try:
@@ -58,6 +57,11 @@
             await writer.wait_closed()
 
 
+def register(rig, number, service, server):
+    host, port = server.sockets[0].getsockname()
+    rig.row("servers", f"i-{number}", registration(service, f"{host}:{port}"))
+
+
 def unframed(body, status="200 OK"):
     """Return an answer with neither a length nor chunks."""
     return HEAD.replace("{status}", status) + "\r\n" + body
