Bound the fields of an endpoint's heads and trailers

A head is parsed once it is complete and has at most 16 KiB and 256 lines (protocol/answer_head.py); trailers have at most 64 fields, and bodies are parsed in pieces of 4 KiB, so that at most 8 KiB of trailers are parsed at once. Beyond that the answer is malformed, the connection is closed and the endpoint's failures show it.

Tests: test_an_answer_with_thousands_of_fields_is_broken_off failed in its three parts before (the answers were taken). An answer with 50 fields and 50 trailers is sound. Ruled out: to ask the parser for less, as it has no bound on complete heads.

--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from acaciarelay.coordination.loop_budget import LoopBudget, LoopTime, Reader
+from acaciarelay.protocol.answer_head import HeadGate, HeadTooLargeError
 from acaciarelay.protocol.http_message import Header, encode_headers
 from acaciarelay.transport.bounded_reads import BoundedReads
 from acaciarelay.transport.sockets import enable_dead_peer_detection
@@ -20,8 +21,13 @@
 __all__ = ["ConnectionFault", "EndpointConnection", "FaultKind", "connect"]
 
 TCP_USER_TIMEOUT_S = 4.0
-# Bytes that are parsed in one step.
+# Bytes that are read in one step, and of a body that are parsed at once.
 READ_BYTES = 16_384
+PARSE_BYTES = 4_096
+# Bytes of a chunk's head or of trailers that may be incomplete, and the number of
+# trailer fields. The parser takes time for each field, however short it is.
+MAX_LINE_BYTES = 4_096
+MAX_TRAILER_FIELDS = 64
 # Parsing and reading pause at this many events or bytes of bodies, so that a slow
 # caller slows down its endpoint, and small pieces can't occupy the event loop.
 MAX_QUEUED_EVENTS = 64
@@ -68,7 +74,9 @@
     def __init__(self, loop_time: LoopTime) -> None:
         self.loop = asyncio.get_running_loop()
         self.loop_time = loop_time
-        self.http = h11.Connection(h11.CLIENT)
+        # Heads are complete when they are parsed.
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_LINE_BYTES)
+        self.heads = HeadGate()
         self.transport: asyncio.Transport | None = None
         self.events: collections.deque[h11.Event | ConnectionFault] = (
             collections.deque()
@@ -156,36 +164,58 @@
         self._fail(ConnectionFault(FaultKind.SILENT, detail))
 
     def _receive(self, data: bytes) -> None:
+        """Parse bytes; none stand for the end of data."""
         try:
-            self.http.receive_data(data)
-            self._parse()
+            self._feed(data)
         except h11.RemoteProtocolError as error:
-            self._fail(ConnectionFault(FaultKind.MALFORMED, str(error)))
+            self._fail_malformed(str(error))
+        except HeadTooLargeError:
+            self._fail_malformed("head too large")
+
+    def _feed(self, data: bytes) -> None:
+        self.heads.feed(data)
+        while self.fault is None and self.http.their_state is h11.SEND_RESPONSE:
+            head = self.heads.next_head()
+            if head is None:
+                break
+            self.http.receive_data(head)
+            self._parse()
+        if self.http.their_state is h11.SEND_RESPONSE and data:
+            return
+        rest = self.heads.take_all()
+        for start in range(0, len(rest), PARSE_BYTES):
+            self.http.receive_data(rest[start : start + PARSE_BYTES])
+            self._parse()
+        if not data:
+            self.http.receive_data(b"")
+            self._parse()
 
     def _parse(self) -> None:
         if self.http.our_state is h11.IDLE:
             # No request is open, so this data belongs to none.
             if self.http.trailing_data[0]:
-                self._fail(
-                    ConnectionFault(FaultKind.MALFORMED, "data without a request")
-                )
+                self._fail_malformed("data without a request")
             return
         while not self._is_full():
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if isinstance(event, h11.InformationalResponse):
-                self.interim_responses += 1
-                if self.interim_responses > MAX_INTERIM_RESPONSES:
-                    fault = ConnectionFault(FaultKind.MALFORMED, "no final response")
-                    self._fail(fault)
+            match event:
+                case h11.InformationalResponse():
+                    self.interim_responses += 1
+                    if self.interim_responses > MAX_INTERIM_RESPONSES:
+                        self._fail_malformed("no final response")
+                        return
+                    continue
+                case h11.ConnectionClosed():
                     return
-                continue
-            if isinstance(event, h11.ConnectionClosed):
-                return
+                case h11.Response():
+                    self.record_progress()
+                case h11.EndOfMessage(headers=trailers):
+                    if len(trailers) > MAX_TRAILER_FIELDS:
+                        self._fail_malformed("too many trailer fields")
+                        return
             assert isinstance(event, h11.Event)
-            if isinstance(event, h11.Response):
-                self.record_progress()
             self._deliver(event)
             if isinstance(event, h11.EndOfMessage):
                 return
@@ -213,7 +243,7 @@
         try:
             self._parse()
         except h11.RemoteProtocolError as error:
-            self._fail(ConnectionFault(FaultKind.MALFORMED, str(error)))
+            self._fail_malformed(str(error))
         if not self.reading_paused and self.fault is None:
             self.transport.resume_reading()
         self.loop_time.spend(began, self.loop.time(), 0)
@@ -225,6 +255,9 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
+    def _fail_malformed(self, detail: str) -> None:
+        self._fail(ConnectionFault(FaultKind.MALFORMED, detail))
+
     def _fail(self, fault: ConnectionFault) -> None:
         if self.fault is not None:
             return
--- a/tests/unit/platform_path/test_endless_streams.py
+++ b/tests/unit/platform_path/test_endless_streams.py
@@ -6,6 +6,7 @@
 import pytest
 from loop_monitor import LoopMonitor
 from relay_rig import RelayRig
+from unit.platform_path.test_ends_of_answers import ScriptedRunner, chunked
 
 from acaciarelay_standins.platform_runner import ENDLESS_PARTS, RunnerFaults
 
@@ -47,3 +48,34 @@
             await asyncio.gather(*streams)
         assert max(times) < MAX_ORDER_S
         assert monitor.longest_s < MAX_PASS_S
+
+
+FIELDS = "x:\r\n" * 3_900
+ANSWER = chunked("answer")
+MANY_FIELDS = {
+    "head": ANSWER.replace("\r\n", "\r\n" + FIELDS, 1),
+    "interim": f"HTTP/1.1 102 Processing\r\n{FIELDS}\r\n{ANSWER}",
+    "trailers": chunked("answer", end=False) + f"0\r\n{FIELDS}\r\n",
+}
+
+
+@pytest.mark.parametrize("part", MANY_FIELDS)
+async def test_an_answer_with_thousands_of_fields_is_broken_off(part):
+    """Guards against complete heads and trailers that take long to be parsed."""
+    async with RelayRig() as rig:
+        runner = ScriptedRunner(MANY_FIELDS[part])
+        await runner.listen(rig, 1, "orders")
+        answer = await rig.call("/order/a")
+        assert answer.status == 502
+        assert rig.health.failures("i-1", time.monotonic()) > 0.5
+
+
+async def test_an_answer_with_some_fields_and_trailers_is_sound():
+    fields = "".join(f"X-Field-{number}: {number}\r\n" for number in range(50))
+    async with RelayRig() as rig:
+        head = ANSWER.replace("\r\n", "\r\n" + fields, 1)
+        runner = ScriptedRunner(head.replace("0\r\n\r\n", f"0\r\n{fields}\r\n"))
+        await runner.listen(rig, 1, "orders")
+        answer = await rig.call("/order/a")
+        assert (answer.status, answer.body) == (200, b"answer")
+        assert answer.headers["x-field-49"] == "49"
