Bound the share of the event loop that reading from callers takes

What other callers saw: orders that took 1.2 and 1.3 s beside ten callers that sent blank lines, or requests with 1,900 empty fields, one behind the other; a caller that sent a stray blank line behind a request got a 408 that it had not asked for.

Cause: blank lines before a request line were removed one by one, 131,072 in one read, and began the time limit of a head; requests that had come together were parsed one right after the other; reads of 256 KiB were parsed as they came, and trailers of up to 96 KiB at once.

- A caller's connection reads 64 KiB at once, gives the parser 4 KiB of a body at once, and pauses when it has used up its part of the loop (transport/read_gate.py: pauses for several reasons at once).
So does the next of several requests.
- Up to 64 bytes of blank lines before a request are ignored and begin nothing; more of them are refused with 400.
- The budget of a connection has to be given: each connection of a test's rig had one of its own, so that they had no share in common.

--- a/src/acaciarelay/coordination/loop_budget.py
+++ b/src/acaciarelay/coordination/loop_budget.py
@@ -13,8 +13,8 @@
 CONNECTION_SHARE = 0.02
 CONNECTION_BURST_S = 0.002
 # The same for what all connections together take beyond that.
-POOL_SHARE = 0.2
-POOL_BURST_S = 0.2
+POOL_SHARE = 0.3
+POOL_BURST_S = 0.1
 # How long a connection counts among those that share the pool.
 BUSY_S = 5.0
 # Shorter pauses would cost more time than they save.
--- a/src/acaciarelay/programs/metrics_server.py
+++ b/src/acaciarelay/programs/metrics_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.protocol.codes import Refusal
@@ -27,9 +28,12 @@
 
     connections: set[InboundConnection] = set()
     memory = MemoryBudget(MAX_BODY_BYTES)
+    loop_budget = LoopBudget()
 
     def build() -> InboundConnection:
-        return InboundConnection(answer, _refuse, CallerLimits, connections, memory)
+        return InboundConnection(
+            answer, _refuse, CallerLimits, connections, memory, loop_budget
+        )
 
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
--- a/src/acaciarelay/protocol/request_head.py
+++ b/src/acaciarelay/protocol/request_head.py
@@ -4,9 +4,18 @@
 read differently, so that a request could be smuggled past one of them.
 """
 
-__all__ = ["HEAD_END", "find_head_problem"]
+import re
+
+__all__ = ["HEAD_END", "count_blank_bytes", "find_head_problem"]
 
 HEAD_END = b"\r\n\r\n"
+_BLANK_LINES = re.compile(rb"(?:\r\n)*+")
+
+
+def count_blank_bytes(data: bytes | bytearray) -> int:
+    """Return the number of bytes of the blank lines at the start."""
+    match = _BLANK_LINES.match(data)
+    return match.end() if match is not None else 0
 
 
 def find_head_problem(head: bytes | bytearray, max_bytes: int) -> str | None:
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -5,13 +5,19 @@
 
 import h11
 
-from acaciarelay.coordination.loop_budget import LoopBudget, LoopTime, Reader
+from acaciarelay.coordination.loop_budget import LoopBudget, Reader
 from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import Header, InboundRequest, encode_headers
-from acaciarelay.protocol.request_head import HEAD_END, find_head_problem
+from acaciarelay.protocol.request_head import (
+    HEAD_END,
+    count_blank_bytes,
+    find_head_problem,
+)
 from acaciarelay.state.routing import CallerLimits
+from acaciarelay.transport.bounded_reads import BoundedReads
 from acaciarelay.transport.connection_phase import Phase
+from acaciarelay.transport.read_gate import PauseReason, ReadGate
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
 __all__ = [
@@ -27,8 +33,14 @@
 # Time in which a refused caller may finish sending, so that closing does not reset the
 # connection before it has read the response.
 LINGER_S = 1.0
-# Pieces of a body that are parsed without giving way to other tasks.
+# Pieces of a body that are parsed without giving way to other tasks, and their bytes
+# that the parser gets at once.
 MAX_PIECES_PER_TURN = 64
+PARSE_BYTES = 4_096
+# Bytes of a chunk's head or of trailers that may be incomplete.
+MAX_LINE_BYTES = 4_096
+# Bytes of blank lines before a request that are ignored.
+MAX_BLANK_BYTES = 64
 # When a caller may send a body again for which there was no room; other callers' bodies
 # stay for about as long as their requests.
 NO_ROOM_RETRY_AFTER_S = 0.5
@@ -42,7 +54,7 @@
 RefusalHandler = Callable[["InboundConnection", Refusal], None]
 
 
-class InboundConnection(asyncio.Protocol):
+class InboundConnection(BoundedReads):
     """Drive h11 as a server over one accepted connection.
 
     ``handler`` is awaited with each complete request and responds through this object;
@@ -58,21 +70,24 @@
         limits: Callable[[], CallerLimits],
         registry: set["InboundConnection"],
         memory: MemoryBudget,
-        loop_budget: LoopBudget | None = None,
+        loop_budget: LoopBudget,
     ) -> None:
         self.handler = handler
         self.on_refusal = on_refusal
         self.limits = limits
         self.registry = registry
         self.loop = asyncio.get_running_loop()
-        self.loop_budget = loop_budget or LoopBudget()
-        self.loop_time: LoopTime | None = None
+        self.loop_budget = loop_budget
+        # Present while the connection is open.
+        self.gate: ReadGate | None = None
         self.transport: asyncio.Transport | None = None
         self.http = self.new_parser()
         self.phase = Phase.IDLE
         self.opened_at = self.loop.time()
         self.received_any = False
         self.pending = bytearray()
+        # Bytes of blank lines since the last request.
+        self.blank_bytes = 0
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.head: h11.Request | None = None
@@ -87,11 +102,10 @@
         self.last_request = False
         self.response_started = False
         self.output_buffer = bytearray()
-        self.reading_paused = False
 
     def new_parser(self) -> h11.Connection:
-        limit = self.limits().max_head_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=2 * limit)
+        # Heads are complete when they are parsed.
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_LINE_BYTES)
 
     # Transport callbacks.
 
@@ -100,7 +114,8 @@
         self.transport = transport
         self.registry.add(self)
         name = transport.get_extra_info("peername")
-        self.loop_time = self.loop_budget.open(Reader.CALLER, name[0] if name else "")
+        loop_time = self.loop_budget.open(Reader.CALLER, name[0] if name else "")
+        self.gate = ReadGate(transport, loop_time)
         enable_dead_peer_detection(transport, TCP_USER_TIMEOUT_S)
         self.set_timer(self.limits().idle_timeout_s)
 
@@ -108,6 +123,8 @@
         self.registry.discard(self)
         self.set_timer(None)
         self.phase = Phase.CLOSING
+        if self.gate is not None:
+            self.gate.close()
         if self.parse_handle is not None:
             self.parse_handle.cancel()
         if self.task is not None:
@@ -128,47 +145,66 @@
         self.write_resumed = None
 
     def data_received(self, data: bytes) -> None:
+        assert self.gate is not None
         began = self.loop.time()
         self.read(data)
-        self.record_step(began, len(data))
+        self.gate.record_step(began, len(data))
 
     def read(self, data: bytes) -> None:
+        assert self.gate is not None
         self.received_any = True
         match self.phase:
             case Phase.IDLE:
-                self.arrived_at = self.loop.time()
-                self.phase = Phase.HEAD
-                self.set_timer(self.limits().head_timeout_s)
                 self.pending += data
-                self.read_head()
+                self.begin_head()
             case Phase.HEAD:
                 self.pending += data
-                self.read_head()
+                if self.parse_handle is None:
+                    self.read_head()
             case Phase.BODY:
                 # The time-out of the head also limits each pause within the body.
                 self.set_timer(self.limits().head_timeout_s)
                 self.receive(data)
             case Phase.RESPONSE:
                 self.pending += data
-                if (
-                    len(self.pending) > MAX_PIPELINED_BYTES
-                    and self.transport is not None
-                ):
-                    self.reading_paused = True
-                    self.transport.pause_reading()
+                if len(self.pending) > MAX_PIPELINED_BYTES:
+                    self.gate.pause(PauseReason.PIPELINED)
             case Phase.CLOSING:
                 return
 
-    def record_step(self, began: float, size: int) -> None:
-        assert self.loop_time is not None
-        self.loop_time.spend(began, self.loop.time(), size)
-
     # Reading a request.
 
+    def begin_head(self) -> None:
+        """Begin to read a request, unless only blank lines have come."""
+        blank = count_blank_bytes(self.pending)
+        self.blank_bytes += blank
+        if self.blank_bytes > MAX_BLANK_BYTES:
+            self.reject(refuse("malformed_http"))
+            return
+        del self.pending[:blank]
+        if not self.pending:
+            return
+        self.arrived_at = self.loop.time()
+        self.phase = Phase.HEAD
+        self.set_timer(self.limits().head_timeout_s)
+        assert self.gate is not None
+        pause_s = self.gate.loop_time.pause_s(self.loop.time())
+        if pause_s > 0:
+            # Requests that came together with the one before must not keep the loop.
+            self.parse_handle = self.loop.call_later(pause_s, self.continue_head)
+            return
+        self.read_head()
+
+    def continue_head(self) -> None:
+        self.parse_handle = None
+        if self.phase is not Phase.HEAD or self.gate is None:
+            return
+        began = self.loop.time()
+        self.read_head()
+        self.gate.record_step(began, 0)
+
     def read_head(self) -> None:
         """Check the raw head, and let h11 parse it once it is complete."""
-        while self.pending[:2] == b"\r\n":
-            del self.pending[:2]
         end = self.pending.find(HEAD_END)
         head = self.pending if end < 0 else self.pending[: end + len(HEAD_END)]
         problem = find_head_problem(head, self.limits().max_head_bytes)
@@ -183,12 +219,23 @@
 
     def receive(self, data: bytes) -> None:
         try:
-            self.http.receive_data(data)
-            self.parse()
+            self.feed(data)
         except h11.RemoteProtocolError:
             # The text of the exception is left out: it quotes raw bytes of the request.
             self.reject(refuse("malformed_http"))
 
+    def feed(self, data: bytes) -> None:
+        """Parse data in pieces; what follows the request is kept for the next one."""
+        for start in range(0, len(data), PARSE_BYTES):
+            if self.phase is Phase.CLOSING:
+                return
+            if self.phase is Phase.RESPONSE:
+                self.pending += data[start:]
+                return
+            self.http.receive_data(data[start : start + PARSE_BYTES])
+            if self.parse_handle is None:
+                self.parse()
+
     def parse(self) -> None:
         for _ in range(MAX_PIECES_PER_TURN):
             event = self.http.next_event()
@@ -211,14 +258,14 @@
                     return
                 case _:
                     return
-        assert self.transport is not None
-        self.reading_paused = True
-        self.transport.pause_reading()
-        self.parse_handle = self.loop.call_soon(self.continue_parsing)
+        assert self.gate is not None
+        self.gate.pause(PauseReason.UNPARSED)
+        pause_s = self.gate.loop_time.pause_s(self.loop.time())
+        self.parse_handle = self.loop.call_later(pause_s, self.continue_parsing)
 
     def continue_parsing(self) -> None:
         self.parse_handle = None
-        if self.phase is not Phase.BODY or self.transport is None:
+        if self.phase is not Phase.BODY or self.gate is None:
             return
         began = self.loop.time()
         self.set_timer(self.limits().head_timeout_s)
@@ -226,9 +273,9 @@
             self.parse()
         except h11.RemoteProtocolError:
             self.reject(refuse("malformed_http"))
-        self.record_step(began, 0)
+        self.gate.record_step(began, 0)
         if self.parse_handle is None:
-            self.resume_reading()
+            self.gate.resume(PauseReason.UNPARSED)
 
     def accept_head(self, head: h11.Request) -> bool:
         self.head = head
@@ -292,18 +339,15 @@
         # A new parser, since `read_head` validates the next head before h11 gets it.
         self.http = self.new_parser()
         self.phase = Phase.IDLE
-        self.resume_reading()
+        self.blank_bytes = 0
+        if self.gate is not None:
+            self.gate.resume(PauseReason.PIPELINED)
         if self.pending:
             # Start with the data that arrived during the response.
             self.data_received(b"")
             return
         self.set_timer(self.limits().idle_timeout_s)
 
-    def resume_reading(self) -> None:
-        if self.reading_paused and self.transport is not None:
-            self.reading_paused = False
-            self.transport.resume_reading()
-
     # Responses.
 
     def reject(self, refusal: Refusal) -> None:
@@ -408,7 +452,8 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.pending.clear()
-        self.resume_reading()
+        if self.gate is not None:
+            self.gate.resume_all()
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.set_timer(LINGER_S)
--- a/src/acaciarelay_standins/inbound_standin.py
+++ b/src/acaciarelay_standins/inbound_standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.protocol.codes import Refusal
 from acaciarelay.state.routing import CallerLimits
@@ -22,9 +23,12 @@
     host, _, port = address.rpartition(":")
     connections: set[InboundConnection] = set()
     memory = MemoryBudget(MAX_BODIES * LIMITS.max_body_bytes)
+    loop_budget = LoopBudget()
 
     def build() -> InboundConnection:
-        return InboundConnection(handler, _refuse, lambda: LIMITS, connections, memory)
+        return InboundConnection(
+            handler, _refuse, lambda: LIMITS, connections, memory, loop_budget
+        )
 
     server = await loop.create_server(build, host, int(port))
     return server, f"{host}:{server.sockets[0].getsockname()[1]}"
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -160,7 +160,12 @@
 
     def build(self) -> InboundConnection:
         return InboundConnection(
-            self.serve, self.refuse, self.limits, self.connections, self.body_memory
+            self.serve,
+            self.refuse,
+            self.limits,
+            self.connections,
+            self.body_memory,
+            self.loop_budget,
         )
 
     def limits(self) -> CallerLimits:
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -13,6 +13,7 @@
 import pytest
 from test_unexpected_errors import SETTINGS
 
+from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.programs import relay_entry
 from acaciarelay.programs.relay_entry import DRAIN_CHECK_INTERVAL_S, RelayEntry
@@ -45,7 +46,12 @@
     def build(self) -> InboundConnection:
         memory = MemoryBudget(10_000_000)
         return InboundConnection(
-            self.serve, self.refuse, CallerLimits, self.connections, memory
+            self.serve,
+            self.refuse,
+            CallerLimits,
+            self.connections,
+            memory,
+            LoopBudget(),
         )
 
     async def serve(self, connection, request):
--- a/tests/unit/platform_path/test_closing_connections.py
+++ b/tests/unit/platform_path/test_closing_connections.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.inbound_server import InboundConnection
@@ -26,7 +27,12 @@
     def build(self) -> InboundConnection:
         memory = MemoryBudget(1_000_000)
         return InboundConnection(
-            self.serve, self.refuse, CallerLimits, self.connections, memory
+            self.serve,
+            self.refuse,
+            CallerLimits,
+            self.connections,
+            memory,
+            LoopBudget(),
         )
 
     async def serve(self, connection, request):
