Split the output of a caller's connection from its reading

What is written, kept for the next write and held back by a slow caller is a class of its own (transport/response_output.py). Nothing else changes; tests/unit/platform_path passes as before.

--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -18,6 +18,10 @@
 from acaciarelay.transport.bounded_reads import BoundedReads
 from acaciarelay.transport.connection_phase import Phase
 from acaciarelay.transport.read_gate import PauseReason, ReadGate
+from acaciarelay.transport.response_output import (
+    CallerDisconnectedError,
+    ResponseOutput,
+)
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
 __all__ = [
@@ -46,10 +50,6 @@
 NO_ROOM_RETRY_AFTER_S = 0.5
 
 
-class CallerDisconnectedError(Exception):
-    """The caller's connection closed before the response was complete."""
-
-
 InboundHandler = Callable[["InboundConnection", InboundRequest], Awaitable[None]]
 RefusalHandler = Callable[["InboundConnection", Refusal], None]
 
@@ -78,8 +78,9 @@
         self.registry = registry
         self.loop = asyncio.get_running_loop()
         self.loop_budget = loop_budget
-        # Present while the connection is open.
+        # Present once the connection is open.
         self.gate: ReadGate | None = None
+        self.output: ResponseOutput | None = None
         self.transport: asyncio.Transport | None = None
         self.http = self.new_parser()
         self.phase = Phase.IDLE
@@ -97,11 +98,8 @@
         # Present while parsing waits for the next turn of the event loop.
         self.parse_handle: asyncio.Handle | None = None
         self.arrived_at = 0.0
-        # Present while the transport has paused writing; done when it resumes.
-        self.write_resumed: asyncio.Future | None = None
         self.last_request = False
         self.response_started = False
-        self.output_buffer = bytearray()
 
     def new_parser(self) -> h11.Connection:
         # Heads are complete when they are parsed.
@@ -116,6 +114,7 @@
         name = transport.get_extra_info("peername")
         loop_time = self.loop_budget.open(Reader.CALLER, name[0] if name else "")
         self.gate = ReadGate(transport, loop_time)
+        self.output = ResponseOutput(transport)
         enable_dead_peer_detection(transport, TCP_USER_TIMEOUT_S)
         self.set_timer(self.limits().idle_timeout_s)
 
@@ -136,13 +135,12 @@
         return False
 
     def pause_writing(self) -> None:
-        if self.write_resumed is None:
-            self.write_resumed = self.loop.create_future()
+        if self.output is not None:
+            self.output.pause()
 
     def resume_writing(self) -> None:
-        if self.write_resumed is not None and not self.write_resumed.done():
-            self.write_resumed.set_result(None)
-        self.write_resumed = None
+        if self.output is not None:
+            self.output.resume()
 
     def data_received(self, data: bytes) -> None:
         assert self.gate is not None
@@ -388,35 +386,31 @@
             self.close_after_response()
 
     def write_event(self, event: h11.Event, flush: bool = True) -> None:
-        if self.transport is None or self.transport.is_closing():
+        if self.output is None or not self.output.is_open:
             return
         try:
             data = self.http.send(event)
         except h11.LocalProtocolError:
             # h11 is in its error state and sends nothing more; only closing is left.
-            self.transport.close()
+            self.output.transport.close()
             return
-        self.output_buffer += data or b""
-        if flush and self.output_buffer:
-            self.transport.write(bytes(self.output_buffer))
-            self.output_buffer.clear()
+        self.output.write(data or b"", flush)
 
     async def drain(self) -> None:
         """Wait until the caller accepts more data.
 
         Raises ``CallerDisconnectedError`` when the connection is closed.
         """
-        if self.transport is None or self.transport.is_closing():
+        if self.output is None:
             raise CallerDisconnectedError
-        if self.write_resumed is not None:
-            await asyncio.shield(self.write_resumed)
+        await self.output.drain()
 
     # Time-outs and closing.
 
     @property
     def unsent_bytes(self) -> int:
         """Return the number of written bytes that the kernel hasn't accepted yet."""
-        return self.transport.get_write_buffer_size() if self.transport else 0
+        return self.output.unsent_bytes if self.output is not None else 0
 
     @property
     def unanswered(self) -> bool:
