Bound the share of the event loop that own links take

A link reads 64 KiB at once, handles 64 messages a turn in their order, pauses when its part of the loop is used up, and then counts as silent from the end of the pause on. An incomplete line may have 64 KiB before the hello and 4 MB after it, which is what a sender may leave unsent.

--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
+import collections
 import contextlib
 from collections.abc import Callable
 
 import attrs
 
-from acaciarelay.coordination.loop_budget import LoopBudget, LoopTime, Reader
+from acaciarelay.coordination.loop_budget import LoopBudget, Reader
 from acaciarelay.protocol.link_messages import (
     Heartbeat,
     Hello,
@@ -21,6 +22,8 @@
     decode_message,
     encode_message,
 )
+from acaciarelay.transport.bounded_reads import BoundedReads
+from acaciarelay.transport.read_gate import PauseReason, ReadGate
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
 __all__ = [
@@ -49,8 +52,12 @@
 MAX_REDIAL_DELAY_S = 2.0
 # A link whose peer leaves more than this unread is closed, to bound its memory.
 MAX_UNSENT_BYTES = 4_000_000
-# A link that has received a longer incomplete line is closed.
-MAX_PARTIAL_LINE_BYTES = 16_000_000
+# A link that has received a longer incomplete line is closed: any, and one before the
+# hello of the peer.
+MAX_PARTIAL_LINE_BYTES = 4_000_000
+MAX_PARTIAL_HELLO_BYTES = 65_536
+# Messages that are handled without giving way to other tasks.
+MAX_MESSAGES_PER_TURN = 64
 
 
 class LinkTicker:
@@ -97,7 +104,7 @@
     on_close: Callable[["MessageLink"], None]
 
 
-class MessageLink(asyncio.Protocol):
+class MessageLink(BoundedReads):
     """Carry messages in both directions over one connection."""
 
     def __init__(
@@ -119,8 +126,11 @@
         self.peer: Hello | None = None
         self.opened_at = 0.0
         self.peer_host = ""
-        self.loop_time: LoopTime | None = None
+        # Present once the link is connected.
+        self.gate: ReadGate | None = None
         self.buffer = bytearray()
+        # Lines that were received and not yet handled.
+        self.lines: collections.deque[bytes] = collections.deque()
         self.last_received_at = self.loop.time()
         self.last_sent_at = 0.0
         # Whether this side has announced that it will seldom send, and how long the
@@ -138,7 +148,8 @@
         enable_dead_peer_detection(transport, SILENCE_TIMEOUT_S * 2)
         name = transport.get_extra_info("peername")
         self.peer_host = name[0] if name else ""
-        self.loop_time = self.ticker.loop_budget.open(Reader.LINK, self.peer_host)
+        loop_time = self.ticker.loop_budget.open(Reader.LINK, self.peer_host)
+        self.gate = ReadGate(transport, loop_time)
         self.last_received_at = self.loop.time()
         self.send(self.hello)
         self.ticker.add(self)
@@ -169,27 +180,49 @@
             self.send_heartbeat()
 
     def data_received(self, data: bytes) -> None:
-        assert self.loop_time is not None
+        assert self.gate is not None
         began = self.loop.time()
         self.last_received_at = began
-        self._read(data)
-        self.loop_time.spend(began, self.loop.time(), len(data))
-
-    def _read(self, data: bytes) -> None:
         self.buffer += data
-        if b"\n" not in data:
-            if len(self.buffer) > MAX_PARTIAL_LINE_BYTES:
-                self.close()
-            return
-        *lines, rest = bytes(self.buffer).split(b"\n")
-        self.buffer = bytearray(rest)
-        for line in lines:
+        if b"\n" in data:
+            *lines, rest = bytes(self.buffer).split(b"\n")
+            self.buffer = bytearray(rest)
+            self.lines.extend(lines)
+            self.handle_lines()
+        if len(self.buffer) > self.max_partial_line_bytes:
+            self.close()
+        self.gate.record_step(began, len(data))
+
+    @property
+    def max_partial_line_bytes(self) -> int:
+        if self.peer is None:
+            return MAX_PARTIAL_HELLO_BYTES
+        return MAX_PARTIAL_LINE_BYTES
+
+    def handle_lines(self) -> None:
+        """Handle received lines, some now and the others in later turns."""
+        assert self.gate is not None and self.transport is not None
+        for _ in range(MAX_MESSAGES_PER_TURN):
+            if not self.lines or self.transport.is_closing():
+                self.gate.resume(PauseReason.UNPARSED)
+                return
             try:
-                message = decode_message(line)
+                message = decode_message(self.lines.popleft())
             except MessageError:
                 self.close()
                 return
             self.receive(message)
+        self.gate.pause(PauseReason.UNPARSED)
+        pause_s = self.gate.loop_time.pause_s(self.loop.time())
+        self.loop.call_later(pause_s, self.continue_handling)
+
+    def continue_handling(self) -> None:
+        assert self.gate is not None
+        began = self.loop.time()
+        # Nothing is read meanwhile, so that the peer is not known to be silent.
+        self.last_received_at = began
+        self.handle_lines()
+        self.gate.record_step(began, 0)
 
     def receive(self, message: LinkMessage) -> None:
         match message:
@@ -210,6 +243,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.ticker.discard(self)
+        if self.gate is not None:
+            self.gate.close()
         if not self.closed_future.done():
             self.closed_future.set_result(None)
         if self.peer is not None:
