Tell fatal parts of prompts from hundreds of others

Cause: _shared_parts read the first 16 parts of a prompt and none with an id of more than 64 characters, so that the fatal part was in no report of a crash.

- All parts but the last are read, as digests of 8 bytes (xxhash), packed in order.
- A report names each part once, with the prompts that it was in.
Of more than 1,024 parts those never answered go first, and the others change from crash to crash.
- Last answers of 32,768 parts or more are remembered, in two generations that are updated at once; crashes that support a suspicion are forgotten last.
- What peers tell is one search.
- Hello says digests_parts; the former messages are neither sent nor asked for.
- A refused request's steps name the ids of its suspected parts.

Tests that failed before, on: six of test_fatal_prompts (real processes, 16 and 900 shared parts and ids of 160 characters, with agents and without: 11 late arrivals each where 3 are allowed). New pure ones: 2 to 1,000 parts at three rates, time of the search, one search for a peer's word, bounds of reports and memory, a known part that turns fatal among 2,000.

--- a/src/acaciarelay/coordination/crash_suspicion.py
+++ b/src/acaciarelay/coordination/crash_suspicion.py
@@ -4,18 +4,21 @@
 in one of them each time, and never in a prompt that is answered. Parts that always came
 together can't be told apart: they are suspected together, and only prompts with all of
 them are refused, so that other prompts with some of them show which ones are benign.
+
+All steps take time in proportion to the parts of all prompts, since prompts may have
+hundreds of them.
 """
 
 import collections
-import itertools
-from collections.abc import Iterable, Mapping
+import functools
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Protocol
 
 import attrs
 
-__all__ = ["Crash", "CrashSuspicions", "Prompt", "Suspicion", "find_suspicions"]
+from acaciarelay.coordination.prompt_parts import PromptParts, prompt_masks
 
-# The ids of the parts of a prompt that other prompts may share.
-Prompt = frozenset[str]
+__all__ = ["BenignTimes", "Crash", "Suspicion", "find_suspicions"]
 
 # Crashes under a part, not at the same time, from which on it is suspected: a part that
 # was never in an answered prompt, and one that was.
@@ -29,11 +32,17 @@
 FIRST_TRIAL_S = 5.0
 TRIAL_GROWTH = 5.0
 MAX_TRIAL_S = 125.0
-# Bounds of what is remembered.
-MAX_CRASHES = 32
-MAX_PROMPTS_PER_CRASH = 32
-MAX_BENIGN_PARTS = 4096
-FORGET_CRASH_S = 600.0
+# Classes of parts that are told apart among those in the same crashes.
+MAX_CLASSES = 128
+
+
+class BenignTimes(Protocol):
+    """When each part, by its digest, was last in an answered prompt."""
+
+    def get(self, key: int, default: float) -> float:
+        """Return the time of a part, or the default if it never was."""
+
+    def __contains__(self, key: int) -> bool: ...
 
 
 @attrs.frozen(kw_only=True)
@@ -42,14 +51,19 @@
 
     key: str
     at: float
-    prompts: frozenset[Prompt]
+    prompts: frozenset[PromptParts]
+
+    @functools.cached_property
+    def masks(self) -> dict[int, int]:
+        """The prompts that each part was in, as a bit mask of them in their order."""
+        return prompt_masks(self.prompts)
 
 
 @attrs.frozen(kw_only=True)
 class Suspicion:
     """Parts of which one crashes engines; prompts with all of them are refused."""
 
-    parts: Prompt
+    parts: frozenset[int]
     crashes: int
     last_at: float
 
@@ -62,233 +76,186 @@
 
 @attrs.frozen
 class _Event:
-    """Crashes at about the same time."""
+    """Crashes at about the same time, and the prompts that each part was in."""
 
     at: float
     last_at: float
-    prompts: frozenset[Prompt]
+    prompt_count: int
+    masks: dict[int, int]
+
+
+@attrs.frozen
+class _Tied:
+    """The parts that were in the same crashes."""
+
+    unknown: list[int] = attrs.Factory(list)
+    known: list[int] = attrs.Factory(list)
+
+    def strength(self, crashes: int) -> tuple[int, bool] | None:
+        """Return how suspicious the parts are; ``None`` if they are not.
+
+        Of parts with equally many crashes those that were never benign come first.
+        """
+        if self.unknown and crashes >= MIN_CRASHES:
+            return crashes, True
+        if self.known and crashes >= MIN_CRASHES_OF_A_KNOWN_PART:
+            return crashes, False
+        return None
 
 
 def find_suspicions(
-    crashes: Iterable[Crash], benign_at: Mapping[str, float]
+    crashes: Iterable[Crash], benign_at: BenignTimes
 ) -> list[Suspicion]:
-    """Return the suspicions that explain the crashes.
+    """Return the suspicions that explain the crashes, the strongest first.
 
-    ``benign_at`` holds for parts of answered prompts when the last one was answered.
     What is in most crashes explains these; other parts have to explain the rest.
+    Crashes are numbered from the first one on, and sets of them are bit masks.
     """
-    unexplained = set(_join_simultaneous(crashes))
+    events = _join_simultaneous(crashes)
+    masks = _masks_of_parts(events, benign_at)
+    unexplained = (1 << len(events)) - 1
     suspicions: list[Suspicion] = []
     while True:
-        events_by_part = _events_by_part(unexplained, benign_at)
-        strongest = _strongest(events_by_part, benign_at)
-        if strongest is None:
+        strongest, tied = _strongest(masks, unexplained, benign_at)
+        if tied is None:
             return suspicions
-        tied = {part for part, events in events_by_part.items() if events == strongest}
-        unknown = {part for part in tied if part not in benign_at}
-        for parts in _that_came_together(unknown or tied, strongest):
+        explained = [each for i, each in enumerate(events) if strongest >> i & 1]
+        last_at = max(event.last_at for event in explained)
+        for parts in _that_came_together(tied.unknown or tied.known, explained):
             suspicions.append(
-                Suspicion(
-                    parts=parts,
-                    crashes=len(strongest),
-                    last_at=max(event.last_at for event in strongest),
-                )
+                Suspicion(parts=parts, crashes=len(explained), last_at=last_at)
             )
-        unexplained -= strongest
+        unexplained &= ~strongest
 
 
 def _join_simultaneous(crashes: Iterable[Crash]) -> list[_Event]:
     events: list[_Event] = []
     for crash in sorted(crashes, key=lambda crash: (crash.at, crash.key)):
-        if events and crash.at - events[-1].at < SIMULTANEOUS_S:
-            before = events.pop()
-            prompts = before.prompts | crash.prompts
-            events.append(_Event(before.at, crash.at, prompts))
+        count = len(crash.prompts)
+        if not events or crash.at - events[-1].at >= SIMULTANEOUS_S:
+            events.append(_Event(crash.at, crash.at, count, crash.masks))
             continue
-        events.append(_Event(crash.at, crash.at, crash.prompts))
+        before = events.pop()
+        masks = dict(before.masks)
+        for part, mask in crash.masks.items():
+            masks[part] = masks.get(part, 0) | mask << before.prompt_count
+        joined = before.prompt_count + count
+        events.append(_Event(before.at, crash.at, joined, masks))
     return events
 
 
-def _events_by_part(
-    events: Iterable[_Event], benign_at: Mapping[str, float]
-) -> dict[str, frozenset[_Event]]:
-    """Return the crashes under each part since it was last in an answered prompt."""
-    found: dict[str, set[_Event]] = collections.defaultdict(set)
+def _masks_of_parts(events: list[_Event], benign_at: BenignTimes) -> dict[int, int]:
+    """Return the crashes under each part since it was last in an answered prompt.
+
+    Parts of a single crash are left out, since they explain nothing.
+    """
+    seen: set[int] = set()
+    repeated: set[int] = set()
     for event in events:
-        for part in itertools.chain.from_iterable(event.prompts):
+        repeated |= seen & event.masks.keys()
+        seen |= event.masks.keys()
+    masks: dict[int, int] = collections.defaultdict(int)
+    for number, event in enumerate(events):
+        for part in repeated & event.masks.keys():
             if event.last_at > benign_at.get(part, event.at - 1.0):
-                found[part].add(event)
-    return {part: frozenset(events) for part, events in found.items()}
+                masks[part] |= 1 << number
+    return masks
 
 
 def _strongest(
-    events_by_part: Mapping[str, frozenset[_Event]], benign_at: Mapping[str, float]
-) -> frozenset[_Event] | None:
-    """Return the crashes under the most suspicious part; ``None`` if there is none.
+    masks: Mapping[int, int], unexplained: int, benign_at: BenignTimes
+) -> tuple[int, _Tied | None]:
+    """Return the most suspicious parts and their crashes; ``None`` if there are none.
 
-    Of parts with equally many crashes one that was never benign comes first.
+    Of equally suspicious ones, all processes choose the same.
     """
-    best: frozenset[_Event] | None = None
-    best_key = (0, False)
-    for part in sorted(events_by_part):
-        events = events_by_part[part]
-        known = part in benign_at
-        least = MIN_CRASHES_OF_A_KNOWN_PART if known else MIN_CRASHES
-        key = (len(events), not known)
-        if len(events) >= least and key > best_key:
-            best, best_key = events, key
-    return best
+    tied: dict[int, _Tied] = collections.defaultdict(_Tied)
+    for part, mask in masks.items():
+        if (mask & unexplained).bit_count() < MIN_CRASHES:
+            continue
+        group = tied[mask & unexplained]
+        (group.known if part in benign_at else group.unknown).append(part)
+    best = 0
+    best_key: tuple[int, bool] = (0, False)
+    for mask in sorted(tied):
+        key = tied[mask].strength(mask.bit_count())
+        if key is not None and key > best_key:
+            best, best_key = mask, key
+    return best, tied[best] if best else None
 
 
 def _that_came_together(
-    parts: set[str], events: Iterable[_Event]
-) -> list[frozenset[str]]:
-    """Group parts that were in one and the same prompt in each crash."""
-    groups: list[frozenset[str]] = []
-    for part in sorted(parts):
-        together = frozenset(
-            other for other in parts if _share_a_prompt({part, other}, events)
-        )
-        if together not in groups:
-            groups.append(together)
-    return groups
-
+    parts: Iterable[int], events: list[_Event]
+) -> list[frozenset[int]]:
+    """Group parts that were in one and the same prompt in each crash.
 
-def _share_a_prompt(parts: set[str], events: Iterable[_Event]) -> bool:
-    for event in events:
-        if not any(parts <= prompt for prompt in event.prompts):
-            return False
-    return True
+    Parts that were in the same prompts throughout form a class, and classes are
+    compared in place of parts. Sets of prompts and of classes are bit masks.
+    """
+    classes = _classes(parts, events)
+    of_prompt = _classes_of_prompts(classes, events)
+    groups: dict[int, frozenset[int]] = {}
+    for prompts in classes:
+        together = (1 << len(classes)) - 1
+        for event_prompts in _split(prompts, events):
+            together &= _union(of_prompt, event_prompts)
+        if together in groups:
+            continue
+        members = [
+            class_parts
+            for number, class_parts in enumerate(classes.values())
+            if together >> number & 1
+        ]
+        groups[together] = frozenset().union(*members)
+    return sorted(groups.values(), key=min)
 
 
-class CrashSuspicions:
-    """Crashes and answered prompts that an entry knows of, and what follows from them.
+def _classes(parts: Iterable[int], events: list[_Event]) -> dict[int, list[int]]:
+    """Return the parts by the prompts of all crashes that they were in.
 
-    All times are monotonic, in seconds.
+    Beyond ``MAX_CLASSES``, the digests of the parts decide, which are as good as drawn.
     """
+    classes: dict[int, list[int]] = {}
+    for part in sorted(parts):
+        prompts = 0
+        first = 0
+        for event in events:
+            prompts |= event.masks[part] << first
+            first += event.prompt_count
+        if prompts in classes:
+            classes[prompts].append(part)
+        elif len(classes) < MAX_CLASSES:
+            classes[prompts] = [part]
+    return classes
+
+
+def _classes_of_prompts(classes: Iterable[int], events: list[_Event]) -> list[int]:
+    """Return the classes in each prompt of all crashes."""
+    of_prompt = [0] * sum(event.prompt_count for event in events)
+    for number, prompts in enumerate(classes):
+        for prompt in _numbers(prompts):
+            of_prompt[prompt] |= 1 << number
+    return of_prompt
+
+
+def _split(prompts: int, events: list[_Event]) -> Iterator[int]:
+    """Return the prompts of each crash among those of all."""
+    first = 0
+    for event in events:
+        yield prompts & (1 << first + event.prompt_count) - (1 << first)
+        first += event.prompt_count
+
+
+def _union(of_prompt: list[int], prompts: int) -> int:
+    union = 0
+    for prompt in _numbers(prompts):
+        union |= of_prompt[prompt]
+    return union
 
-    def __init__(self) -> None:
-        self.crashes: dict[str, Crash] = {}
-        self.suspicions: list[Suspicion] = []
-        # The least recently answered part comes first.
-        self.benign_at: collections.OrderedDict[str, float] = collections.OrderedDict()
-        # The part of ``benign_at`` that the peers know too.
-        self.told_benign_at: dict[str, float] = {}
-        self.trial_at: dict[Prompt, float] = {}
-        # When each part was last in a crash.
-        self._crashed_at: dict[str, float] = {}
-        # Whether peers may have to be told something.
-        self._untold = False
-
-    def record_crash(self, crash: Crash, now: float) -> None:
-        """Add a crash, or further prompts of a known one."""
-        known = self.crashes.get(crash.key)
-        if known is not None:
-            prompts = known.prompts | crash.prompts
-            if prompts == known.prompts:
-                return
-            crash = attrs.evolve(known, prompts=prompts)
-        if len(crash.prompts) > MAX_PROMPTS_PER_CRASH:
-            first = sorted(crash.prompts, key=sorted)[:MAX_PROMPTS_PER_CRASH]
-            crash = attrs.evolve(crash, prompts=frozenset(first))
-        self.crashes[crash.key] = crash
-        self._forget_crashes(now)
-        self._update()
-
-    def record_benign(self, parts: Iterable[str], at: float) -> None:
-        """Record that a prompt with these parts is being answered."""
-        concerned = False
-        for part in parts:
-            before = self.benign_at.get(part)
-            self.benign_at[part] = at if before is None else max(at, before)
-            self.benign_at.move_to_end(part)
-            crashed_at = self._crashed_at.get(part)
-            # A later answer changes nothing more.
-            concerned |= crashed_at is not None and (
-                before is None or before < crashed_at
-            )
-        while len(self.benign_at) > MAX_BENIGN_PARTS:
-            self.benign_at.popitem(last=False)
-        if concerned:
-            self._update()
-
-    def record_benign_at_peers(self, benign_at: Mapping[str, float]) -> None:
-        """Record when parts were in prompts that peers answered."""
-        self._untold = True
-        for part, at in benign_at.items():
-            self.told_benign_at[part] = max(at, self.told_benign_at.get(part, at))
-            self.record_benign([part], at)
-
-    def take_untold(self) -> dict[str, float]:
-        """Return when suspected parts were benign, as far as peers don't know it yet.
-
-        Only what changes the peers' suspicions is returned, and only once.
-        """
-        if not self._untold:
-            return {}
-        self._untold = False
-        at_peers = find_suspicions(self.crashes.values(), self.told_benign_at)
-        if at_peers == self.suspicions:
-            return {}
-        untold = {}
-        for part in sorted(set().union(*(each.parts for each in at_peers))):
-            at = self.benign_at.get(part)
-            if at is not None and at > self.told_benign_at.get(part, at - 1.0):
-                untold[part] = at
-        self.told_benign_at |= untold
-        return untold
-
-    def suspicion_of(self, parts: Prompt) -> Suspicion | None:
-        """Return the suspicion for which a prompt with these parts is refused."""
-        for suspicion in self.suspicions:
-            if suspicion.parts <= parts:
-                return suspicion
-        return None
 
-    def next_trial_at(self, suspicion: Suspicion) -> float:
-        """Return the time from which on one prompt may be tried despite a suspicion."""
-        since = max(suspicion.last_at, self.trial_at.get(suspicion.parts, 0.0))
-        return since + suspicion.trial_interval_s
-
-    def start_trial(self, suspicion: Suspicion, now: float) -> None:
-        """Record that a prompt is tried now."""
-        self.trial_at[suspicion.parts] = now
-
-    def evidence(self) -> list[Crash]:
-        """Return the crashes under suspected parts, for entries that lack them."""
-        suspected = set().union(*(each.parts for each in self.suspicions))
-        found = []
-        for crash in self.crashes.values():
-            if any(suspected & prompt for prompt in crash.prompts):
-                found.append(crash)
-        return found
-
-    def benign_at_crashes(self) -> dict[str, float]:
-        """Return when the parts of crashed prompts were last benign, if ever."""
-        return {
-            part: self.benign_at[part]
-            for part in sorted(self._crashed_at)
-            if part in self.benign_at
-        }
-
-    def _forget_crashes(self, now: float) -> None:
-        in_order = sorted(self.crashes.values(), key=lambda crash: crash.at)
-        for crash in in_order[:-MAX_CRASHES]:
-            del self.crashes[crash.key]
-        for crash in in_order:
-            if now - crash.at > FORGET_CRASH_S:
-                self.crashes.pop(crash.key, None)
-        self._crashed_at = {}
-        for crash in in_order:
-            if crash.key in self.crashes:
-                parts = itertools.chain.from_iterable(crash.prompts)
-                self._crashed_at.update(dict.fromkeys(parts, crash.at))
-        kept = self.told_benign_at.keys() & self._crashed_at.keys()
-        self.told_benign_at = {part: self.told_benign_at[part] for part in kept}
-
-    def _update(self) -> None:
-        self._untold = True
-        self.suspicions = find_suspicions(self.crashes.values(), self.benign_at)
-        suspected = {suspicion.parts for suspicion in self.suspicions}
-        for parts in self.trial_at.keys() - suspected:
-            del self.trial_at[parts]
+def _numbers(mask: int) -> Iterator[int]:
+    """Return the numbers of the bits that are set."""
+    while mask:
+        lowest = mask & -mask
+        yield lowest.bit_length() - 1
+        mask ^= lowest
--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from acaciarelay.coordination.prompt_parts import PromptParts
 from acaciarelay.protocol.http_message import Header, end_to_end_headers
 
 __all__ = [
@@ -20,6 +21,7 @@
     "decode_retry_after",
     "endpoint_headers",
     "retry_after_header",
+    "shared_part_ids",
 ]
 
 READY_PATH = "/ready"
@@ -40,9 +42,6 @@
 _LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
 _ENCODING = "content-encoding"
-# Parts of a prompt beyond this number, and those with longer ids, are not read.
-MAX_PROMPT_PARTS = 16
-MAX_PART_ID_CHARS = 64
 # Digits of the whole numbers that are read. Sums and products of longer ones might not
 # fit the calculations.
 MAX_DIGITS = 12
@@ -77,8 +76,8 @@
 
     ``key`` is the caller key. ``output_tokens`` is the most that may be generated;
     ``expected_output`` is the caller's estimate. ``last_event`` is the number of the
-    last event that the caller has received. ``shared_parts`` holds the ids of the parts
-    of the prompt that other prompts may share. ``forwarded`` lists the header fields to
+    last event that the caller has received. ``shared_parts`` holds the parts of the
+    prompt that other prompts may share. ``forwarded`` lists the header fields to
     forward to an endpoint.
     """
 
@@ -89,7 +88,7 @@
     output_tokens: int | None
     expected_output: int | None
     last_event: int | None
-    shared_parts: frozenset[str]
+    shared_parts: PromptParts
     forwarded: list[Header]
 
 
@@ -154,16 +153,26 @@
         output_tokens=output,
         expected_output=_whole(hint, MAX_DIGITS),
         last_event=_whole(last_event, MAX_EVENT_DIGITS),
-        shared_parts=_shared_parts(fields.get(_PROMPT_PARTS, "")),
+        shared_parts=PromptParts.of_ids(
+            _shared_part_ids(fields.get(_PROMPT_PARTS, ""))
+        ),
         forwarded=forwarded,
     )
 
 
-def _shared_parts(text: str) -> frozenset[str]:
+def _shared_part_ids(text: str) -> set[str]:
     """Return the ids of all parts but the last, which is the request's own."""
-    *shared, _ = text.split(",", MAX_PROMPT_PARTS)
-    ids = (part.partition(":")[0].strip() for part in shared)
-    return frozenset(part for part in ids if 0 < len(part) <= MAX_PART_ID_CHARS)
+    *shared, _ = text.lower().split(",")
+    ids = set()
+    for part in shared:
+        part_id, colon, _ = part.rpartition(":")
+        ids.add((part_id if colon else part).strip())
+    return ids - {""}
+
+
+def shared_part_ids(traits: RequestTraits) -> set[str]:
+    """Return the ids of a prompt's shared parts, as the caller named them."""
+    return _shared_part_ids(dict(traits.forwarded).get(_PROMPT_PARTS, ""))
 
 
 def _token_counts(text: str | None) -> tuple[int | None, int | None]:
--- a/src/acaciarelay/programs/crash_detector.py
+++ b/src/acaciarelay/programs/crash_detector.py
@@ -3,12 +3,14 @@
 import asyncio
 import collections
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 from result import Err, Ok
 
-from acaciarelay.coordination.crash_suspicion import Crash, Prompt
+from acaciarelay.coordination.crash_memory import bounded_prompts
+from acaciarelay.coordination.crash_suspicion import Crash
+from acaciarelay.coordination.prompt_parts import PromptParts, part_name
 from acaciarelay.programs.logs import log_event
 from acaciarelay.protocol.link_messages import BrokenRun, CrashRecord
 from acaciarelay.transport.endpoint_call import FaultKind, connect
@@ -22,6 +24,8 @@
 MAX_CRASHES = 8
 MAX_OPEN_CHECKS = 32
 MAX_PROMPTS = 32
+MAX_LOGGED_PROMPTS = 8
+MAX_LOGGED_PARTS = 8
 
 
 @attrs.define(eq=False)
@@ -30,7 +34,7 @@
 
     address: str
     broken_at: float
-    prompts: set[Prompt] = attrs.Factory(set)
+    prompts: set[PromptParts] = attrs.Factory(set)
 
 
 class CrashDetector:
@@ -59,7 +63,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         if len(broken.prompts) < MAX_PROMPTS:
-            broken.prompts.add(frozenset(run.parts))
+            broken.prompts.add(run.parts)
 
     async def _check(self, engine: str) -> None:
         await asyncio.sleep(COLLECT_S)
@@ -73,8 +77,8 @@
         crash = Crash(
             key=engine,
             at=known.at if known is not None else broken.broken_at,
-            prompts=frozenset(
-                broken.prompts | (known.prompts if known is not None else set())
+            prompts=bounded_prompts(
+                engine, broken.prompts | (known.prompts if known is not None else set())
             ),
         )
         self.crashes[engine] = crash
@@ -83,7 +87,8 @@
         log_event(
             "engine_crashed",
             engine=engine,
-            prompts=[sorted(prompt) for prompt in crash.prompts],
+            prompts=_names(crash.prompts),
+            sizes=sorted(len(prompt) for prompt in crash.prompts),
             always=True,
         )
         self.report(crash)
@@ -93,6 +98,14 @@
             task.cancel()
 
 
+def _names(prompts: Iterable[PromptParts]) -> list[list[str]]:
+    """Return the names of some parts of some prompts for the log."""
+    names = []
+    for prompt in sorted(prompts)[:MAX_LOGGED_PROMPTS]:
+        names.append([part_name(each) for each in prompt.digests[:MAX_LOGGED_PARTS]])
+    return names
+
+
 async def _is_down(address: str) -> bool:
     match await connect(address, CONNECT_TIMEOUT_S):
         case Ok(connection):
@@ -108,5 +121,5 @@
     return CrashRecord(
         engine=crash.key,
         age_s=round(now - crash.at, 3),
-        prompts=[sorted(prompt) for prompt in crash.prompts],
+        prompts=crash.prompts,
     )
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -92,7 +92,7 @@
             lifetime=secrets.token_hex(6),
             address=f"{settings.host}:{settings.agent_port}",
             zone=settings.zone,
-            reports_crashes=True,
+            digests_parts=True,
         )
         self.server = LinkServer(
             self.hello,
@@ -198,7 +198,7 @@
         records = [crash_record(crash, now) for crash in crashes]
         line = encode_message(CrashReport(crashes=records, benign_s={}))
         for link in links:
-            if link.peer is not None and link.peer.reports_crashes:
+            if link.peer is not None and link.peer.digests_parts:
                 link.send_line(line)
 
     def refuse_if_infeasible(
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -129,7 +129,7 @@
             address=own_address,
             zone=settings.zone,
             gathers_usage=True,
-            reports_crashes=True,
+            digests_parts=True,
             orders_eras=True,
         )
         self.ticker = LinkTicker(self.loop_budget)
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -163,7 +163,7 @@
         peer.reachable_at = time.monotonic()
         log_event("peer_regained", peer=link.peer.address, lifetime=link.peer.lifetime)
         link.send(self.status(_StatusFields()))
-        if not link.peer.reports_crashes:
+        if not link.peer.digests_parts:
             return
         report = self.crashes.report_to_new_peer(link.peer.address, peer.reachable_at)
         if report is not None:
@@ -223,7 +223,7 @@
         line = encode_message(report)
         for peer in self.peers.values():
             link = peer.link
-            if link is not None and link.peer is not None and link.peer.reports_crashes:
+            if link is not None and link.peer is not None and link.peer.digests_parts:
                 link.send_line(line)
 
     def remove_if_lost(self, address: str, peer: _Peer, now: float) -> None:
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -12,7 +12,7 @@
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.platform.headers import answer_headers, decode_request_id
-from acaciarelay.programs.crash_guard import CrashGuard
+from acaciarelay.programs.crash_guard import CrashGuard, suspected_ids
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_admission import Admission
@@ -221,7 +221,10 @@
         suspicion = self.crashes.suspicion_of(relayed)
         if suspicion is None:
             return None
-        relayed.steps.append(f"suspected after {suspicion.crashes} crashes")
+        ids = ", ".join(suspected_ids(relayed, suspicion))
+        relayed.steps.append(
+            f"suspected after {suspicion.crashes} crashes by its parts {ids}"
+        )
         if not relayed.certainly_not_run:
             return self.give_up(relayed, "outcome_unknown")
         return refuse("prompt_suspected", "", self.crashes.retry_after_s(suspicion))
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -14,6 +14,14 @@
 import cattrs
 import orjson
 
+from acaciarelay.coordination.prompt_parts import PromptParts, part_name
+from acaciarelay.protocol.prompt_codec import (
+    decode_parts,
+    decode_prompts,
+    encode_parts,
+    encode_prompts,
+)
+
 __all__ = [
     "BrokenRun",
     "CrashRecord",
@@ -49,8 +57,10 @@
     """Opens a link; ``lifetime`` identifies the incarnation of the sender.
 
     ``gathers_usage`` is true when the sender understands ``ZoneUsage`` and
-    ``TableVersions``, ``reports_crashes`` when it understands ``BrokenRun`` and
-    ``CrashReport``, ``orders_eras`` when it understands the store's eras.
+    ``TableVersions``, ``orders_eras`` when it understands the store's eras, and
+    ``digests_parts`` when it understands ``BrokenRun`` and ``CrashReport``.
+    ``reports_crashes`` is true when it understands an earlier form of these, which no
+    current process sends.
     """
 
     name: str
@@ -60,6 +70,7 @@
     gathers_usage: bool = False
     reports_crashes: bool = False
     orders_eras: bool = False
+    digests_parts: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -259,36 +270,36 @@
 class BrokenRun:
     """Tells an agent that its engine broke off a run before the answer began.
 
-    ``engine`` identifies the incarnation of the engine, and ``parts`` are the ids of
-    the shared parts of the prompt.
+    ``engine`` identifies the incarnation of the engine, and ``parts`` are the shared
+    parts of the prompt.
     """
 
     engine: str
-    parts: list[str]
+    parts: PromptParts
 
 
 @attrs.frozen(kw_only=True)
 class CrashRecord:
     """Crash of an incarnation of an engine, ``age_s`` seconds ago.
 
-    ``prompts`` holds the ids of the shared parts of each prompt whose answer the engine
-    had not begun.
+    ``prompts`` holds the shared parts of each prompt whose answer the engine had not
+    begun.
     """
 
     engine: str
     age_s: float
-    prompts: list[list[str]]
+    prompts: frozenset[PromptParts]
 
 
 @attrs.frozen(kw_only=True)
 class CrashReport:
     """Tells entries of crashes, and when parts of prompts were last answered.
 
-    ``benign_s`` holds by part the seconds since then.
+    ``benign_s`` holds by the digest of a part the seconds since then.
     """
 
     crashes: list[CrashRecord]
-    benign_s: dict[str, float]
+    benign_s: dict[int, float]
 
 
 LinkMessage = (
@@ -341,6 +352,20 @@
     lambda kind: kind == list[float],
     lambda value, _: [float(number) for number in value],
 )
+# JSON objects have names of text.
+_CONVERTER.register_structure_hook_func(
+    lambda kind: kind == dict[int, float],
+    lambda value, _: {int(name, 16): float(number) for name, number in value.items()},
+)
+_CONVERTER.register_structure_hook(PromptParts, lambda text, _: decode_parts(text))
+_CONVERTER.register_structure_hook(
+    CrashRecord,
+    lambda values, _: CrashRecord(
+        engine=str(values[0]),
+        age_s=float(values[1]),
+        prompts=decode_prompts(values[2], values[3]),
+    ),
+)
 _USAGE_FIELDS = [field.name for field in attrs.fields(EntryUsage)]
 _CONVERTER.register_structure_hook(
     EntryUsage,
@@ -352,14 +377,24 @@
     """Encode an object within a message: the usage of an entry without field names."""
     if isinstance(part, EntryUsage):
         return [getattr(part, name) for name in _USAGE_FIELDS]
-    assert isinstance(part, PeerRow | CrashRecord)
+    if isinstance(part, PromptParts):
+        return encode_parts(part)
+    if isinstance(part, CrashRecord):
+        return [part.engine, part.age_s, *encode_prompts(part.prompts)]
+    assert isinstance(part, PeerRow)
     return attrs.asdict(part)
 
 
+def _by_name(values: dict[int, float]) -> dict[str, float]:
+    return {part_name(digest): value for digest, value in values.items()}
+
+
 def encode_message(message: LinkMessage) -> bytes:
     """Encode a message as a line, with its line feed."""
     kind = type(message)
     values = [getattr(message, name) for name in _FIELDS[kind]]
+    if isinstance(message, CrashReport):
+        values = [message.crashes, _by_name(message.benign_s)]
     return orjson.dumps([_NAMES[kind], *values], default=_encode_part) + b"\n"
 
 
--- /dev/null
+++ b/src/acaciarelay/protocol/prompt_codec.py
@@ -0,0 +1,66 @@
+"""Encode the parts of prompts for messages, each part of several prompts once."""
+
+import base64
+import struct
+from collections.abc import Iterable
+
+from acaciarelay.coordination.prompt_parts import (
+    DIGEST_BYTES,
+    PromptParts,
+    prompt_masks,
+)
+
+__all__ = [
+    "MAX_ENCODED_PROMPTS",
+    "decode_parts",
+    "decode_prompts",
+    "encode_parts",
+    "encode_prompts",
+]
+
+# Which prompts a part is in, is a bit mask of so many bits.
+MAX_ENCODED_PROMPTS = 32
+MASK_BYTES = 4
+
+
+def encode_parts(parts: PromptParts) -> str:
+    """Encode the parts of one prompt."""
+    return base64.b64encode(parts.packed).decode("ascii")
+
+
+def decode_parts(text: str) -> PromptParts:
+    """Decode the parts of one prompt; raises ``ValueError`` if they are malformed."""
+    packed = base64.b64decode(text, validate=True)
+    if len(packed) % DIGEST_BYTES:
+        raise ValueError("a digest is incomplete")
+    return PromptParts(packed)
+
+
+def encode_prompts(prompts: Iterable[PromptParts]) -> tuple[str, str]:
+    """Return the parts of ``MAX_ENCODED_PROMPTS`` at most, and the prompts of each."""
+    masks = prompt_masks(prompts)
+    digests = sorted(masks)
+    in_order = [masks[digest] for digest in digests]
+    packed = struct.pack(f"<{len(in_order)}I", *in_order)
+    encoded = base64.b64encode(packed).decode("ascii")
+    return encode_parts(PromptParts.of_digests(digests)), encoded
+
+
+def decode_prompts(parts: str, masks: str) -> frozenset[PromptParts]:
+    """Decode what ``encode_prompts`` returned.
+
+    Raises ``ValueError`` if it is malformed.
+    """
+    digests = decode_parts(parts).digests
+    packed = base64.b64decode(masks, validate=True)
+    if len(packed) != MASK_BYTES * len(digests):
+        raise ValueError("the masks do not fit the parts")
+    members: list[list[int]] = [[] for _ in range(MAX_ENCODED_PROMPTS)]
+    for digest, mask in zip(
+        digests, struct.unpack(f"<{len(digests)}I", packed), strict=True
+    ):
+        while mask:
+            lowest = mask & -mask
+            members[lowest.bit_length() - 1].append(digest)
+            mask ^= lowest
+    return frozenset(PromptParts.of_digests(each) for each in members if each)
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -91,9 +91,8 @@
     in that many seconds instead of an answer. ``lying`` answers health checks with 200
     despite the other faults, and with 503 when cleared. ``leaving`` says in each answer
     that the runner leaves; ``retry_after`` is the text of that header in a refusal.
-    ``fatal_part``, the id of a
-    part of a prompt, crashes the runner when it begins to write an answer to a prompt
-    with this part.
+    ``fatal_parts``, ids of parts of prompts, crash the runner when it begins to write
+    an answer to a prompt with one of them.
     """
 
     lose: bool = False
@@ -115,7 +114,7 @@
     lying: bool = True
     leaving: bool = False
     retry_after: str = ""
-    fatal_part: str = ""
+    fatal_parts: list[str] = attrs.Factory(list)
 
 
 @attrs.frozen
@@ -236,7 +235,7 @@
         )
         self.runs.append(run)
         try:
-            if self.faults.fatal_part in run.parts:
+            if not set(self.faults.fatal_parts).isdisjoint(run.parts):
                 await self.work(self.work_s)
                 return self.crash()
             await self.answer(connection, fields, attempt)
--- a/tests/integration/test_fatal_prompts.py
+++ b/tests/integration/test_fatal_prompts.py
@@ -9,6 +9,7 @@
 import pytest
 from integration.platform_fleet import PlatformFleet
 from integration.test_platform_path import wait_until
+from relay_rig import configuration, route
 
 ENGINES = (1, 2, 3, 4, 5)
 ENTRIES = ("entry-1", "entry-2")
@@ -17,6 +18,8 @@
 MAX_LATE_ARRIVALS = 3
 CRASHES_THAT_TELL = 5
 FATAL = "dead"
+OTHER_FATAL = "deaf"
+FATAL_PARTS = frozenset([FATAL, OTHER_FATAL])
 FATAL_INTERVAL_S = 0.3
 BENIGN_INTERVAL_S = 0.08
 OTHER_CALLERS = 12
@@ -33,8 +36,10 @@
 class Callers:
     """Callers of a fleet whose prompts share parts; some prompts are fatal."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, shared=("first",), fatal_interval_s=FATAL_INTERVAL_S):
         self.fleet = fleet
+        self.shared = shared
+        self.fatal_interval_s = fatal_interval_s
         self.answers = []
         self.tasks = []
         self.count = 0
@@ -58,14 +63,14 @@
             answers.append(Answer(sent_at, served))
 
     async def send_for(self, seconds, fatal_parts=None):
-        """Send benign requests, some with the first part of the fatal ones."""
+        """Send benign requests, some with the first parts of the fatal ones."""
         end_at = time.monotonic() + seconds
         fatal_at = 0.0
         while time.monotonic() < end_at:
-            self.send(["first"], self.answers)
+            self.send(self.shared, self.answers)
             self.send([f"other{self.count % OTHER_CALLERS}"])
             if fatal_parts and time.monotonic() >= fatal_at:
-                fatal_at = time.monotonic() + FATAL_INTERVAL_S
+                fatal_at = time.monotonic() + self.fatal_interval_s
                 self.send(fatal_parts)
             await asyncio.sleep(BENIGN_INTERVAL_S)
 
@@ -84,7 +89,7 @@
     if with_agents:
         await wait_until(fleet, lambda: linked(fleet))
     for runner in fleet.runners.values():
-        runner.faults.fatal_part = FATAL
+        runner.faults.fatal_parts = [FATAL]
 
 
 def linked(fleet):
@@ -100,7 +105,8 @@
     arrivals = 0
     for runner in fleet.runners.values():
         for run in runner.runs:
-            arrivals += FATAL in run.parts and run.at >= after
+            is_fatal = not FATAL_PARTS.isdisjoint(run.parts)
+            arrivals += is_fatal and run.at >= after
     return arrivals
 
 
@@ -130,6 +136,36 @@
         await check(fleet, callers, fatal_parts)
 
 
+SHARED = {
+    "16": [f"{0xA000 + number:x}" for number in range(16)],
+    "900": [f"{0xA000 + number:x}" for number in range(900)],
+    "long-ids": [f"{0xA000 + number:x}" * 40 for number in range(40)],
+}
+
+
+def with_long_heads():
+    """Return a configuration that allows heads with hundreds of parts."""
+    routes = [route("/chat/", "streaming", service="engine", resumable=True)]
+    value = configuration(2, routes=routes)
+    value["services"][1]["engine"] = {"slots": 8, "kvTokens": 100_000}
+    value["limits"]["maxHeaderBytes"] = 16_384
+    return value
+
+
+@pytest.mark.parametrize("with_agents", [True, False], ids=["agents", "no-agents"])
+@pytest.mark.parametrize("shared", SHARED)
+async def test_a_fatal_part_behind_many_shared_ones_is_kept_from_engines(
+    tmp_path, shared, with_agents
+):
+    """Guards against a fatal part that is not seen for its place or for its id."""
+    async with PlatformFleet(tmp_path) as fleet:
+        fleet.configure(with_long_heads())
+        await start(fleet, with_agents)
+        callers = Callers(fleet, SHARED[shared], fatal_interval_s=0.5)
+        await callers.send_for(1.0)
+        await check(fleet, callers, [*SHARED[shared], FATAL])
+
+
 async def test_a_restarted_entry_keeps_fatal_prompts_from_engines(tmp_path):
     """Guards against what a restart forgets of prompts that crash engines."""
     async with PlatformFleet(tmp_path) as fleet:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -36,7 +36,7 @@
 RUNNER_FAULTS = (
     *("lose", "shed", "error", "foreign", "unsealed", "short", "garbage"),
     *("silent", "extra", "wrong_endpoint", "old_refusal", "endless", "drip_s"),
-    *("leaving", "retry_after", "fatal_part"),
+    *("leaving", "retry_after", "fatal_parts"),
 )
 # Ranges of restores of the store, in seconds: the pause before, what is lost, how long
 # it is away, and when the operator and the runners write again after the return.
@@ -234,8 +234,8 @@
             elif name_of_fault == "retry_after":
                 faults.shed = True
                 value = f"{self.rng.uniform(0.1, 1.5):.2f}"
-            elif name_of_fault == "fatal_part":
-                value = FATAL_PART
+            elif name_of_fault == "fatal_parts":
+                value = [FATAL_PART]
             setattr(faults, name_of_fault, value)
         self.log(f"runner {name}: {faults}")
         self.fleet.runners[name].faults = faults
--- a/tests/unit/coordination/fatal_prompt_model.py
+++ b/tests/unit/coordination/fatal_prompt_model.py
@@ -6,8 +6,11 @@
 from collections.abc import Callable
 
 import attrs
+from prompt_ids import prompt_of
 
-from acaciarelay.coordination.crash_suspicion import Crash, CrashSuspicions
+from acaciarelay.coordination.crash_memory import CrashMemory
+from acaciarelay.coordination.crash_suspicion import Crash
+from acaciarelay.coordination.prompt_parts import PromptParts
 
 __all__ = ["FleetModel", "Load"]
 
@@ -41,7 +44,8 @@
 @attrs.define(eq=False)
 class Request:
     entry: int
-    parts: frozenset
+    ids: frozenset[str]
+    parts: PromptParts
     sent_at: float
     benign: bool
     attempts: int = 0
@@ -62,8 +66,10 @@
         self.events = []
         self.up = set(range(engines))
         self.running = {engine: [] for engine in range(engines)}
-        self.entries = [CrashSuspicions() for _ in range(entries)]
+        self.entries = [CrashMemory() for _ in range(entries)]
         self.crash_times = []
+        # Of crashes by a fatal part and of arrivals with one: the times and the parts.
+        self.fatal_crashes = []
         self.fatal_arrivals = []
         self.requests = []
 
@@ -89,9 +95,10 @@
             self.at(self.rng.expovariate(self.load.fatal_per_s), self.send_fatal)
             self.send(frozenset(self.load.fatal(self.rng)), False)
 
-    def send(self, parts, benign, repeated=False):
+    def send(self, ids, benign, repeated=False):
         entry = self.rng.randrange(len(self.entries))
-        request = Request(entry, parts, self.now, benign, repeated=repeated)
+        parts = prompt_of(ids)
+        request = Request(entry, ids, parts, self.now, benign, repeated=repeated)
         self.requests.append(request)
         self.try_engine(request)
 
@@ -107,14 +114,14 @@
         request.attempts += 1
         request.begun = False
         self.running[engine].append(request)
-        if request.parts & self.load.fatal_parts:
-            self.fatal_arrivals.append(self.now)
+        if fatal := request.ids & self.load.fatal_parts:
+            self.fatal_arrivals.append((self.now, fatal))
         self.at(self.rng.uniform(*BEGIN_S), self.begin, request, engine)
 
     def is_trial(self, request, suspicion):
         """Let one entry, drawn by the parts, try a prompt when it is time."""
         suspicions = self.entries[request.entry]
-        owner = sum(map(ord, "".join(sorted(suspicion.parts)))) % len(self.entries)
+        owner = sum(suspicion.parts) % len(self.entries)
         if owner != request.entry or self.now < suspicions.next_trial_at(suspicion):
             return False
         suspicions.start_trial(suspicion, self.now)
@@ -123,7 +130,8 @@
     def begin(self, request, engine):
         if request not in self.running[engine]:
             return
-        if request.parts & self.load.fatal_parts:
+        if fatal := request.ids & self.load.fatal_parts:
+            self.fatal_crashes.append((self.now, fatal))
             self.crash(engine)
             return
         request.begun = True
@@ -149,7 +157,7 @@
             if request.attempts < MAX_ATTEMPTS:
                 self.at(RETRY_DELAY_S, self.try_engine, request)
             elif not request.repeated:
-                self.at(RETRY_DELAY_S, self.send, request.parts, request.benign, True)
+                self.at(RETRY_DELAY_S, self.send, request.ids, request.benign, True)
 
     def report(self, entry, crash):
         entry.record_crash(crash, self.now)
@@ -165,17 +173,20 @@
 
     # What came of it.
 
-    def late_fatal_arrivals(self, contact_s):
-        if len(self.crash_times) < 5:
+    def late_fatal_arrivals(self, contact_s, part):
+        """Count arrivals with a part too late after the fifth crash by it."""
+        crashes = [at for at, parts in self.fatal_crashes if part in parts]
+        if len(crashes) < 5:
             return 0
-        since = self.crash_times[4] + contact_s
-        return sum(at > since for at in self.fatal_arrivals)
+        since = crashes[4] + contact_s
+        arrivals = [at for at, parts in self.fatal_arrivals if part in parts]
+        return sum(at > since for at in arrivals)
 
     def benign_share(self, parts, since):
         """Return the share of benign requests with a part that were not refused."""
         sent = [
             request
             for request in self.requests
-            if request.benign and request.sent_at > since and request.parts & parts
+            if request.benign and request.sent_at > since and request.ids & parts
         ]
         return 1.0 - sum(request.refused for request in sent) / max(1, len(sent))
--- a/tests/unit/coordination/test_crash_suspicion.py
+++ b/tests/unit/coordination/test_crash_suspicion.py
@@ -1,34 +1,47 @@
 """Which parts of prompts are suspected after crashes, and how a suspicion ends."""
 
+import random
+import time
+
 import pytest
 from fatal_prompt_model import FleetModel, Load
+from prompt_ids import digests_of, ids_of, prompt
 
-from acaciarelay.coordination import crash_suspicion
-from acaciarelay.coordination.crash_suspicion import (
-    FIRST_TRIAL_S,
+from acaciarelay.coordination import crash_memory
+from acaciarelay.coordination.crash_memory import (
     MAX_BENIGN_PARTS,
     MAX_CRASHES,
+    MAX_REPORTED_PARTS,
+    CrashMemory,
+    reported_parts,
+)
+from acaciarelay.coordination.crash_suspicion import (
+    FIRST_TRIAL_S,
     MAX_TRIAL_S,
     Crash,
-    CrashSuspicions,
     find_suspicions,
 )
+from acaciarelay.coordination.recent_times import RecentTimes
 
 CONTACT_S = 3.0
 SEEDS = range(8)
 
 
 def prompts(*parts):
-    return frozenset(frozenset(each.split()) for each in parts)
+    return frozenset(prompt(*each.split()) for each in parts)
 
 
 def crash(at, *parts):
     return Crash(key=f"engine@{at}", at=at, prompts=prompts(*parts))
 
 
+def by_digest(**at):
+    return dict(zip(digests_of(at), at.values(), strict=True))
+
+
 def suspected(crashes, **benign_at):
-    found = find_suspicions(crashes, benign_at)
-    return sorted(" ".join(sorted(suspicion.parts)) for suspicion in found)
+    found = find_suspicions(crashes, by_digest(**benign_at))
+    return sorted(" ".join(ids_of(suspicion.parts)) for suspicion in found)
 
 
 def test_one_crash_suspects_nothing():
@@ -42,19 +55,19 @@
 
 def test_parts_that_always_came_together_are_suspected_together():
     """Guards against refusing benign prompts that share one part with fatal ones."""
-    suspicions = CrashSuspicions()
+    suspicions = CrashMemory()
     for at in (1.0, 2.0, 3.0):
         suspicions.record_crash(crash(at, "first d"), at)
-    assert suspicions.suspicion_of(frozenset(["first", "d"])) is not None
-    assert suspicions.suspicion_of(frozenset(["first"])) is None
+    assert suspicions.suspicion_of(prompt("first", "d")) is not None
+    assert suspicions.suspicion_of(prompt("first")) is None
 
 
 def test_a_benign_prompt_tells_parts_apart():
-    suspicions = CrashSuspicions()
+    suspicions = CrashMemory()
     for at in (1.0, 2.0):
         suspicions.record_crash(crash(at, "first d"), at)
-    suspicions.record_benign(["first"], 2.5)
-    assert suspicions.suspicion_of(frozenset(["other", "d"])) is not None
+    suspicions.record_benign(prompt("first"), 2.5)
+    assert suspicions.suspicion_of(prompt("other", "d")) is not None
 
 
 def test_a_crash_without_a_part_clears_it():
@@ -109,11 +122,11 @@
 
 def test_a_suspected_prompt_is_tried_seldom_and_ever_less_often():
     """Guards against a wrong suspicion without end, and against many trials."""
-    suspicions = CrashSuspicions()
+    suspicions = CrashMemory()
     intervals = []
     for at in (1.0, 2.0, 3.0, 4.0, 5.0, 6.0):
         suspicions.record_crash(crash(at, "d"), at)
-        suspicion = suspicions.suspicion_of(frozenset(["d"]))
+        suspicion = suspicions.suspicion_of(prompt("d"))
         if suspicion is not None:
             intervals.append(suspicions.next_trial_at(suspicion) - at)
     assert intervals[0] == FIRST_TRIAL_S
@@ -124,13 +137,13 @@
 
 
 def test_a_trial_that_is_answered_ends_the_suspicion_at_all_entries():
-    tried, other = CrashSuspicions(), CrashSuspicions()
+    tried, other = CrashMemory(), CrashMemory()
     for suspicions in (tried, other):
         for at in (1.0, 2.0):
             suspicions.record_crash(crash(at, "a"), at)
-    tried.record_benign(["a"], 8.0)
+    tried.record_benign(prompt("a"), 8.0)
     told = tried.take_untold()
-    assert told == {"a": 8.0}
+    assert told == by_digest(a=8.0)
     assert tried.take_untold() == {}
     other.record_benign_at_peers(told)
     assert other.suspicions == []
@@ -138,24 +151,24 @@
 
 def test_benign_prompts_are_told_only_if_peers_would_suspect_them():
     """Guards against messages for each answered prompt."""
-    suspicions = CrashSuspicions()
-    suspicions.record_benign(["a", "b"], 0.5)
+    suspicions = CrashMemory()
+    suspicions.record_benign(prompt("a", "b"), 0.5)
     suspicions.record_crash(crash(1.0, "a", "b"), 1.0)
     assert suspicions.take_untold() == {}
     suspicions.record_crash(crash(2.0, "a"), 2.0)
-    assert suspicions.take_untold() == {"a": 0.5}
+    assert suspicions.take_untold() == by_digest(a=0.5)
 
 
 def test_what_is_remembered_is_bounded():
     """Guards against memory that grows with crashes or prompts."""
-    suspicions = CrashSuspicions()
+    suspicions = CrashMemory()
     for number in range(1000):
         at = float(number)
         parts = [f"p{number}-{part}" for part in range(100)]
         suspicions.record_crash(crash(at, *parts), at)
-        suspicions.record_benign(parts, at)
+        suspicions.record_benign(prompt(*parts), at)
     assert len(suspicions.crashes) <= MAX_CRASHES
-    assert len(suspicions.benign_at) <= MAX_BENIGN_PARTS
+    assert len(suspicions.benign_at) <= 2 * MAX_BENIGN_PARTS
     assert len(suspicions.told_benign_at) <= MAX_BENIGN_PARTS
 
 
@@ -188,11 +201,38 @@
         )
         fleet = FleetModel(load, seed)
         fleet.run(30.0)
-        assert fleet.late_fatal_arrivals(CONTACT_S) <= 3, seed
+        assert fleet.late_fatal_arrivals(CONTACT_S, "d") <= 3, seed
         since = fleet.crash_times[:5][-1] + 2 * CONTACT_S
         assert fleet.benign_share(frozenset(["f1", "f50", "s1"]), since) > 0.95, seed
 
 
+def session(rng, count):
+    """Draw the parts of a long session's prompt, most of which others share."""
+    number = rng.randrange(4)
+    return [f"common{n}" for n in range(count // 2)] + [
+        f"session{number}-{n}" for n in range(count - count // 2)
+    ]
+
+
+@pytest.mark.parametrize("fatal_per_s", [0.5, 2.0, 6.0])
+@pytest.mark.parametrize("count", [2, 17, 100, 1000])
+def test_long_prompts_are_told_from_fatal_ones(count, fatal_per_s):
+    """Guards against a fatal part that hides among the parts of a long prompt."""
+    for seed in SEEDS if count < 100 else range(2):
+        load = Load(
+            fatal=lambda rng: [*session(rng, count), "d"],
+            benign=lambda rng: [*session(rng, count), f"s{rng.randrange(4)}"],
+            fatal_parts=frozenset(["d"]),
+            fatal_per_s=fatal_per_s,
+            benign_per_s=20.0,
+        )
+        fleet = FleetModel(load, seed)
+        fleet.run(30.0)
+        assert fleet.late_fatal_arrivals(CONTACT_S, "d") <= 3, seed
+        since = fleet.crash_times[:5][-1] + 2 * CONTACT_S
+        assert fleet.benign_share(frozenset(["common0"]), since) > 0.95, seed
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_two_kinds_of_fatal_prompts_stop_reaching_engines(seed):
     load = Load(
@@ -206,7 +246,7 @@
     fleet.run(30.0)
     # Each part may take as many crashes as a single one until it is known.
     assert len(fleet.crash_times) <= 12
-    assert sum(at > 15.0 for at in fleet.fatal_arrivals) <= 3
+    assert sum(at > 15.0 for at, _ in fleet.fatal_arrivals) <= 3
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -235,14 +275,106 @@
         searches.append(1)
         return find_suspicions(crashes, benign_at)
 
-    monkeypatch.setattr(crash_suspicion, "find_suspicions", counted)
-    suspicions = CrashSuspicions()
+    monkeypatch.setattr(crash_memory, "find_suspicions", counted)
+    suspicions = CrashMemory()
     for number in range(MAX_CRASHES):
         at = float(number)
         suspicions.record_crash(crash(at, *(f"p{part}" for part in range(20))), at)
     searches.clear()
     for number in range(1000):
-        suspicions.record_benign([f"p{number % 20}"], 100.0 + number)
+        suspicions.record_benign(prompt(f"p{number % 20}"), 100.0 + number)
         suspicions.take_untold()
     # One for each part, and one each for what the peers know.
     assert len(searches) <= 2 * 20
+
+
+def long_crashes(crash_count, part_count):
+    """Build crashes with 32 prompts each, which share all their parts but one."""
+    rng = random.Random(1)
+    shared = [f"p{number}" for number in range(part_count - 1)]
+    crashes = []
+    for number in range(crash_count):
+        texts = [" ".join([*shared, f"o{rng.random()}"]) for _ in range(32)]
+        crashes.append(crash(float(number), *texts))
+    return crashes
+
+
+def search_s(crash_count, part_count):
+    crashes = long_crashes(crash_count, part_count)
+    began = time.process_time()
+    for _ in range(3):
+        assert len(find_suspicions(crashes, {})) == 1
+    return time.process_time() - began
+
+
+@pytest.mark.parametrize("crash_count", [2, 8, 32])
+def test_a_search_takes_time_in_proportion_to_the_parts(crash_count):
+    """Guards against a search that compares each part with each other one."""
+    few_s = search_s(crash_count, 100)
+    # Ten times the parts; a comparison of all pairs would take a hundred times.
+    assert search_s(crash_count, 1000) < 30 * few_s + 0.05
+
+
+def test_a_search_of_the_most_that_is_remembered_takes_little_time():
+    """Guards against a search that holds the event loop."""
+    assert search_s(MAX_CRASHES, 1000) / 3 < 0.2
+
+
+def test_what_peers_tell_of_many_parts_costs_one_search(monkeypatch):
+    """Guards against a search of all crashes for each part of a long prompt."""
+    searches = []
+
+    def counted(crashes, benign_at):
+        searches.append(1)
+        return find_suspicions(crashes, benign_at)
+
+    monkeypatch.setattr(crash_memory, "find_suspicions", counted)
+    memory = CrashMemory()
+    ids = [f"p{number}" for number in range(1_000)]
+    for at in (1.0, 2.0):
+        memory.record_crash(crash(at, " ".join([*ids, "d"])), at)
+    searches.clear()
+    memory.record_benign_at_peers(dict.fromkeys(digests_of(ids), 3.0))
+    assert len(searches) == 1
+    assert memory.suspicion_of(prompt("d")) is not None
+
+
+def test_crashes_without_a_suspicion_are_forgotten_first():
+    """Guards against ordinary crashes that end a suspicion by their number."""
+    memory = CrashMemory()
+    for at in (1.0, 2.0):
+        memory.record_crash(crash(at, "d", f"a{at}"), at)
+    for number in range(2 * MAX_CRASHES):
+        at = 3.0 + number
+        memory.record_crash(crash(at, f"o{number}"), at)
+    assert memory.suspicion_of(prompt("d")) is not None
+    assert len(memory.crashes) <= MAX_CRASHES
+
+
+def test_a_part_that_turns_fatal_is_found_in_a_prompt_of_thousands():
+    """Guards against known parts that are never reported since others come first."""
+    known = RecentTimes(100_000)
+    parts = prompt(*(f"k{number}" for number in range(2_000)), "d")
+    known.update(parts.digests, 1.0)
+    fatal = set(digests_of(["d"]))
+    reports = [reported_parts(f"e{n}@1", parts, known) for n in range(20)]
+    assert all(len(each) <= MAX_REPORTED_PARTS for each in reports)
+    assert sum(fatal <= set(each.digests) for each in reports) >= 3
+    unknown = prompt(*parts_of(1_000, "u"), *parts_of(2_000, "k"))
+    reported = reported_parts("e1@1", unknown, known)
+    assert set(digests_of(parts_of(1_000, "u"))) <= set(reported.digests)
+
+
+def parts_of(count, name):
+    return [f"{name}{number}" for number in range(count)]
+
+
+def test_what_was_answered_is_remembered_beside_long_prompts():
+    """Guards against a shared part that is suspected again after other answers."""
+    memory = CrashMemory()
+    memory.record_benign(prompt("a"), 0.0)
+    for number in range(20):
+        memory.record_benign(prompt(*parts_of(1_000, f"l{number}-")), 1.0 + number)
+    for at in (50.0, 51.0):
+        memory.record_crash(crash(at, "a"), at)
+    assert memory.suspicion_of(prompt("a")) is None
