Keep a second fatal part suspected beside a stronger one

By the logs: a trial with the first part crashed an engine, the suspicion of the second ended at that moment at both entries (suspicion_ended), and each went on to crash engines in turn.

Cause: engines that crash within 50 ms count as one crash, and the part with the most crashes explained such a crash as a whole, also at the engine where it was in no prompt. What was left to the second part was less than two crashes. Each suspicion also had trials of its own, at the same moment at two entries.

Crashes are explained one by one now; simultaneous ones still count once. A part needs as many crashes as before, but only one of them (two, if it was ever answered) that no stronger part explains. Trials of several suspicions have one order and one interval.

Ruled out: to count each engine of a simultaneous crash, which would suspect prompts after a loss of power (test_engines_lost_at_the_same_time_are_one_crash); trials at one entry for all, as it may be the one that is cut off.

--- a/src/acaciarelay/coordination/crash_memory.py
+++ b/src/acaciarelay/coordination/crash_memory.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from acaciarelay.coordination.crash_suspicion import (
+    MIN_CRASHES,
     Crash,
     Suspicion,
     find_suspicions,
@@ -17,6 +18,13 @@
 
 __all__ = ["CrashMemory", "bounded_prompts", "reported_parts"]
 
+# Time from the last crash, or the last trial, to a trial with one prompt: the first
+# one, its growth with each further crash, and its upper bound.
+FIRST_TRIAL_S = 5.0
+TRIAL_GROWTH = 5.0
+MAX_TRIAL_S = 125.0
+# Time between the trials of two suspicions.
+TRIAL_SPACING_S = 2.0
 # Bounds of what is remembered.
 MAX_CRASHES = 32
 MAX_PROMPTS_PER_CRASH = 32
@@ -114,9 +122,20 @@
         return None
 
     def next_trial_at(self, suspicion: Suspicion) -> float:
-        """Return the time from which on one prompt may be tried despite a suspicion."""
-        since = max(suspicion.last_at, self.trial_at.get(suspicion.parts, 0.0))
-        return since + suspicion.trial_interval_s
+        """Return the time from which on one prompt may be tried despite a suspicion.
+
+        Of several suspicions, the one with the fewest crashes is tried first, and its
+        outcome is known before the next one. A trial that fails delays all others.
+        """
+        order = _trial_order(suspicion)
+        since = max(suspicion.last_at, self.trial_at.get(suspicion.parts, NEVER))
+        failures = before = 0
+        for other in self.suspicions:
+            since = max(since, other.last_at)
+            failures += other.crashes - MIN_CRASHES
+            before += _trial_order(other) < order
+        interval_s = min(MAX_TRIAL_S, FIRST_TRIAL_S * TRIAL_GROWTH**failures)
+        return since + interval_s + before * TRIAL_SPACING_S
 
     def start_trial(self, suspicion: Suspicion, now: float) -> None:
         """Record that a prompt is tried now."""
@@ -192,6 +211,10 @@
             del self.trial_at[parts]
 
 
+def _trial_order(suspicion: Suspicion) -> tuple[int, int]:
+    return suspicion.crashes, min(suspicion.parts)
+
+
 def _age_order(crash: Crash) -> tuple[float, str]:
     return -crash.at, crash.key
 
--- a/src/acaciarelay/coordination/crash_suspicion.py
+++ b/src/acaciarelay/coordination/crash_suspicion.py
@@ -11,7 +11,7 @@
 
 import collections
 import functools
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from typing import Protocol
 
 import attrs
@@ -24,14 +24,12 @@
 # was never in an answered prompt, and one that was.
 MIN_CRASHES = 2
 MIN_CRASHES_OF_A_KNOWN_PART = 3
+# How many of these must not be explained by parts that are more suspicious.
+MIN_FRESH = 1
+MIN_FRESH_OF_A_KNOWN_PART = 2
 # Engines that crash within this time of each other count as one crash, since a common
 # cause such as a loss of power is more likely than that many fatal prompts.
 SIMULTANEOUS_S = 0.05
-# Time from the last crash, or the last trial, to a trial with one prompt: after the
-# least number of crashes, its growth with each further one, and its upper bound.
-FIRST_TRIAL_S = 5.0
-TRIAL_GROWTH = 5.0
-MAX_TRIAL_S = 125.0
 # Classes of parts that are told apart among those in the same crashes.
 MAX_CLASSES = 128
 
@@ -61,27 +59,39 @@
 
 @attrs.frozen(kw_only=True)
 class Suspicion:
-    """Parts of which one crashes engines; prompts with all of them are refused."""
+    """Parts of which one crashes engines; prompts with all of them are refused.
+
+    ``crashes`` counts those under the parts, and ``last_at`` is the time of the last.
+    """
 
     parts: frozenset[int]
     crashes: int
     last_at: float
 
-    @property
-    def trial_interval_s(self) -> float:
-        """Return the seconds without such prompts before one of them is tried."""
-        growth = TRIAL_GROWTH ** max(0, self.crashes - MIN_CRASHES)
-        return min(MAX_TRIAL_S, FIRST_TRIAL_S * growth)
-
 
 @attrs.frozen
-class _Event:
-    """Crashes at about the same time, and the prompts that each part was in."""
+class _Strength:
+    """How suspicious the parts of the same crashes are.
 
-    at: float
-    last_at: float
-    prompt_count: int
-    masks: dict[int, int]
+    ``fresh`` counts their crashes that no stronger parts explain, and ``total`` all.
+    """
+
+    fresh: int
+    unknown: bool
+    total: int
+
+    @property
+    def is_enough(self) -> bool:
+        if self.unknown:
+            return self.total >= MIN_CRASHES and self.fresh >= MIN_FRESH
+        return (
+            self.total >= MIN_CRASHES_OF_A_KNOWN_PART
+            and self.fresh >= MIN_FRESH_OF_A_KNOWN_PART
+        )
+
+    @property
+    def order(self) -> tuple[int, bool, int]:
+        return self.fresh, self.unknown, self.total
 
 
 @attrs.frozen
@@ -91,16 +101,40 @@
     unknown: list[int] = attrs.Factory(list)
     known: list[int] = attrs.Factory(list)
 
-    def strength(self, crashes: int) -> tuple[int, bool] | None:
-        """Return how suspicious the parts are; ``None`` if they are not.
+    @property
+    def parts(self) -> list[int]:
+        """The most suspicious ones: those that were never benign, if there are any."""
+        return self.unknown or self.known
+
 
-        Of parts with equally many crashes those that were never benign come first.
-        """
-        if self.unknown and crashes >= MIN_CRASHES:
-            return crashes, True
-        if self.known and crashes >= MIN_CRASHES_OF_A_KNOWN_PART:
-            return crashes, False
-        return None
+class _Crashes:
+    """Crashes in the order of their times; sets of them are bit masks.
+
+    Those at about the same time count as one.
+    """
+
+    def __init__(self, crashes: Iterable[Crash]) -> None:
+        self.in_order = sorted(crashes, key=lambda crash: (crash.at, crash.key))
+        self.simultaneous: list[int] = []
+        # For each crash, the time of the last one at about the same time.
+        self.last_at: list[float] = []
+        for number, crash in enumerate(self.in_order):
+            is_first = not number or (
+                crash.at - self.in_order[number - 1].at >= SIMULTANEOUS_S
+            )
+            if is_first:
+                self.simultaneous.append(0)
+            self.simultaneous[-1] |= 1 << number
+            self.last_at.append(crash.at)
+            for other in _numbers(self.simultaneous[-1]):
+                self.last_at[other] = crash.at
+
+    def count(self, mask: int) -> int:
+        """Return the number of crashes, of which simultaneous ones count once."""
+        return sum(1 for together in self.simultaneous if mask & together)
+
+    def of(self, mask: int) -> list[Crash]:
+        return [self.in_order[number] for number in _numbers(mask)]
 
 
 def find_suspicions(
@@ -108,97 +142,85 @@
 ) -> list[Suspicion]:
     """Return the suspicions that explain the crashes, the strongest first.
 
-    What is in most crashes explains these; other parts have to explain the rest.
-    Crashes are numbered from the first one on, and sets of them are bit masks.
+    What is in most crashes explains these; other parts have to explain another one at
+    least.
     """
-    events = _join_simultaneous(crashes)
-    masks = _masks_of_parts(events, benign_at)
-    unexplained = (1 << len(events)) - 1
+    known_crashes = _Crashes(crashes)
+    tied = _tied_parts(known_crashes, benign_at)
+    unexplained = (1 << len(known_crashes.in_order)) - 1
     suspicions: list[Suspicion] = []
-    while True:
-        strongest, tied = _strongest(masks, unexplained, benign_at)
-        if tied is None:
-            return suspicions
-        explained = [each for i, each in enumerate(events) if strongest >> i & 1]
-        last_at = max(event.last_at for event in explained)
-        for parts in _that_came_together(tied.unknown or tied.known, explained):
+    while strongest := _strongest(tied, unexplained, known_crashes):
+        explained = known_crashes.of(strongest)
+        for parts in _that_came_together(tied[strongest].parts, explained):
             suspicions.append(
-                Suspicion(parts=parts, crashes=len(explained), last_at=last_at)
+                Suspicion(
+                    parts=parts,
+                    crashes=known_crashes.count(strongest),
+                    last_at=explained[-1].at,
+                )
             )
         unexplained &= ~strongest
+    return suspicions
 
 
-def _join_simultaneous(crashes: Iterable[Crash]) -> list[_Event]:
-    events: list[_Event] = []
-    for crash in sorted(crashes, key=lambda crash: (crash.at, crash.key)):
-        count = len(crash.prompts)
-        if not events or crash.at - events[-1].at >= SIMULTANEOUS_S:
-            events.append(_Event(crash.at, crash.at, count, crash.masks))
-            continue
-        before = events.pop()
-        masks = dict(before.masks)
-        for part, mask in crash.masks.items():
-            masks[part] = masks.get(part, 0) | mask << before.prompt_count
-        joined = before.prompt_count + count
-        events.append(_Event(before.at, crash.at, joined, masks))
-    return events
-
+def _tied_parts(crashes: _Crashes, benign_at: BenignTimes) -> dict[int, _Tied]:
+    """Return the parts by the crashes under them since they were last benign.
 
-def _masks_of_parts(events: list[_Event], benign_at: BenignTimes) -> dict[int, int]:
-    """Return the crashes under each part since it was last in an answered prompt.
-
-    Parts of a single crash are left out, since they explain nothing.
+    Parts of a single crash are left out.
     """
     seen: set[int] = set()
     repeated: set[int] = set()
-    for event in events:
-        repeated |= seen & event.masks.keys()
-        seen |= event.masks.keys()
+    for crash in crashes.in_order:
+        repeated |= seen & crash.masks.keys()
+        seen |= crash.masks.keys()
     masks: dict[int, int] = collections.defaultdict(int)
-    for number, event in enumerate(events):
-        for part in repeated & event.masks.keys():
-            if event.last_at > benign_at.get(part, event.at - 1.0):
+    for number, crash in enumerate(crashes.in_order):
+        last_at = crashes.last_at[number]
+        for part in repeated & crash.masks.keys():
+            if last_at > benign_at.get(part, last_at - 1.0):
                 masks[part] |= 1 << number
-    return masks
+    tied: dict[int, _Tied] = collections.defaultdict(_Tied)
+    for part, mask in masks.items():
+        group = tied[mask]
+        (group.known if part in benign_at else group.unknown).append(part)
+    return tied
 
 
-def _strongest(
-    masks: Mapping[int, int], unexplained: int, benign_at: BenignTimes
-) -> tuple[int, _Tied | None]:
-    """Return the most suspicious parts and their crashes; ``None`` if there are none.
+def _strongest(tied: dict[int, _Tied], unexplained: int, crashes: _Crashes) -> int:
+    """Return the crashes under the most suspicious parts; 0 if there are none.
 
     Of equally suspicious ones, all processes choose the same.
     """
-    tied: dict[int, _Tied] = collections.defaultdict(_Tied)
-    for part, mask in masks.items():
-        if (mask & unexplained).bit_count() < MIN_CRASHES:
-            continue
-        group = tied[mask & unexplained]
-        (group.known if part in benign_at else group.unknown).append(part)
-    best = 0
-    best_key: tuple[int, bool] = (0, False)
+    best_mask = 0
+    best = _Strength(0, False, 0)
     for mask in sorted(tied):
-        key = tied[mask].strength(mask.bit_count())
-        if key is not None and key > best_key:
-            best, best_key = mask, key
-    return best, tied[best] if best else None
+        if not mask & unexplained:
+            continue
+        strength = _Strength(
+            fresh=crashes.count(mask & unexplained),
+            unknown=bool(tied[mask].unknown),
+            total=crashes.count(mask),
+        )
+        if strength.is_enough and strength.order > best.order:
+            best_mask, best = mask, strength
+    return best_mask
 
 
 def _that_came_together(
-    parts: Iterable[int], events: list[_Event]
+    parts: Iterable[int], crashes: list[Crash]
 ) -> list[frozenset[int]]:
     """Group parts that were in one and the same prompt in each crash.
 
     Parts that were in the same prompts throughout form a class, and classes are
     compared in place of parts. Sets of prompts and of classes are bit masks.
     """
-    classes = _classes(parts, events)
-    of_prompt = _classes_of_prompts(classes, events)
+    classes = _classes(parts, crashes)
+    of_prompt = _classes_of_prompts(classes, crashes)
     groups: dict[int, frozenset[int]] = {}
     for prompts in classes:
         together = (1 << len(classes)) - 1
-        for event_prompts in _split(prompts, events):
-            together &= _union(of_prompt, event_prompts)
+        for crash_prompts in _split(prompts, crashes):
+            together &= _union(of_prompt, crash_prompts)
         if together in groups:
             continue
         members = [
@@ -210,7 +232,7 @@
     return sorted(groups.values(), key=min)
 
 
-def _classes(parts: Iterable[int], events: list[_Event]) -> dict[int, list[int]]:
+def _classes(parts: Iterable[int], crashes: list[Crash]) -> dict[int, list[int]]:
     """Return the parts by the prompts of all crashes that they were in.
 
     Beyond ``MAX_CLASSES``, the digests of the parts decide, which are as good as drawn.
@@ -219,9 +241,9 @@
     for part in sorted(parts):
         prompts = 0
         first = 0
-        for event in events:
-            prompts |= event.masks[part] << first
-            first += event.prompt_count
+        for crash in crashes:
+            prompts |= crash.masks[part] << first
+            first += len(crash.prompts)
         if prompts in classes:
             classes[prompts].append(part)
         elif len(classes) < MAX_CLASSES:
@@ -229,21 +251,21 @@
     return classes
 
 
-def _classes_of_prompts(classes: Iterable[int], events: list[_Event]) -> list[int]:
+def _classes_of_prompts(classes: Iterable[int], crashes: list[Crash]) -> list[int]:
     """Return the classes in each prompt of all crashes."""
-    of_prompt = [0] * sum(event.prompt_count for event in events)
+    of_prompt = [0] * sum(len(crash.prompts) for crash in crashes)
     for number, prompts in enumerate(classes):
         for prompt in _numbers(prompts):
             of_prompt[prompt] |= 1 << number
     return of_prompt
 
 
-def _split(prompts: int, events: list[_Event]) -> Iterator[int]:
+def _split(prompts: int, crashes: list[Crash]) -> Iterator[int]:
     """Return the prompts of each crash among those of all."""
     first = 0
-    for event in events:
-        yield prompts & (1 << first + event.prompt_count) - (1 << first)
-        first += event.prompt_count
+    for crash in crashes:
+        yield prompts & (1 << first + len(crash.prompts)) - (1 << first)
+        first += len(crash.prompts)
 
 
 def _union(of_prompt: list[int], prompts: int) -> int:
--- a/tests/integration/test_fatal_prompts.py
+++ b/tests/integration/test_fatal_prompts.py
@@ -166,6 +166,27 @@
         await check(fleet, callers, [*SHARED[shared], FATAL])
 
 
+async def test_two_fatal_parts_behind_many_shared_ones_are_kept_from_engines(tmp_path):
+    """Guards against one suspicion that hides another one."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await start(fleet)
+        shared = SHARED["16"]
+        callers = Callers(fleet, shared)
+        await callers.send_for(1.0)
+        other = asyncio.create_task(send_others(callers, [*shared[:8], OTHER_FATAL]))
+        for number in range(1, len(ENGINES) + 1):
+            runner = fleet.runners[f"i-{number}"]
+            runner.faults.fatal_parts = [FATAL, OTHER_FATAL]
+        await check(fleet, callers, [*shared, FATAL])
+        other.cancel()
+
+
+async def send_others(callers, parts):
+    while True:
+        callers.send(parts)
+        await asyncio.sleep(FATAL_INTERVAL_S)
+
+
 async def test_a_restarted_entry_keeps_fatal_prompts_from_engines(tmp_path):
     """Guards against what a restart forgets of prompts that crash engines."""
     async with PlatformFleet(tmp_path) as fleet:
--- a/tests/unit/coordination/test_crash_suspicion.py
+++ b/tests/unit/coordination/test_crash_suspicion.py
@@ -9,15 +9,15 @@
 
 from acaciarelay.coordination import crash_memory
 from acaciarelay.coordination.crash_memory import (
+    FIRST_TRIAL_S,
     MAX_BENIGN_PARTS,
     MAX_CRASHES,
     MAX_REPORTED_PARTS,
+    MAX_TRIAL_S,
     CrashMemory,
     reported_parts,
 )
 from acaciarelay.coordination.crash_suspicion import (
-    FIRST_TRIAL_S,
-    MAX_TRIAL_S,
     Crash,
     find_suspicions,
 )
@@ -103,6 +103,23 @@
     assert suspected(crashes) == ["d", "e"]
 
 
+def test_two_fatal_parts_stay_suspected_when_one_crashes_another_engine():
+    """Guards against a suspicion that ends since a stronger one shares its crashes.
+
+    Both parts were in prompts at the same engines, which crashed together.
+    """
+    crashes = [
+        crash(0.03, "e"),
+        crash(0.05, "e", "d"),
+        crash(0.06, "d"),
+        crash(0.33, "e", "b"),
+        crash(0.35, "e", "d"),
+    ]
+    assert suspected(crashes) == ["d", "e"]
+    assert suspected([*crashes, crash(5.45, "e")]) == ["d", "e"]
+    assert suspected([*crashes, crash(5.45, "d")]) == ["d", "e"]
+
+
 def test_engines_lost_at_the_same_time_are_one_crash():
     """Guards against suspicions after a loss of power."""
     crashes = [crash(at, "a b", "c") for at in (1.0, 1.01, 1.02)]
@@ -249,6 +266,26 @@
     assert sum(at > 15.0 for at, _ in fleet.fatal_arrivals) <= 3
 
 
+@pytest.mark.parametrize("fatal_per_s", [0.5, 2.0, 6.0])
+def test_trials_of_two_fatal_parts_crash_few_engines(fatal_per_s):
+    """Guards against trials of each of several suspicions, again and again."""
+    for seed in SEEDS:
+        load = Load(
+            fatal=lambda rng: rng.choice([["f50", "d"], [popular(rng), "e"]]),
+            benign=lambda rng: [popular(rng), f"s{rng.randrange(4)}"],
+            fatal_parts=frozenset("de"),
+            fatal_per_s=fatal_per_s,
+            benign_per_s=20.0,
+            fatal_to=100.0,
+        )
+        fleet = FleetModel(load, seed)
+        fleet.run(100.0)
+        assert fleet.late_fatal_arrivals(CONTACT_S, "d") <= 3, seed
+        assert fleet.late_fatal_arrivals(CONTACT_S, "e") <= 3, seed
+        since = fleet.crash_times[:5][-1] + 2 * CONTACT_S
+        assert fleet.benign_share(frozenset(["f1", "f50"]), since) > 0.9, seed
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_ordinary_crashes_of_a_busy_fleet_refuse_few_prompts(seed):
     """Guards against suspicions of what was at an engine by chance."""
