Read the parts of a prompt from all of its header fields

Only the last field was read, so that a fatal part in another one was never suspected. Found by reading; no caller was seen to send it.

test_parts_in_several_header_fields_are_read failed before (parts a and d were missing).

--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -153,9 +153,7 @@
         output_tokens=output,
         expected_output=_whole(hint, MAX_DIGITS),
         last_event=_whole(last_event, MAX_EVENT_DIGITS),
-        shared_parts=PromptParts.of_ids(
-            _shared_part_ids(fields.get(_PROMPT_PARTS, ""))
-        ),
+        shared_parts=PromptParts.of_ids(_shared_part_ids(_prompt_parts(headers))),
         forwarded=forwarded,
     )
 
@@ -170,9 +168,14 @@
     return ids - {""}
 
 
+def _prompt_parts(headers: list[Header]) -> str:
+    """Return the list of parts, which may be in several fields."""
+    return ",".join(value for name, value in headers if name == _PROMPT_PARTS)
+
+
 def shared_part_ids(traits: RequestTraits) -> set[str]:
     """Return the ids of a prompt's shared parts, as the caller named them."""
-    return _shared_part_ids(dict(traits.forwarded).get(_PROMPT_PARTS, ""))
+    return _shared_part_ids(_prompt_parts(traits.forwarded))
 
 
 def _token_counts(text: str | None) -> tuple[int | None, int | None]:
--- a/tests/unit/platform_path/test_crash_guard.py
+++ b/tests/unit/platform_path/test_crash_guard.py
@@ -208,6 +208,12 @@
     assert found == prompt(*parts)
 
 
+def test_parts_in_several_header_fields_are_read():
+    """Guards against a fatal part that is not seen for the field that names it."""
+    fields = [("prompt-prefix", "d:1,a:1"), ("x", "y"), ("prompt-prefix", "b:1,own:1")]
+    assert decode_request(fields).shared_parts == prompt("a", "b", "d")
+
+
 async def test_a_suspected_prompt_gets_a_numbered_refusal_that_is_true():
     """Guards against a refusal that lies, holds the caller up, or names no time."""
     async with RelayRig() as rig:
