Log how a stop ends each request, and what its log left out

The record of the incident names two streams that no line of their entry names, and logs could not tell the hypotheses apart: a request that a stop cuts was logged as caller_gone if its task was cancelled, its line was one of up to 60 a second, and how many lines the last second of a process left out was never written.

- request_ended of a stopping entry has the times of arrival, sending and the last event after the stop, whether the endpoint's answer came to its end, and the bytes the caller has not read.
Without a whole answer it is written beyond the rate limit.
- outcome cut is told from caller_gone by who ended the connection.
- stopped tells the unsent bytes; the last log_lines_left_out is written at the exit.

No decision is changed.

--- a/src/acaciarelay/programs/answer_forwarder.py
+++ b/src/acaciarelay/programs/answer_forwarder.py
@@ -94,7 +94,8 @@
             return ErrorResponse(response.status_code, headers, bytes(body))
         if relayed.head_sent:
             return Broken("an answer that is no stream")
-        relayed.first_event_at = self.loop.time()
+        relayed.first_event_at = relayed.last_event_at = self.loop.time()
+        relayed.answer_received = True
         caller_connection.respond(
             response.status_code, answer_headers(headers), bytes(body)
         )
--- a/src/acaciarelay/programs/decision_log.py
+++ b/src/acaciarelay/programs/decision_log.py
@@ -1,5 +1,6 @@
 """Structured log on standard output: rate limited, buffered and non-blocking."""
 
+import atexit
 import os
 import sys
 import time
@@ -31,6 +32,8 @@
         # Lines dropped since the last report: by the rate limit, and by a full buffer.
         self.over_rate = 0
         self.output_blocked = 0
+        # The origin of the last line that was dropped.
+        self.origin: dict[str, Any] = {}
 
     def write(self, message: dict[str, Any]) -> None:
         """Write one message; called by the logging library."""
@@ -38,24 +41,35 @@
         if second != self.second:
             self.second = second
             self.lines = 0
-            if self.over_rate or self.output_blocked:
-                origin = {f: message[f] for f in ORIGIN_FIELDS if f in message}
-                report = origin | {
-                    "message_type": "log_lines_left_out",
-                    "over_rate": self.over_rate,
-                    "output_blocked": self.output_blocked,
-                }
-                self.over_rate = self.output_blocked = 0
-                self._append(report)
+            self.report_left_out(message)
         self.lines += 1
         if self.lines > MAX_LINES_PER_S and not message.get("always"):
             self.over_rate += 1
+            self.origin = message
             return
         for field in ("task_uuid", "task_level", "always"):
             message.pop(field, None)
         self._append(message)
         self.flush()
 
+    def report_left_out(self, message: dict[str, Any]) -> None:
+        """Append a count of the lines left out, with the origin of ``message``."""
+        if not self.over_rate and not self.output_blocked:
+            return
+        origin = {f: message[f] for f in ORIGIN_FIELDS if f in message}
+        report = origin | {
+            "message_type": "log_lines_left_out",
+            "over_rate": self.over_rate,
+            "output_blocked": self.output_blocked,
+        }
+        self.over_rate = self.output_blocked = 0
+        self._append(report)
+
+    def close(self) -> None:
+        """Report the lines left out since the last report, and write the buffer."""
+        self.report_left_out(self.origin)
+        self.flush()
+
     def _append(self, message: dict[str, Any]) -> None:
         line = orjson.dumps(message, default=str) + b"\n"
         if len(self.buffer) + len(line) > MAX_BUFFER_BYTES:
@@ -84,4 +98,5 @@
     log = DecisionLog(descriptor)
     eliot.add_global_fields(program=program, name=name, pid=os.getpid())
     eliot.add_destinations(log.write)
+    atexit.register(log.close)
     return log
--- a/src/acaciarelay/programs/relay_drain.py
+++ b/src/acaciarelay/programs/relay_drain.py
@@ -24,12 +24,14 @@
         self.placer = placer
         self.answer_times = AnswerTimes()
         self.loop = asyncio.get_running_loop()
-        # Present while the entry stops.
+        # Both are present while the entry stops.
         self.window: DrainWindow | None = None
+        self.began_at: float | None = None
         self._time_limits: set[asyncio.Timeout] = set()
 
     def begin(self, ends_at: float) -> None:
         """Limit all requests to the event loop time ``ends_at``, in seconds."""
+        self.began_at = self.loop.time()
         self.window = DrainWindow(ends_at)
         for time_limit in self._time_limits:
             at = time_limit.when()
@@ -58,6 +60,19 @@
             return wait_s
         return max(0.0, min(wait_s, self.window.ends_at - self.loop.time()))
 
+    def times_after_stop(self, relayed: RelayedRequest) -> dict[str, object]:
+        """Return a request's times in seconds after the stop began, for the log."""
+        times = {
+            "arrived_after_stop_s": relayed.arrived_at,
+            "sent_after_stop_s": relayed.sent_at,
+            "last_event_after_stop_s": relayed.last_event_at,
+        }
+        fields: dict[str, object] = {}
+        for name, at in times.items():
+            if at is not None and self.began_at is not None:
+                fields[name] = round(at - self.began_at, 4)
+        return fields
+
     def can_finish(self, relayed: RelayedRequest, endpoint: Endpoint | None) -> bool:
         """Return whether a request ends in the grace time, if the entry stops.
 
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -352,7 +352,13 @@
         for server in self.servers:
             server.close()
         busy = sum(1 for connection in self.connections if connection.phase.busy)
-        log_event("stopped", cut=busy, after_s=self.loop.time() - began, always=True)
+        log_event(
+            "stopped",
+            cut=busy,
+            unsent_bytes=sum(c.unsent_bytes for c in self.connections),
+            after_s=self.loop.time() - began,
+            always=True,
+        )
         for connection in list(self.connections):
             if connection.unanswered:
                 connection.reject(refuse("outcome_unknown"))
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -33,6 +33,7 @@
     RelayedRequest,
 )
 from acaciarelay.state.run_clock import RunClock
+from acaciarelay.transport.connection_phase import ClosedBy
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
@@ -54,6 +55,8 @@
 # When a caller may send a request again that a stopping entry refused; another entry
 # serves it.
 STOPPING_RETRY_AFTER_S = 0.05
+# Outcomes of requests whose callers may have no whole answer.
+UNANSWERED_OUTCOMES = ("cut", "caller_gone", "failed")
 # How long a request waits for a fresh word from the store or a peer after a pause.
 TRUST_WAIT_S = 0.5
 
@@ -118,8 +121,8 @@
                 refusal = await self.serve(connection, request, relayed)
         except TimeoutError:
             refusal = self.timeout_refusal(relayed)
-        except (CallerDisconnectedError, asyncio.CancelledError):
-            self.record_end(relayed, "caller_gone", None)
+        except (CallerDisconnectedError, asyncio.CancelledError) as error:
+            self.record_end(connection, relayed, _outcome_of(connection, error), None)
             if relayed.certainly_not_run:
                 self.admission.refund(relayed)
             raise
@@ -305,11 +308,10 @@
         complete.
         """
         if refusal is None:
-            self.record_end(relayed, "delivered", None)
+            self.record_end(connection, relayed, "delivered", None)
             return
-        self.record_end(
-            relayed, "refused" if relayed.certainly_not_run else "failed", refusal
-        )
+        outcome = "refused" if relayed.certainly_not_run else "failed"
+        self.record_end(connection, relayed, outcome, refusal)
         if relayed.certainly_not_run:
             self.admission.refund(relayed)
         if relayed.head_sent:
@@ -349,7 +351,11 @@
         )
 
     def record_end(
-        self, relayed: RelayedRequest, outcome: str, refusal: Refusal | None
+        self,
+        connection: InboundConnection,
+        relayed: RelayedRequest,
+        outcome: str,
+        refusal: Refusal | None,
     ) -> None:
         """Count and log the end of a request."""
         now = self.loop.time()
@@ -358,7 +364,7 @@
         self.metrics.count(
             "requests_total", tier=relayed.rank, organisation_class="", outcome=outcome
         )
-        if relayed.first_sent_at is not None and outcome != "caller_gone":
+        if relayed.first_sent_at is not None and outcome not in ("caller_gone", "cut"):
             taken_s = now - relayed.first_sent_at
             self.drain.answer_times.observe(relayed.route.name, taken_s)
         stages = {
@@ -379,6 +385,7 @@
             request_id=relayed.traits.request_id,
             outcome=outcome,
             code=refusal.code.name if refusal else None,
+            answer_begun=relayed.head_sent,
             route=relayed.route.name,
             service=relayed.service,
             rank=relayed.rank,
@@ -389,8 +396,37 @@
             first_event_s=_elapsed_s(relayed.arrived_at, relayed.first_event_at),
             whole_s=round(now - relayed.arrived_at, 4),
             configuration=relayed.routing.version,
+            **self.stop_fields(connection, relayed, outcome),
         )
 
+    def stop_fields(
+        self, connection: InboundConnection, relayed: RelayedRequest, outcome: str
+    ) -> dict[str, object]:
+        """Return the fields of a request that ends while the entry stops.
+
+        The rate limit of the log spares the lines of requests without a whole answer.
+        """
+        if self.drain.window is None:
+            return {}
+        fields = self.drain.times_after_stop(relayed)
+        return fields | {
+            "answer_received": relayed.answer_received,
+            "events": relayed.events_received,
+            "unsent_bytes": connection.unsent_bytes,
+            "always": outcome in UNANSWERED_OUTCOMES,
+        }
+
+
+def _outcome_of(connection: InboundConnection, error: BaseException) -> str:
+    """Return who ended a request whose handler was interrupted."""
+    match connection.closed_by:
+        case ClosedBy.ENTRY:
+            return "cut"
+        case None if isinstance(error, asyncio.CancelledError):
+            return "cut"
+        case _:
+            return "caller_gone"
+
 
 def _elapsed_s(start: float, end: float | None) -> float | None:
     return round(end - start, 4) if end is not None else None
--- a/src/acaciarelay/programs/stream_forwarder.py
+++ b/src/acaciarelay/programs/stream_forwarder.py
@@ -67,6 +67,7 @@
                 case h11.EndOfMessage():
                     if self.splitter.has_partial_event:
                         return Broken("stream ended inside an event")
+                    self.relayed.answer_received = True
                     self.start_answer()
                     self.caller_connection.finish()
                     return Delivered()
@@ -105,8 +106,9 @@
         if not events:
             return False
         self.endpoint_connection.record_progress()
+        self.relayed.last_event_at = self.loop.time()
         if self.relayed.first_event_at is None:
-            self.relayed.first_event_at = self.loop.time()
+            self.relayed.first_event_at = self.relayed.last_event_at
         self.start_answer()
         queued = self.endpoint_connection.events
         is_end = bool(queued) and isinstance(queued[0], h11.EndOfMessage)
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -81,7 +81,8 @@
     it, and ``connect_failures`` those that reached none; ``tried`` holds the ids of all
     endpoints tried. ``last_event`` is the number of the last event that the caller has.
     ``error_response`` is the last error response, passed on when no further attempt is
-    allowed. ``events_received`` counts the events of the current attempt's answer.
+    allowed. ``events_received`` counts the events of the current attempt's answer, and
+    ``answer_received`` is true once the end of an answer has come.
     ``on_trial`` is true once it may run despite a suspicion, in one attempt. ``steps``
     describes the attempts for the log.
     """
@@ -110,6 +111,8 @@
     first_sent_at: float | None = None
     sent_at: float | None = None
     first_event_at: float | None = None
+    last_event_at: float | None = None
+    answer_received: bool = False
     steps: list[str] = attrs.Factory(list)
 
     @property
--- a/src/acaciarelay/transport/connection_phase.py
+++ b/src/acaciarelay/transport/connection_phase.py
@@ -1,8 +1,17 @@
-"""Phases of a caller's connection."""
+"""Phases of a caller's connection, and how it ends."""
 
 import enum
 
-__all__ = ["Phase"]
+__all__ = ["ClosedBy", "Phase"]
+
+
+class ClosedBy(enum.StrEnum):
+    """Who ended a connection; the values stand in logs."""
+
+    CALLER = "caller"
+    ENTRY = "entry"
+    # The caller's host acknowledged nothing for too long.
+    NETWORK = "network"
 
 
 class Phase(enum.Enum):
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -16,7 +16,7 @@
 )
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.bounded_reads import BoundedReads
-from acaciarelay.transport.connection_phase import Phase
+from acaciarelay.transport.connection_phase import ClosedBy, Phase
 from acaciarelay.transport.read_gate import PauseReason, ReadGate
 from acaciarelay.transport.response_output import (
     CallerDisconnectedError,
@@ -99,6 +99,8 @@
         self.parse_handle: asyncio.Handle | None = None
         self.arrived_at = 0.0
         self.last_request = False
+        # Present once the connection ends.
+        self.closed_by: ClosedBy | None = None
         self.response_started = False
 
     def new_parser(self) -> h11.Connection:
@@ -122,6 +124,8 @@
         self.registry.discard(self)
         self.set_timer(None)
         self.phase = Phase.CLOSING
+        is_timeout = isinstance(exc, TimeoutError)
+        self.record_end(ClosedBy.NETWORK if is_timeout else ClosedBy.CALLER)
         if self.gate is not None:
             self.gate.close()
         if self.parse_handle is not None:
@@ -131,6 +135,11 @@
         self.body_memory.release()
         self.resume_writing()
 
+    def record_end(self, closed_by: ClosedBy) -> None:
+        """Record who ends the connection, unless it was ended before."""
+        if self.closed_by is None:
+            self.closed_by = closed_by
+
     def eof_received(self) -> bool:
         return False
 
@@ -350,6 +359,7 @@
 
     def reject(self, refusal: Refusal) -> None:
         """Refuse the request that is being read or has no answer yet, then close."""
+        self.record_end(ClosedBy.ENTRY)
         self.last_request = True
         if self.task is not None:
             self.task.cancel()
@@ -454,6 +464,7 @@
 
     def close(self) -> None:
         """Close once all written data has been sent."""
+        self.record_end(ClosedBy.ENTRY)
         self.phase = Phase.CLOSING
         self.set_timer(None)
         if self.transport is not None:
@@ -461,6 +472,7 @@
 
     def abort(self) -> None:
         """Abort the connection, so that a truncated response can't look complete."""
+        self.record_end(ClosedBy.ENTRY)
         self.phase = Phase.CLOSING
         if self.transport is not None:
             self.transport.abort()
--- a/tests/unit/test_decision_log.py
+++ b/tests/unit/test_decision_log.py
@@ -66,3 +66,16 @@
         log.write(message(number) | {"text": "x" * 100_000})
     assert log.output_blocked > 0
     assert len(log.buffer) <= decision_log.MAX_BUFFER_BYTES
+
+
+def test_lines_left_out_in_the_last_second_are_counted(pipe):
+    """Guards against a stop whose dropped lines nothing tells of."""
+    reader, writer = pipe
+    log = DecisionLog(writer)
+    for number in range(decision_log.MAX_LINES_PER_S + 15):
+        log.write(message(number))
+    log.close()
+    report = read_lines(reader)[-1]
+    assert report["message_type"] == "log_lines_left_out"
+    assert report["over_rate"] == 15
+    assert {"timestamp", "program", "name", "pid"} <= report.keys()
