Add a failing test of a stream that a stopping entry takes on an estimate

On this code it is passed on, since by its predicted time it would end in the grace time, and is cut at 7.0 s after 8 of 20 events. The rule leaves a cut out only if the stream was sent up to 3 s after SIGTERM.

--- /dev/null
+++ b/tests/integration/test_late_streams.py
@@ -0,0 +1,63 @@
+"""Guard against streams that a stopping entry takes on and can't end in its time."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from integration.platform_fleet import (
+    PlatformFleet,
+    Program,
+    open_channel,
+    request_head,
+)
+from integration.test_entry_stop import begin_stop, check_refused, ran, start_fleet
+from relay_rig import read_raw_answer
+
+GRACE_S = 8.0
+LIMIT_MS = 15_000
+# Until then after SIGTERM, the platform may still send new connections to an entry.
+NOTICED_S = 3.0
+EVENTS = 20
+USUAL_STEP_S = 0.005
+# A stream with such steps outlasts the grace time.
+SLOW_STEP_S = 0.5
+
+
+@pytest.fixture
+async def fleet(tmp_path) -> AsyncIterator[PlatformFleet]:
+    async with PlatformFleet(tmp_path) as fleet:
+        fleet.stop_grace_s = GRACE_S
+        yield fleet
+
+
+async def start_usual_load(fleet: PlatformFleet) -> Program:
+    """Start a fleet whose entry knows engines by their usual pace."""
+    entry = await start_fleet(fleet)
+    engine = fleet.runners["i-1"]
+    engine.events = EVENTS
+    engine.step_s = USUAL_STEP_S
+    for number in range(4):
+        answer = await fleet.call("entry-1", "/chat/a", f"usual-{number}")
+        assert answer.complete
+    await asyncio.sleep(0.5)
+    return entry
+
+
+async def test_a_late_stream_at_an_engine_that_turns_slow_is_not_cut(fleet):
+    """Guards against a stream cut that was taken late on an estimate of its time."""
+    entry = await start_usual_load(fleet)
+    engine = fleet.runners["i-1"]
+    address = entry.settings["caller_address"]
+    async with open_channel(address) as (reader, writer):
+        engine.step_s = (NOTICED_S + 0.5) / EVENTS
+        writer.write(request_head("/chat/a", "first", limit_ms=LIMIT_MS))
+        await asyncio.sleep(0.3)
+        stopping = begin_stop(entry)
+        first = await read_raw_answer(reader)
+        assert first.complete
+        assert "connection" not in first.headers
+        engine.step_s = SLOW_STEP_S
+        writer.write(request_head("/chat/a", "second", limit_ms=LIMIT_MS))
+        check_refused(await read_raw_answer(reader))
+    assert not ran(fleet, "second")
+    assert await stopping == 0
