Split the stop of an entry and its callers' connections from the entry

EntryStop holds the course of a stop, CallerServer listening, accepting and closing. The order of closing is as before, but the servers for readiness and metrics close after the callers' connections. No decision is changed.

Ran: test_closing_at_the_stop, test_unexpected_errors, test_relay_drain, test_entry_stop, test_platform_path, test_stop_log: 48 passed.

--- /dev/null
+++ b/src/acaciarelay/programs/caller_server.py
@@ -0,0 +1,126 @@
+"""Connections of callers: listening, accepting and closing."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import eliot
+
+from acaciarelay.protocol.codes import Refusal
+from acaciarelay.transport.connection_phase import Phase
+from acaciarelay.transport.inbound_server import InboundConnection
+from acaciarelay.transport.sockets import accept_completed, listen
+
+__all__ = ["CLOSE_CHECK_INTERVAL_S", "CallerServer"]
+
+LISTEN_BACKLOG = 1024
+# Time that a new connection has for its first request while the entry stops.
+FIRST_REQUEST_S = 0.5
+CLOSE_CHECK_INTERVAL_S = 0.05
+
+
+class CallerServer:
+    """Accept callers' connections, and close them when the entry stops.
+
+    ``build`` makes the protocol of a connection, which adds itself to ``connections``.
+    """
+
+    def __init__(
+        self,
+        build: Callable[[], InboundConnection],
+        connections: set[InboundConnection],
+    ) -> None:
+        self.build = build
+        self.connections = connections
+        self.loop = asyncio.get_running_loop()
+        # Both are present while new connections are accepted.
+        self.listener: socket.socket | None = None
+        self.server: asyncio.Server | None = None
+        self.last_accepts: list[asyncio.Task] = []
+
+    async def listen(self, host: str, port: int) -> None:
+        """Accept connections at an address; raises ``OSError``."""
+        self.listener = listen(host, port, LISTEN_BACKLOG)
+        self.server = await self.loop.create_server(
+            self.build, sock=self.listener, backlog=LISTEN_BACKLOG
+        )
+
+    def stop_listening(self) -> None:
+        """Accept what the kernel has completed, then listen no more."""
+        if self.listener is not None:
+            for sock in accept_completed(self.listener):
+                accept = self.loop.create_task(self.serve_accepted(sock))
+                self.last_accepts.append(accept)
+            # The connections appear in ``connections`` before the next call.
+            self.listener = None
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    async def serve_accepted(self, sock: socket.socket) -> None:
+        """Serve an accepted connection; if that fails, log the error and close it."""
+        try:
+            await self.loop.connect_accepted_socket(self.build, sock)
+        except Exception:
+            eliot.write_traceback()
+            sock.close()
+
+    def close_idle(self) -> None:
+        """Close idle connections.
+
+        A new connection has some time for its first request, since it may be on its
+        way.
+        """
+        now = self.loop.time()
+        for connection in list(self.connections):
+            if connection.phase is not Phase.IDLE:
+                continue
+            is_new = now - connection.opened_at < FIRST_REQUEST_S
+            if is_new and not connection.received_any:
+                continue
+            connection.close()
+
+    def announce_close(self) -> None:
+        """Let each connection end with the answer to its current request."""
+        for connection in self.connections:
+            connection.last_request = True
+
+    def refuse_unread(self, refusal: Refusal) -> None:
+        """Refuse the requests that were not read completely."""
+        for connection in list(self.connections):
+            if connection.phase.reading:
+                connection.reject(refusal)
+
+    def refuse_unanswered(self, refusal: Refusal) -> None:
+        """Refuse the requests that have no response so far."""
+        for connection in list(self.connections):
+            if connection.unanswered:
+                connection.reject(refusal)
+
+    async def close(self, end_at: float) -> None:
+        """Close all connections; until ``end_at``, answers on their way may be read.
+
+        ``end_at`` is an event loop time in seconds.
+        """
+        while self.connections and self.loop.time() < end_at:
+            for connection in list(self.connections):
+                if connection.phase is not Phase.CLOSING:
+                    connection.close()
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
+        for connection in list(self.connections):
+            connection.close()
+        await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether no caller can send anything more."""
+        return self.listener is None and not self.connections
+
+    @property
+    def busy_count(self) -> int:
+        return sum(1 for connection in self.connections if connection.phase.busy)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of written bytes that the kernel hasn't accepted yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import signal
-import socket
 import sys
 import time
 
@@ -18,14 +17,16 @@
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.headers import READY_PATH
 from acaciarelay.programs.agent_links import AgentLinks, engine_hosts
+from acaciarelay.programs.caller_server import CallerServer
 from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.decision_log import configure_decision_log
+from acaciarelay.programs.entry_stop import EntryStop
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.metrics_server import serve_metrics
 from acaciarelay.programs.relay_peers import Peers
 from acaciarelay.programs.relay_refusal import respond_refusal
-from acaciarelay.programs.relay_request import STOPPING_RETRY_AFTER_S, RequestRelay
+from acaciarelay.programs.relay_request import RequestRelay
 from acaciarelay.programs.relay_settings import (
     RelaySettings,
     SettingsError,
@@ -39,13 +40,11 @@
 from acaciarelay.protocol.link_messages import Hello
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.state.run_clock import RunClock
-from acaciarelay.transport.connection_phase import Phase
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
 )
 from acaciarelay.transport.message_link import LinkTicker
-from acaciarelay.transport.sockets import accept_completed, listen
 
 __all__ = ["RelayEntry", "main"]
 
@@ -53,20 +52,6 @@
 # Interval at which a running entry sends due statuses, drops expired endpoints and
 # updates its gauges.
 TICK_S = 0.2
-# Time after a stop request in which the platform may still send new connections.
-UNREADY_GRACE_S = 2.6
-# Part of the grace time that is reserved for the exit, and its lower bound: a slow
-# machine takes long to end all tasks.
-EXIT_MARGIN_FRACTION = 0.125
-MIN_EXIT_MARGIN_S = 0.6
-DRAIN_CHECK_INTERVAL_S = 0.05
-# Time that the answers to the requests cut at the end of the grace time have.
-LAST_ANSWERS_S = 0.2
-# Time before the end of the grace time at which closing connections are given up.
-TASKS_END_S = 0.25
-# Time that a new connection has for its first request while the entry stops.
-FIRST_REQUEST_S = 0.5
-LISTEN_BACKLOG = 1024
 # Share of the process's memory for the bodies of requests and answers under way. While
 # a body is passed on there are up to three copies of it.
 BODY_MEMORY_SHARE = 0.2
@@ -151,13 +136,11 @@
         )
         self.peers.on_era = self.follower.probe_era
         self.connections: set[InboundConnection] = set()
+        self.callers = CallerServer(self.build_inbound, self.connections)
         self.agents = AgentLinks(
             self.hello, self.slot_client, self.crashes, self.peers, self.ticker
         )
         self.servers: list[asyncio.Server] = []
-        # The listening socket for callers while new connections are accepted.
-        self.listener: socket.socket | None = None
-        self.last_accepts: list[asyncio.Task] = []
         self.stopping = asyncio.Event()
         self.cache.on_configuration.append(self.reconcile_agents)
         self.cache.on_endpoints.append(self.reconcile_agents)
@@ -227,12 +210,7 @@
 
     async def listen(self) -> None:
         host, port = _split(self.settings.caller_address)
-        self.listener = listen(host, port, LISTEN_BACKLOG)
-        self.servers.append(
-            await self.loop.create_server(
-                self.build_inbound, sock=self.listener, backlog=LISTEN_BACKLOG
-            )
-        )
+        await self.callers.listen(host, port)
         host, port = _split(self.settings.ready_address)
         self.servers.append(await self.loop.create_server(self.build_ready, host, port))
         self.servers.append(
@@ -323,103 +301,17 @@
         log_event("reloaded", seeds=settings.seeds, always=True)
 
     async def drain(self) -> None:
-        """Report not ready, accept requests until the platform has noticed, then stop.
-
-        Requests that can't end in the grace time are refused, and those that still run
-        at its end are answered with what is known of them. An answer that has begun is
-        cut.
-        """
-        began = self.loop.time()
-        log_event("stopping", connections=len(self.connections), always=True)
-        for connection in self.connections:
-            connection.last_request = True
+        """Report not ready, end the requests of callers, then close all."""
         grace_s = self.settings.stop_grace_s
-        end_at = (
-            began + grace_s - max(MIN_EXIT_MARGIN_S, EXIT_MARGIN_FRACTION * grace_s)
-        )
-        self.relay.drain.begin(end_at)
-        while self.loop.time() < end_at + LAST_ANSWERS_S:
-            self.tick_peers()
-            if self.relay.drain.is_over:
-                self.refuse_unread()
-            if self.loop.time() - began > UNREADY_GRACE_S:
-                if self.listener is None and not self.connections:
-                    break
-                self.stop_accepting()
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        # A process that was paused may have missed the end of the grace time above.
-        self.refuse_unread()
+        stop = EntryStop(self.callers, self.relay.drain, grace_s, self.tick_peers)
+        await stop.run()
         for server in self.servers:
             server.close()
-        busy = sum(1 for connection in self.connections if connection.phase.busy)
-        log_event(
-            "stopped",
-            cut=busy,
-            unsent_bytes=sum(c.unsent_bytes for c in self.connections),
-            after_s=self.loop.time() - began,
-            always=True,
-        )
-        for connection in list(self.connections):
-            if connection.unanswered:
-                connection.reject(refuse("outcome_unknown"))
-        await self.close_connections(began + grace_s - TASKS_END_S)
         self.follower.close()
         self.peers.close()
         self.crashes.close()
         self.agents.close()
 
-    async def close_connections(self, end_at: float) -> None:
-        """Close all connections; until ``end_at``, answers on their way may be read.
-
-        ``end_at`` is an event loop time in seconds.
-        """
-        while self.connections and self.loop.time() < end_at:
-            for connection in list(self.connections):
-                if connection.phase is not Phase.CLOSING:
-                    connection.close()
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        for connection in list(self.connections):
-            connection.close()
-        await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-
-    def refuse_unread(self) -> None:
-        """Refuse the requests that were not read completely."""
-        for connection in list(self.connections):
-            if connection.phase.reading:
-                refusal = refuse("entry_stopping", "", STOPPING_RETRY_AFTER_S)
-                connection.reject(refusal)
-
-    def stop_accepting(self) -> None:
-        """Accept what the kernel has completed, then listen no more; close idle ones.
-
-        A new connection has some time for its first request, since it may be on its
-        way.
-        """
-        if self.listener is not None:
-            for sock in accept_completed(self.listener):
-                accept = self.loop.create_task(self.serve_accepted(sock))
-                self.last_accepts.append(accept)
-            # The connections appear in ``self.connections`` before the next call.
-            self.listener = None
-            # The first server is the one for callers.
-            self.servers[0].close()
-        now = self.loop.time()
-        for connection in list(self.connections):
-            if connection.phase is not Phase.IDLE:
-                continue
-            is_new = now - connection.opened_at < FIRST_REQUEST_S
-            if is_new and not connection.received_any:
-                continue
-            connection.close()
-
-    async def serve_accepted(self, sock: socket.socket) -> None:
-        """Serve an accepted connection; if that fails, log the error and close it."""
-        try:
-            await self.loop.connect_accepted_socket(self.build_inbound, sock)
-        except Exception:
-            eliot.write_traceback()
-            sock.close()
-
 
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -5,7 +5,6 @@
 import errno
 import socket
 import time
-import types
 from collections.abc import Iterator
 
 import attrs
@@ -15,8 +14,9 @@
 
 from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
-from acaciarelay.programs import relay_entry
-from acaciarelay.programs.relay_entry import DRAIN_CHECK_INTERVAL_S, RelayEntry
+from acaciarelay.programs import entry_stop
+from acaciarelay.programs.caller_server import CLOSE_CHECK_INTERVAL_S, CallerServer
+from acaciarelay.programs.relay_entry import RelayEntry
 from acaciarelay.protocol.codes import refuse
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.inbound_server import InboundConnection
@@ -63,14 +63,11 @@
 
     async def stop_accepting_repeatedly(self) -> None:
         """Do what a stopping entry does from some time on."""
-        entry = types.SimpleNamespace(
-            listener=None,
-            loop=asyncio.get_running_loop(),
-            connections=self.connections,
-        )
+        callers = CallerServer(self.build, self.connections)
         while True:
-            RelayEntry.stop_accepting(entry)
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+            callers.stop_listening()
+            callers.close_idle()
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
 
 
 async def open_channel(server: asyncio.Server) -> socket.socket:
@@ -155,7 +152,7 @@
 ):
     """Guards against a reset shortly after the end of the grace time."""
     loop = asyncio.get_running_loop()
-    monkeypatch.setattr(relay_entry, "MIN_EXIT_MARGIN_S", EXIT_MARGIN_S)
+    monkeypatch.setattr(entry_stop, "MIN_EXIT_MARGIN_S", EXIT_MARGIN_S)
     entry = RelayEntry(attrs.evolve(SETTINGS, stop_grace_s=GRACE_S))
     listener = await loop.create_server(entry.build_inbound, "127.0.0.1", 0)
     sock = await open_channel(listener)
@@ -210,7 +207,7 @@
     """Guards against an error of the last accepted connections that no log shows."""
     entry = RelayEntry(SETTINGS)
     unconnected = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    await entry.serve_accepted(unconnected)
+    await entry.callers.serve_accepted(unconnected)
     assert "eliot:traceback" in logged_types(log)
     assert unconnected.fileno() == -1
 
