Take no stream late in a stop on an estimate of its time

Streams that arrive before callers have had the time to go elsewhere (2.6 s) are few and the platform's doing; what comes later, on connections that were busy at the stop, is the entry's choice.

From 2.6 s on a stream that has not been passed on is taken only if its time limit ends in the window, and at no time if nothing is known of its length. Else it is refused with 304 (not run, Retry-After 0.05 s). Plain requests are taken on the estimate as before: a wrong one ends in an answer, 508. Retries of what may have run go on as before, since a refusal there would be the cut. An answer that is whole but not yet read is no longer followed by a refusal on its connection.

Ruled out: a greater ratio of the estimate. Refusing streams from the SIGTERM on: new connections still come for 2 s, and each would cost its caller a try.

--- a/src/acaciarelay/programs/relay_drain.py
+++ b/src/acaciarelay/programs/relay_drain.py
@@ -24,31 +24,34 @@
         self.placer = placer
         self.answer_times = AnswerTimes()
         self.loop = asyncio.get_running_loop()
-        # Both are present while the entry stops.
+        # Present while the entry stops.
         self.window: DrainWindow | None = None
-        self.began_at: float | None = None
-        self._time_limits: set[asyncio.Timeout] = set()
-
-    def begin(self, ends_at: float) -> None:
-        """Limit all requests to the event loop time ``ends_at``, in seconds."""
-        self.began_at = self.loop.time()
-        self.window = DrainWindow(ends_at)
-        for time_limit in self._time_limits:
-            at = time_limit.when()
-            if not time_limit.expired() and at is not None and at > ends_at:
-                time_limit.reschedule(ends_at)
+        self._time_limits: dict[RelayedRequest, asyncio.Timeout] = {}
+
+    def begin(self, window: DrainWindow) -> None:
+        """Limit all requests to the window."""
+        self.window = window
+        for time_limit in self._time_limits.values():
+            _shorten(time_limit, window.streams_end_at)
+
+    def end_unanswered(self) -> None:
+        """End the requests without an answer so far; others go on in the window."""
+        for relayed, time_limit in self._time_limits.items():
+            if not relayed.answer_begun:
+                _shorten(time_limit, self.loop.time())
 
     @contextlib.asynccontextmanager
-    async def time_limit(self, deadline: float) -> AsyncIterator[None]:
+    async def time_limit(self, relayed: RelayedRequest) -> AsyncIterator[None]:
         """Raise ``TimeoutError`` at the deadline or at the end of the grace time."""
+        ends_at = relayed.deadline
         if self.window is not None:
-            deadline = min(deadline, self.window.ends_at)
-        async with asyncio.timeout_at(deadline) as time_limit:
-            self._time_limits.add(time_limit)
+            ends_at = min(ends_at, self.window.streams_end_at)
+        async with asyncio.timeout_at(ends_at) as time_limit:
+            self._time_limits[relayed] = time_limit
             try:
                 yield
             finally:
-                self._time_limits.discard(time_limit)
+                del self._time_limits[relayed]
 
     @property
     def is_over(self) -> bool:
@@ -69,8 +72,8 @@
         }
         fields: dict[str, object] = {}
         for name, at in times.items():
-            if at is not None and self.began_at is not None:
-                fields[name] = round(at - self.began_at, 4)
+            if at is not None and self.window is not None:
+                fields[name] = round(at - self.window.began_at, 4)
         return fields
 
     def can_finish(self, relayed: RelayedRequest, endpoint: Endpoint | None) -> bool:
@@ -80,14 +83,33 @@
         """
         if self.window is None:
             return True
-        expected_s = self.expected_s(relayed, endpoint)
-        return self.window.can_finish(self.loop.time(), relayed.deadline, expected_s)
+        may_be_cut = relayed.route.streaming and relayed.certainly_not_run
+        return self.window.can_finish(
+            self.loop.time(),
+            relayed.deadline,
+            self.expected_s(relayed, endpoint),
+            may_be_cut,
+        )
+
+    def expected_s(
+        self, relayed: RelayedRequest, endpoint: Endpoint | None
+    ) -> float | None:
+        """Return the seconds that a request is expected to take at most.
 
-    def expected_s(self, relayed: RelayedRequest, endpoint: Endpoint | None) -> float:
-        """Return the seconds that a request is expected to take at most."""
+        ``None`` for a stream of which nothing is known.
+        """
         predicted_s = self.placer.predicted_answer_s(relayed, endpoint)
-        if predicted_s is None:
-            usual_s = self.answer_times.upper_estimate_s(relayed.route.name)
-            return usual_s if usual_s is not None else relayed.route.objective_s
-        wait_s = self.placer.expected_wait_s(relayed) if endpoint is None else 0.0
-        return wait_s + STREAM_TIME_RATIO * predicted_s
+        if predicted_s is not None:
+            wait_s = self.placer.expected_wait_s(relayed) if endpoint is None else 0.0
+            return wait_s + STREAM_TIME_RATIO * predicted_s
+        usual_s = self.answer_times.upper_estimate_s(relayed.route.name)
+        if usual_s is None and not relayed.route.streaming:
+            return relayed.route.objective_s
+        return usual_s
+
+
+def _shorten(time_limit: asyncio.Timeout, ends_at: float) -> None:
+    """Let a time limit end at an event loop time, unless it does sooner."""
+    at = time_limit.when()
+    if not time_limit.expired() and at is not None and at > ends_at:
+        time_limit.reschedule(ends_at)
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -117,10 +117,10 @@
             return
         relayed = admitted
         try:
-            async with self.drain.time_limit(relayed.deadline):
+            async with self.drain.time_limit(relayed):
                 refusal = await self.serve(connection, request, relayed)
         except TimeoutError:
-            refusal = self.timeout_refusal(relayed)
+            refusal = None if relayed.answer_received else self.timeout_refusal(relayed)
         except (CallerDisconnectedError, asyncio.CancelledError) as error:
             self.record_end(connection, relayed, _outcome_of(connection, error), None)
             if relayed.certainly_not_run:
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -120,6 +120,11 @@
         """Whether the request may run more than once."""
         return self.route.repeatability is not Repeatability.ONCE
 
+    @property
+    def answer_begun(self) -> bool:
+        """Whether the caller has a part of the answer."""
+        return self.head_sent or self.answer_received
+
     @property
     def may_retry(self) -> bool:
         """Whether the request may run once more."""
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -8,7 +8,7 @@
 from integration.platform_fleet import PlatformFleet, Program
 from relay_rig import configuration, route
 
-from acaciarelay.programs.entry_stop import UNREADY_GRACE_S
+from acaciarelay.coordination.drain_window import UNREADY_GRACE_S
 
 APPLY_LIMIT_S = 2.5
 
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -12,9 +12,9 @@
 import pytest
 from test_unexpected_errors import SETTINGS
 
+from acaciarelay.coordination import drain_window
 from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
-from acaciarelay.programs import entry_stop
 from acaciarelay.programs.caller_server import CLOSE_CHECK_INTERVAL_S, CallerServer
 from acaciarelay.programs.relay_entry import RelayEntry
 from acaciarelay.protocol.codes import refuse
@@ -152,7 +152,7 @@
 ):
     """Guards against a reset shortly after the end of the grace time."""
     loop = asyncio.get_running_loop()
-    monkeypatch.setattr(entry_stop, "MIN_EXIT_MARGIN_S", EXIT_MARGIN_S)
+    monkeypatch.setattr(drain_window, "MIN_EXIT_MARGIN_S", EXIT_MARGIN_S)
     entry = RelayEntry(attrs.evolve(SETTINGS, stop_grace_s=GRACE_S))
     listener = await loop.create_server(entry.build_inbound, "127.0.0.1", 0)
     sock = await open_channel(listener)
