Keep a connection open for its caller's next request at a stop

What callers saw: the next request on a kept connection met a reset, without an answer or a refusal. The answer before it had begun before the stop, so that it did not announce the close; it ended later than 2.6 s after SIGTERM, and the entry closed the connection at its next check, up to 50 ms later.

The entry closed idle connections by the time of the stop alone. Now such a connection has 0.5 s for the next request, as a new one has for its first; the request is served or refused, and its answer announces the close.

test_a_request_right_after_an_answer_does_not_cross_the_close (real processes, a caller that pauses for 0.2 s) failed on the parent: no answer.

--- a/src/acaciarelay/programs/caller_server.py
+++ b/src/acaciarelay/programs/caller_server.py
@@ -14,8 +14,9 @@
 __all__ = ["CLOSE_CHECK_INTERVAL_S", "CallerServer"]
 
 LISTEN_BACKLOG = 1024
-# Time that a new connection has for its first request while the entry stops.
-FIRST_REQUEST_S = 0.5
+# Time that a connection has for its first request, or for the next one after an answer
+# that did not announce its close, while the entry stops.
+NEXT_REQUEST_S = 0.5
 CLOSE_CHECK_INTERVAL_S = 0.05
 
 
@@ -66,17 +67,15 @@
             sock.close()
 
     def close_idle(self) -> None:
-        """Close idle connections.
+        """Close connections that have been idle for some time.
 
-        A new connection has some time for its first request, since it may be on its
-        way.
+        The next request of another one may be on its way.
         """
         now = self.loop.time()
         for connection in list(self.connections):
             if connection.phase is not Phase.IDLE:
                 continue
-            is_new = now - connection.opened_at < FIRST_REQUEST_S
-            if is_new and not connection.received_any:
+            if now - connection.idle_since < NEXT_REQUEST_S:
                 continue
             connection.close()
 
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -84,8 +84,8 @@
         self.transport: asyncio.Transport | None = None
         self.http = self.new_parser()
         self.phase = Phase.IDLE
-        self.opened_at = self.loop.time()
-        self.received_any = False
+        # When the connection was opened, or its last response was written.
+        self.idle_since = self.loop.time()
         self.pending = bytearray()
         # Bytes of blank lines since the last request.
         self.blank_bytes = 0
@@ -159,7 +159,6 @@
 
     def read(self, data: bytes) -> None:
         assert self.gate is not None
-        self.received_any = True
         match self.phase:
             case Phase.IDLE:
                 self.pending += data
@@ -346,6 +345,7 @@
         # A new parser, since `read_head` validates the next head before h11 gets it.
         self.http = self.new_parser()
         self.phase = Phase.IDLE
+        self.idle_since = self.loop.time()
         self.blank_bytes = 0
         if self.gate is not None:
             self.gate.resume(PauseReason.PIPELINED)
--- a/tests/integration/test_late_streams.py
+++ b/tests/integration/test_late_streams.py
@@ -21,6 +21,8 @@
 USUAL_STEP_S = 0.005
 # A stream with such steps outlasts the grace time.
 SLOW_STEP_S = 0.5
+# Pause of a caller between an answer and its next request.
+PAUSE_S = 0.2
 
 
 @pytest.fixture
@@ -61,3 +63,24 @@
         check_refused(await read_raw_answer(reader))
     assert not ran(fleet, "second")
     assert await stopping == 0
+
+
+async def test_a_request_right_after_an_answer_does_not_cross_the_close(fleet):
+    """Guards against a close just after an answer that did not announce it."""
+    entry = await start_usual_load(fleet)
+    engine = fleet.runners["i-1"]
+    address = entry.settings["caller_address"]
+    async with open_channel(address) as (reader, writer):
+        engine.step_s = (NOTICED_S + 0.5) / EVENTS
+        writer.write(request_head("/chat/a", "first", limit_ms=LIMIT_MS))
+        await asyncio.sleep(0.3)
+        stopping = begin_stop(entry)
+        first = await read_raw_answer(reader)
+        assert first.complete
+        assert "connection" not in first.headers
+        await asyncio.sleep(PAUSE_S)
+        writer.write(request_head("/order/a", "next", limit_ms=LIMIT_MS))
+        answer = await read_raw_answer(reader)
+    assert (answer.status, answer.complete) == (200, True)
+    assert answer.headers["connection"] == "close"
+    assert await stopping == 0
