Give answers that have begun more of the grace time of a stop

A stream was cut at 7.0 of 8 s, together with the requests that are still to be answered. The second before SIGKILL is for those answers and the exit; a cut needs neither. By the entries' own logs an exit takes some 50 ms after `stopped`.

Requests without an answer still end at 7.0 s and are answered at once; an answer that has begun goes on until 7.5 s. Then 0.25 s are left for what was written and not read.

--- a/src/acaciarelay/coordination/drain_window.py
+++ b/src/acaciarelay/coordination/drain_window.py
@@ -10,6 +10,9 @@
 # lower bound: a slow machine takes long to end all tasks.
 EXIT_MARGIN_FRACTION = 0.125
 MIN_EXIT_MARGIN_S = 0.6
+# The same for answers that have begun, after which nothing more is sent.
+STREAM_MARGIN_FRACTION = 0.0625
+MIN_STREAM_MARGIN_S = 0.35
 
 
 @attrs.frozen
@@ -30,11 +33,12 @@
     def for_grace(cls, began_at: float, grace_s: float) -> "DrainWindow":
         """Divide the grace time of a stop that was requested at ``began_at``."""
         margin_s = max(MIN_EXIT_MARGIN_S, EXIT_MARGIN_FRACTION * grace_s)
+        stream_margin_s = max(MIN_STREAM_MARGIN_S, STREAM_MARGIN_FRACTION * grace_s)
         return cls(
             began_at=began_at,
             noticed_at=began_at + UNREADY_GRACE_S,
             ends_at=began_at + grace_s - margin_s,
-            streams_end_at=began_at + grace_s - margin_s,
+            streams_end_at=began_at + grace_s - stream_margin_s,
         )
 
     def can_finish(
--- a/src/acaciarelay/programs/entry_stop.py
+++ b/src/acaciarelay/programs/entry_stop.py
@@ -12,8 +12,6 @@
 
 __all__ = ["EntryStop"]
 
-# Time that the answers to the requests cut at the end of the grace time have.
-LAST_ANSWERS_S = 0.2
 # Time before the end of the grace time at which closing connections are given up.
 TASKS_END_S = 0.25
 
@@ -46,8 +44,7 @@
         log_event("stopping", connections=len(self.callers.connections), always=True)
         self.callers.announce_close()
         self.drain.begin(self.window)
-        # At the end of the window, the last answers are still being written.
-        while self.loop.time() < self.window.streams_end_at + LAST_ANSWERS_S:
+        while self.loop.time() < self.window.streams_end_at:
             if self.callers.is_done:
                 break
             self.check()
--- a/tests/integration/test_late_streams.py
+++ b/tests/integration/test_late_streams.py
@@ -23,6 +23,8 @@
 SLOW_STEP_S = 0.5
 # Pause of a caller between an answer and its next request.
 PAUSE_S = 0.2
+# The latest end of a stream after SIGTERM that leaves time for the exit.
+LATEST_END_S = 7.3
 
 
 @pytest.fixture
@@ -84,3 +86,39 @@
     assert (answer.status, answer.complete) == (200, True)
     assert answer.headers["connection"] == "close"
     assert await stopping == 0
+
+
+async def test_a_stream_that_needs_most_of_the_grace_is_not_cut(fleet):
+    """Guards against a begun stream that is cut although there is time for its end."""
+    entry = await start_usual_load(fleet)
+    engine = fleet.runners["i-1"]
+    engine.step_s = LATEST_END_S / EVENTS
+    stream = asyncio.create_task(
+        fleet.call("entry-1", "/chat/a", "long", limit_ms=LIMIT_MS)
+    )
+    await asyncio.sleep(0.1)
+    stopping = begin_stop(entry)
+    assert (await stream).complete
+    assert await stopping == 0
+
+
+async def test_an_order_at_the_end_of_the_grace_is_answered_beside_a_stream(fleet):
+    """Guards against an order whose answer waits for the end of begun streams."""
+    entry = await start_usual_load(fleet)
+    fleet.runners["i-1"].step_s = LIMIT_MS / 1000 / EVENTS
+    fleet.runners["i-3"].work_s = LIMIT_MS / 1000
+    stream = asyncio.create_task(
+        fleet.call("entry-1", "/chat/a", "long", limit_ms=LIMIT_MS)
+    )
+    order = asyncio.create_task(
+        fleet.call("entry-1", "/order/a", "order", limit_ms=LIMIT_MS)
+    )
+    await asyncio.sleep(0.1)
+    began = asyncio.get_running_loop().time()
+    stopping = begin_stop(entry)
+    answer = await order
+    answered_s = asyncio.get_running_loop().time() - began
+    assert (answer.status, answer.headers["acaciarelay-code"]) == (502, "508")
+    assert not (await stream).complete
+    assert await stopping == 0
+    assert answered_s < GRACE_S - 0.8
