Serve connections that are accepted beside the close of the listener

Cause: asyncio accepts a connection in one turn of the event loop and attaches it to its server in the next. If the server is closed in between, the attach fails with an AssertionError that is shown in debug mode only, and the socket stays open until it is garbage collected. Now the listener is read no more first, and the server closes one turn later. Connections that the kernel has completed are accepted right before the close, as before.

The fault itself is shown by the test: a connection that is two turns old got nothing for 10 s before the change, and is answered after; those of 0, 1, 3 and 4 turns were answered before too.

--- a/src/acaciarelay/programs/caller_server.py
+++ b/src/acaciarelay/programs/caller_server.py
@@ -48,15 +48,23 @@
 
     def stop_listening(self) -> None:
         """Accept what the kernel has completed, then listen no more."""
-        if self.listener is not None:
-            for sock in accept_completed(self.listener):
-                accept = self.loop.create_task(self.serve_accepted(sock))
-                self.last_accepts.append(accept)
-            # The connections appear in ``connections`` before the next call.
-            self.listener = None
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        if self.listener is None:
+            return
+        # The server must be open when a connection that it has accepted is attached
+        # to it, which is in the next turn of the event loop.
+        self.loop.remove_reader(self.listener)
+        self.loop.call_soon(self.close_listener)
+
+    def close_listener(self) -> None:
+        if self.listener is None or self.server is None:
+            return
+        for sock in accept_completed(self.listener):
+            accept = self.loop.create_task(self.serve_accepted(sock))
+            self.last_accepts.append(accept)
+        # The connections appear in ``connections`` before ``is_done`` is asked again.
+        self.listener = None
+        self.server.close()
+        self.server = None
 
     async def serve_accepted(self, sock: socket.socket) -> None:
         """Serve an accepted connection; if that fails, log the error and close it."""
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -190,6 +190,24 @@
     listener.close()
 
 
+@pytest.mark.parametrize("turns", range(5))
+async def test_a_connection_accepted_beside_the_close_of_the_listener_is_served(turns):
+    """Guards against a caller that is dropped between the accept and the close."""
+    loop = asyncio.get_running_loop()
+    server = Server()
+    callers = CallerServer(server.build, server.connections)
+    await callers.listen("127.0.0.1", 0)
+    assert callers.listener is not None
+    with socket.create_connection(callers.listener.getsockname()) as sock:
+        sock.setblocking(False)
+        await loop.sock_sendall(sock, REQUEST)
+        # The event loop brings the connection further with each turn.
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        callers.stop_listening()
+        assert (await read_to_end(sock)).endswith(LARGE_ANSWER)
+
+
 async def test_too_many_open_files_at_the_last_accept_do_not_end_the_stop(log):
     """Guards against a process that ends before its requests are answered."""
 
