Log an error in a step of an entry's life and go on

Cause: an error raised by a step of the stop (close_idle, refuse_unread, ...) left EntryStop.run and ended the process with all its requests; one raised by a step of the loop before it (run_clock.check, expire_endpoints, release_holds, update_gauges) ended it without a drain. Only the exchange with the peers was guarded.

Now each step is run by itself, and each connection within a step: an error is logged with its traceback, and the rest goes on. The stop ends at its times as before.

Ruled out by reading: a second SIGTERM or SIGINT sets an event that is set; a SIGHUP with broken settings is logged, and another error there stays in the event loop's handler.

Evidence: in test_closing_at_the_stop, the seven cases of test_an_error_in_a_step_does_not_end_the_stop_early failed on the parent, test_an_error_at_one_connection_does_not_keep_others_from_a_refusal too, and four of the five of test_an_error_in_a_step_of_a_running_entry_does_not_end_it (peers.tick passed before).

--- a/src/acaciarelay/programs/caller_server.py
+++ b/src/acaciarelay/programs/caller_server.py
@@ -6,6 +6,7 @@
 
 import eliot
 
+from acaciarelay.programs.logs import log_errors
 from acaciarelay.protocol.codes import Refusal
 from acaciarelay.transport.connection_phase import Phase
 from acaciarelay.transport.inbound_server import InboundConnection
@@ -85,7 +86,8 @@
                 continue
             if now - connection.idle_since < NEXT_REQUEST_S:
                 continue
-            connection.close()
+            with log_errors():
+                connection.close()
 
     def announce_close(self) -> None:
         """Let each connection end with the answer to its current request."""
@@ -95,13 +97,17 @@
     def refuse_unread(self, refusal: Refusal) -> None:
         """Refuse the requests that were not read completely."""
         for connection in list(self.connections):
-            if connection.phase.reading:
+            if not connection.phase.reading:
+                continue
+            with log_errors():
                 connection.reject(refusal)
 
     def refuse_unanswered(self, refusal: Refusal) -> None:
         """Refuse the requests that have no response so far."""
         for connection in list(self.connections):
-            if connection.unanswered:
+            if not connection.unanswered:
+                continue
+            with log_errors():
                 connection.reject(refusal)
 
     async def close(self, end_at: float) -> None:
@@ -111,11 +117,14 @@
         """
         while self.connections and self.loop.time() < end_at:
             for connection in list(self.connections):
-                if connection.phase is not Phase.CLOSING:
+                if connection.phase is Phase.CLOSING:
+                    continue
+                with log_errors():
                     connection.close()
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
         for connection in list(self.connections):
-            connection.close()
+            with log_errors():
+                connection.close()
         await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
 
     @property
--- a/src/acaciarelay/programs/entry_stop.py
+++ b/src/acaciarelay/programs/entry_stop.py
@@ -5,7 +5,7 @@
 
 from acaciarelay.coordination.drain_window import DrainWindow
 from acaciarelay.programs.caller_server import CLOSE_CHECK_INTERVAL_S, CallerServer
-from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.logs import log_event, run_steps
 from acaciarelay.programs.relay_drain import RequestDrain
 from acaciarelay.programs.relay_request import STOPPING_RETRY_AFTER_S
 from acaciarelay.protocol.codes import refuse
@@ -22,7 +22,8 @@
     Requests that can't end in the grace time are refused, and those without an answer
     at its end are answered with what is known of them. An answer that has begun goes on
     for longer, and is cut then.
-    ``tick`` is called again and again meanwhile.
+    ``tick`` is called again and again meanwhile. An error in a step is logged, and the
+    stop goes on.
     """
 
     def __init__(
@@ -42,16 +43,14 @@
     async def run(self) -> None:
         """End all requests and connections of callers."""
         log_event("stopping", connections=len(self.callers.connections), always=True)
-        self.callers.announce_close()
-        self.drain.begin(self.window)
+        run_steps((self.callers.announce_close, self.begin_drain))
         while self.loop.time() < self.window.streams_end_at:
             if self.callers.is_done:
                 break
-            self.check()
+            run_steps(self.due_steps())
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
-        self.callers.stop_listening()
         # A process that was paused may have missed the end of the grace time above.
-        self.refuse_unread()
+        run_steps((self.callers.stop_listening, self.refuse_unread))
         log_event(
             "stopped",
             cut=self.callers.busy_count,
@@ -59,19 +58,24 @@
             after_s=self.loop.time() - self.window.began_at,
             always=True,
         )
-        self.callers.refuse_unanswered(refuse("outcome_unknown"))
+        run_steps((self.refuse_unanswered,))
         await self.callers.close(self.close_at)
 
-    def check(self) -> None:
-        """Do what is due at this time of the stop."""
-        self.tick()
+    def begin_drain(self) -> None:
+        self.drain.begin(self.window)
+
+    def due_steps(self) -> list[Callable[[], None]]:
+        """Return what is to be done at this time of the stop."""
         now = self.loop.time()
+        steps = [self.tick]
         if self.window.is_over(now):
-            self.drain.end_unanswered()
-            self.refuse_unread()
+            steps += [self.drain.end_unanswered, self.refuse_unread]
         if self.window.is_noticed(now):
-            self.callers.stop_listening()
-            self.callers.close_idle()
+            steps += [self.callers.stop_listening, self.callers.close_idle]
+        return steps
+
+    def refuse_unanswered(self) -> None:
+        self.callers.refuse_unanswered(refuse("outcome_unknown"))
 
     def refuse_unread(self) -> None:
         self.callers.refuse_unread(refuse("entry_stopping", "", STOPPING_RETRY_AFTER_S))
--- a/src/acaciarelay/programs/logs.py
+++ b/src/acaciarelay/programs/logs.py
@@ -1,10 +1,12 @@
 """Structured logs: one JSON object per line on standard error."""
 
+import contextlib
 import sys
+from collections.abc import Callable, Iterable, Iterator
 
 import eliot
 
-__all__ = ["configure_logs", "log_event"]
+__all__ = ["configure_logs", "log_errors", "log_event", "run_steps"]
 
 
 def configure_logs(program: str, process_id: str) -> None:
@@ -19,3 +21,19 @@
 def log_event(event: str, **fields: object) -> None:
     """Log one event; events of a request have the field ``request_id``."""
     eliot.log_message(message_type=event, **fields)
+
+
+@contextlib.contextmanager
+def log_errors() -> Iterator[None]:
+    """Log an unexpected error instead of raising it."""
+    try:
+        yield
+    except Exception:
+        eliot.write_traceback()
+
+
+def run_steps(steps: Iterable[Callable[[], None]]) -> None:
+    """Run each step; log an unexpected error and go on with the next step."""
+    for step in steps:
+        with log_errors():
+            step()
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -21,7 +21,7 @@
 from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.entry_stop import EntryStop
-from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.logs import log_event, run_steps
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.metrics_server import serve_metrics
 from acaciarelay.programs.relay_peers import Peers
@@ -154,11 +154,7 @@
         self.follower.start()
         log_event("started", address=self.settings.caller_address, always=True)
         while not self.stopping.is_set():
-            self.run_clock.check()
-            self.tick_peers()
-            self.cache.expire_endpoints()
-            self.cache.release_holds()
-            self.update_gauges()
+            self.tick()
             try:
                 async with asyncio.timeout(TICK_S):
                     await self.stopping.wait()
@@ -167,12 +163,21 @@
         await self.drain()
         return 0
 
+    def tick(self) -> None:
+        """Do what is due; an error in one step must not end the process."""
+        run_steps(
+            (
+                self.run_clock.check,
+                self.tick_peers,
+                self.cache.expire_endpoints,
+                self.cache.release_holds,
+                self.update_gauges,
+            )
+        )
+
     def tick_peers(self) -> None:
-        """Send the peers what is due; log an error, which must not end the process."""
-        try:
-            self.peers.tick(time.monotonic())
-        except Exception:
-            eliot.write_traceback()
+        """Send the peers what is due."""
+        self.peers.tick(time.monotonic())
 
     def resume(self, pause_s: float) -> None:
         """Distrust what was true before a pause, and read it again."""
@@ -305,12 +310,15 @@
         grace_s = self.settings.stop_grace_s
         stop = EntryStop(self.callers, self.relay.drain, grace_s, self.tick_peers)
         await stop.run()
-        for server in self.servers:
-            server.close()
-        self.follower.close()
-        self.peers.close()
-        self.crashes.close()
-        self.agents.close()
+        run_steps(server.close for server in self.servers)
+        run_steps(
+            (
+                self.follower.close,
+                self.peers.close,
+                self.crashes.close,
+                self.agents.close,
+            )
+        )
 
 
 def _split(address: str) -> tuple[str, int]:
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import operator
 import socket
 import time
 from collections.abc import Iterator
@@ -16,7 +17,7 @@
 from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.programs.caller_server import CLOSE_CHECK_INTERVAL_S, CallerServer
-from acaciarelay.programs.relay_entry import RelayEntry
+from acaciarelay.programs.relay_entry import TICK_S, RelayEntry
 from acaciarelay.protocol.codes import refuse
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.inbound_server import InboundConnection
@@ -88,6 +89,14 @@
     return bytes(received)
 
 
+def fail(*_: object) -> None:
+    raise RuntimeError("unexpected")
+
+
+async def listen_nowhere() -> None:
+    """Open no ports, in place of ``RelayEntry.listen``."""
+
+
 @contextlib.asynccontextmanager
 async def stopping(server: Server):
     task = asyncio.create_task(server.stop_accepting_repeatedly())
@@ -234,10 +243,6 @@
     monkeypatch, log
 ):
     """Guards against requests cut by an error that doesn't concern them."""
-
-    def fail(now: float) -> None:
-        raise RuntimeError("unexpected")
-
     loop = asyncio.get_running_loop()
     entry = RelayEntry(attrs.evolve(SETTINGS, stop_grace_s=GRACE_S))
     monkeypatch.setattr(entry.peers, "tick", fail)
@@ -254,6 +259,85 @@
     listener.close()
 
 
+STOP_STEPS = (
+    ("callers", "announce_close"),
+    ("callers", "stop_listening"),
+    ("callers", "close_idle"),
+    ("callers", "refuse_unread"),
+    ("callers", "refuse_unanswered"),
+    ("relay.drain", "begin"),
+    ("relay.drain", "end_unanswered"),
+)
+
+
+@pytest.mark.parametrize(("owner", "step"), STOP_STEPS)
+async def test_an_error_in_a_step_does_not_end_the_stop_early(
+    monkeypatch, log, owner, step
+):
+    """Guards against an error that ends the process with all its requests."""
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(drain_window, "UNREADY_GRACE_S", 0.1)
+    entry = RelayEntry(attrs.evolve(SETTINGS, stop_grace_s=GRACE_S))
+    monkeypatch.setattr(operator.attrgetter(owner)(entry), step, fail)
+    listener = await loop.create_server(entry.build_inbound, "127.0.0.1", 0)
+    sock = await open_channel(listener)
+    await loop.sock_sendall(sock, SMALL_UPLOAD)
+    await asyncio.sleep(0.05)
+    began = loop.time()
+    await entry.drain()
+    # The end of the grace time of requests without an answer, and of the process.
+    assert GRACE_S - drain_window.MIN_EXIT_MARGIN_S < loop.time() - began < GRACE_S
+    assert "eliot:traceback" in logged_types(log)
+    sock.close()
+    listener.close()
+
+
+async def test_an_error_at_one_connection_does_not_keep_others_from_a_refusal(log):
+    """Guards against an unread request without a refusal beside one that fails."""
+    loop = asyncio.get_running_loop()
+    server = Server()
+    listener = await server.start()
+    socks = [await open_channel(listener) for _ in range(2)]
+    for sock in socks:
+        await loop.sock_sendall(sock, SMALL_UPLOAD)
+    await asyncio.sleep(0.05)
+    next(iter(server.connections)).on_refusal = fail
+    callers = CallerServer(server.build, server.connections)
+    callers.refuse_unread(refuse("entry_stopping", "", 0.05))
+    await callers.close(loop.time() + 0.2)
+    answers = [await read_to_end(sock) for sock in socks]
+    assert sorted(answer[:12] for answer in answers) == [b"", b"HTTP/1.1 503"]
+    assert "eliot:traceback" in logged_types(log)
+    for sock in socks:
+        sock.close()
+    listener.close()
+
+
+RUN_STEPS = (
+    ("run_clock", "check"),
+    ("peers", "tick"),
+    ("cache", "expire_endpoints"),
+    ("cache", "release_holds"),
+    ("metrics", "set"),
+)
+
+
+@pytest.mark.parametrize(("owner", "step"), RUN_STEPS)
+async def test_an_error_in_a_step_of_a_running_entry_does_not_end_it(
+    monkeypatch, log, owner, step
+):
+    """Guards against a process that ends without a stop, with all its requests."""
+    entry = RelayEntry(attrs.evolve(SETTINGS, stop_grace_s=GRACE_S))
+    monkeypatch.setattr(entry, "listen", listen_nowhere)
+    monkeypatch.setattr(getattr(entry, owner), step, fail)
+    running = asyncio.create_task(entry.run())
+    await asyncio.sleep(3 * TICK_S)
+    assert not running.done()
+    entry.stopping.set()
+    assert await running == 0
+    assert "eliot:traceback" in logged_types(log)
+
+
 async def test_a_pause_over_the_end_of_the_grace_does_not_cut_an_unread_request():
     """Guards against a half-read request whose caller learns nothing at the stop."""
     loop = asyncio.get_running_loop()
