--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -294,6 +294,7 @@
         if row.value is None:
             log_event("configuration_row_missing", row_version=row.version.number)
             return False
+        began = time.monotonic()
         try:
             routing = decode_configuration(row.value)
         except FormatError as error:
@@ -316,6 +317,7 @@
             before=self.routing.version if self.routing else None,
             routes=routing.route_count,
             organisations=len(routing.organisations),
+            decoding_s=round(time.monotonic() - began, 4),
         )
         self.routing = routing
         self.configuration_row = row
--- a/src/acaciarelay/programs/relay_takeover.py
+++ b/src/acaciarelay/programs/relay_takeover.py
@@ -6,6 +6,7 @@
 
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import SlotClient
+from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.relay_drain import RequestDrain
 from acaciarelay.programs.relay_placement import Placement, Placer
 from acaciarelay.state.relayed_request import RelayedRequest
@@ -54,6 +55,12 @@
             return
         host = relayed.endpoint.host if relayed.endpoint is not None else ""
         if self.slot_client.is_unresponsive(host, asyncio.get_running_loop().time()):
+            log_event(
+                "silent_run_abandoned",
+                request_id=relayed.traits.request_id,
+                host=host,
+                stalled_s=round(connection.stalled_s, 4),
+            )
             connection.abandon()
 
     def _start(self, relayed: RelayedRequest, connection: EndpointConnection) -> None:
