Forget the silence of an agent that an entry stops dialling

What callers saw: a stream whose answer had begun was cut, and orders got 502, after 1.8 s without a byte from a sound runner, whenever the host had an agent that was silent as the entry stopped dialling it. It lasts until the entry restarts, for each run there that may not be repeated.

Cause: a link that ends after 1.2 s of silence marks its host as silent, and only a new link to the host takes the mark away. A change of the configuration that takes the engine from a service, and an address that a runner of another service gets, end the dialling, so that no link follows. 2.5 s later the host counts as unresponsive for good. AgentLinks.reconcile now lets SlotClient forget the host.

Ruled out: the change itself, which cuts nothing (the run under way keeps its route). The same cause elsewhere: no other record of SlotClient is kept by host; a host that is still dialled keeps its mark while its agent is away.

--- a/src/acaciarelay/coordination/slot_client.py
+++ b/src/acaciarelay/coordination/slot_client.py
@@ -163,6 +163,16 @@
         silent_s = asyncio.get_running_loop().time() - link.last_received_at
         if silent_s > STATE_STALE_AFTER_SILENCE_S:
             self._silent_since[host] = link.last_received_at
+        self._drop_from_waiting(agent)
+
+    def forget(self, host: str) -> None:
+        """Remove the agent at a host, whose silence says nothing from now on."""
+        self._silent_since.pop(host, None)
+        agent = self.agents.pop(host, None)
+        if agent is not None:
+            self._drop_from_waiting(agent)
+
+    def _drop_from_waiting(self, agent: AgentLink) -> None:
         for pending in list(self._pending.values()):
             pending.drop(agent, False)
 
--- a/src/acaciarelay/programs/agent_links.py
+++ b/src/acaciarelay/programs/agent_links.py
@@ -57,6 +57,7 @@
             )
         for host in self.dialers.keys() - hosts:
             self.dialers.pop(host).close()
+            self.slot_client.forget(host)
 
     def opened(self, link: MessageLink) -> None:
         log_event("agent_regained", host=link.peer_host)
