Bound the bytes of an answer of the store that are kept

What was seen (trial, two feeds of one process, their server in the same process): with an answer without end the reads kept bytes until their time limit, 26 MB sent and a peak of 45 MB after 1 s, 84 MB and 102 MB after 2.75 s. How much an entry keeps was decided by its time limit and the speed of its machine.

Cause: StoreClient._exchange collected the pieces of a body with no bound. The share of the event loop bounds the rate only.

An answer of more than 8 MiB is given up and its connection closed; the store sends pages of up to 1 MB. What is received is one buffer, so that small pieces cost no object each.

Ruled out: the time limit as the bound, as the two limits above show.

--- a/src/acaciarelay/platform/store.py
+++ b/src/acaciarelay/platform/store.py
@@ -22,6 +22,8 @@
 __all__ = ["HistoryCompacted", "RowPage", "StoreClient", "StoreError", "StoreRow"]
 
 CONNECT_TIMEOUT_S = 1.0
+# The store sends pages of up to 1 MB of rows.
+MAX_ANSWER_BYTES = 8 * 1_048_576
 # Header with the era of the store's versions, in all answers of stores that have eras.
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 15
@@ -162,7 +164,7 @@
         connection.send(method, path, headers, body)
         status = 0
         era = self.era
-        pieces: list[bytes] = []
+        received = bytearray()
         while True:
             match await connection.next_event():
                 case h11.Response() as response:
@@ -170,10 +172,13 @@
                     era = _decode_era(response, self.era)
                     self.era = max(self.era, era)
                 case h11.Data() as data:
-                    pieces.append(bytes(data.data))
+                    received += data.data
+                    if len(received) > MAX_ANSWER_BYTES:
+                        self.close()
+                        return Err(StoreError("the store's answer is too large"))
                 case h11.EndOfMessage():
                     connection.start_next()
-                    return Ok(_Answer(status, era, b"".join(pieces)))
+                    return Ok(_Answer(status, era, bytes(received)))
                 case ConnectionFault() as fault:
                     self.close()
                     return Err(StoreError(str(fault)))
--- /dev/null
+++ b/tests/unit/platform_path/test_endless_platform.py
@@ -0,0 +1,61 @@
+"""Answers without end of the store."""
+
+import asyncio
+import contextlib
+import time
+
+import attrs
+from result import Err
+
+from acaciarelay.platform.store import StoreClient, StoreError
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
+# Of what is sent, this much may be in the buffers of the kernel and of the sender.
+BUFFERED_BYTES = 12_000_000
+# An entry of the smallest VM has 232 MB, and two feeds of the store.
+MAX_STORE_BYTES = 10_000_000
+CALL_TIMEOUT_S = 4.0
+
+
+@attrs.define
+class EndlessServer:
+    """Answer each request with a body that ends when the caller closes."""
+
+    sent_bytes: int = 0
+    address: str = ""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD)
+            while True:
+                writer.write(CHUNK)
+                self.sent_bytes += len(CHUNK)
+                await writer.drain()
+                await asyncio.sleep(0)
+        writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def endless_server():
+    endless = EndlessServer()
+    server = await asyncio.start_server(endless.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    endless.address = f"{host}:{port}"
+    async with server:
+        yield endless
+        await asyncio.sleep(0.05)
+
+
+async def test_a_page_of_the_store_without_end_is_given_up():
+    """Guards against an entry that keeps what the store sends until its time limit."""
+    async with endless_server() as endless:
+        client = StoreClient(endless.address)
+        began = time.monotonic()
+        answer = await client.read_table("servers", CALL_TIMEOUT_S)
+        assert answer == Err(StoreError("the store's answer is too large"))
+        assert time.monotonic() - began < CALL_TIMEOUT_S
+    assert endless.sent_bytes < MAX_STORE_BYTES + BUFFERED_BYTES
