Bound the bytes of an engine's report that are kept

What was seen (trial, server and agent's reader in one process): one read of a report without end took 40 to 49 MB in its 0.5 s, with a peak of 68 to 70 MB.

Cause: EngineReports._fetch collected the body for 0.5 s with no bound on its size.

A report of more than 64 KiB is given up, logged as report_failed and its connection closed; a sound one has some 150 bytes. What is received is one buffer.

Ruled out: the share of the loop as the bound of memory, by the figures above.

--- a/src/acaciarelay/programs/engine_reports.py
+++ b/src/acaciarelay/programs/engine_reports.py
@@ -17,6 +17,7 @@
 __all__ = ["EngineReports"]
 
 TIMEOUT_S = 0.5
+MAX_REPORT_BYTES = 65_536
 
 
 class EngineReports:
@@ -44,15 +45,18 @@
                 pass
         try:
             call.send("GET", REPORT_PATH, [("Host", self.address)], b"")
-            pieces: list[bytes] = []
+            received = bytearray()
             while True:
                 match await call.next_event():
                     case h11.Response(headers=headers):
                         self._record_slowdown(headers)
                     case h11.Data(data=data):
-                        pieces.append(bytes(data))
+                        received += data
+                        if len(received) > MAX_REPORT_BYTES:
+                            log_event("report_failed", detail="too large")
+                            return None
                     case h11.EndOfMessage():
-                        return decode_report(b"".join(pieces))
+                        return decode_report(bytes(received))
                     case ConnectionFault() as fault:
                         log_event("report_failed", detail=str(fault))
                         return None
--- a/tests/unit/platform_path/test_endless_platform.py
+++ b/tests/unit/platform_path/test_endless_platform.py
@@ -1,4 +1,4 @@
-"""Answers without end of the store."""
+"""Answers without end of the store, and of an engine to the agent beside it."""
 
 import asyncio
 import contextlib
@@ -8,6 +8,7 @@
 from result import Err
 
 from acaciarelay.platform.store import StoreClient, StoreError
+from acaciarelay.programs.engine_reports import EngineReports
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
@@ -15,6 +16,7 @@
 BUFFERED_BYTES = 12_000_000
 # An entry of the smallest VM has 232 MB, and two feeds of the store.
 MAX_STORE_BYTES = 10_000_000
+MAX_REPORT_BYTES = 100_000
 CALL_TIMEOUT_S = 4.0
 
 
@@ -59,3 +61,10 @@
         assert answer == Err(StoreError("the store's answer is too large"))
         assert time.monotonic() - began < CALL_TIMEOUT_S
     assert endless.sent_bytes < MAX_STORE_BYTES + BUFFERED_BYTES
+
+
+async def test_a_report_without_end_is_given_up():
+    """Guards against an agent that keeps what its engine sends for half a second."""
+    async with endless_server() as endless:
+        assert await EngineReports(endless.address).read() is None
+    assert endless.sent_bytes < MAX_REPORT_BYTES + BUFFERED_BYTES
