Bound the bytes of an answer that the own interface's client keeps

What was seen (trial, client and server in one process): a read of a table from a platform that answers without end, with a time limit of 3 s, kept 565 MB, with a peak of 759 MB. No program was seen to end of it.

Cause: ClientExchange.read_all collected the pieces of a body with no bound. The client has time limits for a server that is silent, none for one that goes on; only the platform's client has one for the whole call.

It is one buffer.

Ruled out: heads, chunk extensions and trailers without end, which the HTTP parser bounds (these parts of the test passed before).

--- a/src/acaciarelay/transport/http_client.py
+++ b/src/acaciarelay/transport/http_client.py
@@ -24,6 +24,8 @@
 
 
 READ_SIZE_BYTES = 65_536
+# A longer body that is read as a whole is given up.
+MAX_BODY_BYTES = 64 * 1_048_576
 
 
 class HttpFault(enum.StrEnum):
@@ -134,15 +136,17 @@
 
     async def read_all(self) -> Result[bytes, HttpError]:
         """Read the rest of the body."""
-        pieces: list[bytes] = []
+        received = bytearray()
         while True:
             match await self.read_piece():
                 case Err(error):
                     return Err(error)
                 case Ok(bytes() as piece):
-                    pieces.append(piece)
+                    received += piece
+                    if len(received) > MAX_BODY_BYTES:
+                        return Err(HttpError(HttpFault.SENT, "the answer is too large"))
                 case _:
-                    return Ok(b"".join(pieces))
+                    return Ok(bytes(received))
 
     async def next_event(self, timeout_s: float) -> Result[object, HttpError]:
         try:
