Bound the interim answers that the own interface's client reads

What was seen (trial, the server in a thread of its own): a call to a server that sends interim answers (102) without end had no end in 5 s, and other tasks of the process waited up to 0.80 s for it.

Cause: ClientExchange.next_event skips interim answers in a loop that nothing counts, and each read restarts its time limit. 64 KiB hold 2,400 of them, parsed in one step.

After 8 interim answers the call has failed as sent, as on the users' platform (endpoint_call.py).

Ruled out: a time limit of the head as a whole, which would leave the long steps.

--- a/src/acaciarelay/transport/http_client.py
+++ b/src/acaciarelay/transport/http_client.py
@@ -26,6 +26,8 @@
 READ_SIZE_BYTES = 65_536
 # A longer body that is read as a whole is given up.
 MAX_BODY_BYTES = 64 * 1_048_576
+# Interim responses (status 1xx) accepted before the final one.
+MAX_INTERIM_RESPONSES = 8
 
 
 class HttpFault(enum.StrEnum):
@@ -74,6 +76,7 @@
         self.protocol = h11.Connection(h11.CLIENT)
         self.status = 0
         self.headers: list[Header] = []
+        self.interim_responses = 0
 
     async def send_request(
         self,
@@ -153,6 +156,9 @@
             while True:
                 event = self.protocol.next_event()
                 if isinstance(event, h11.InformationalResponse):
+                    self.interim_responses += 1
+                    if self.interim_responses > MAX_INTERIM_RESPONSES:
+                        return Err(HttpError(HttpFault.SENT, "no final response"))
                     continue
                 if event is not h11.NEED_DATA:
                     return Ok(event)
--- a/tests/unit/test_endless_fetch.py
+++ b/tests/unit/test_endless_fetch.py
@@ -11,6 +11,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 # What comes first, and what repeats.
 ENDLESS = {
+    "interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2_048),
     "head": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"x" * 65_536),
     "body": (HEAD, b"10000\r\n" + b"x" * 65_536 + b"\r\n"),
     "extension": (HEAD + b"1;", b"x" * 65_536),
