Count the grace time of an entry from its signal

Found by reading, shown by a test.

Cause: the grace time was counted from the moment the loop ran EntryStop. Now a Python-level handler, which runs between two bytecodes, records the time of the first signal; asyncio's wake-up stays. What holds the loop in one call of C code still delays the record.

Ruled out: a thread that waits for the signal, which grpc and asyncio's own handlers would have to share.

--- a/src/acaciarelay/coordination/drain_window.py
+++ b/src/acaciarelay/coordination/drain_window.py
@@ -21,13 +21,15 @@
 
     ``noticed_at`` is when the platform sends no new connections any more, ``ends_at``
     when requests without an answer end, and ``streams_end_at`` when answers are cut
-    that have begun. They are event loop times in seconds, like those of the methods.
+    that have begun. ``grace_ends_at`` is when the process has to be gone. They are
+    event loop times in seconds, like those of the methods.
     """
 
     began_at: float
     noticed_at: float
     ends_at: float
     streams_end_at: float
+    grace_ends_at: float
 
     @classmethod
     def for_grace(cls, began_at: float, grace_s: float) -> "DrainWindow":
@@ -39,6 +41,7 @@
             noticed_at=began_at + UNREADY_GRACE_S,
             ends_at=began_at + grace_s - margin_s,
             streams_end_at=began_at + grace_s - stream_margin_s,
+            grace_ends_at=began_at + grace_s,
         )
 
     def can_finish(
--- a/src/acaciarelay/programs/entry_stop.py
+++ b/src/acaciarelay/programs/entry_stop.py
@@ -30,15 +30,15 @@
         self,
         callers: CallerServer,
         drain: RequestDrain,
-        grace_s: float,
+        window: DrainWindow,
         tick: Callable[[], None],
     ) -> None:
         self.callers = callers
         self.drain = drain
         self.tick = tick
         self.loop = asyncio.get_running_loop()
-        self.window = DrainWindow.for_grace(self.loop.time(), grace_s)
-        self.close_at = self.window.began_at + grace_s - TASKS_END_S
+        self.window = window
+        self.close_at = window.grace_ends_at - TASKS_END_S
 
     async def run(self) -> None:
         """End all requests and connections of callers."""
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -9,6 +9,7 @@
 
 import eliot
 
+from acaciarelay.coordination.drain_window import DrainWindow
 from acaciarelay.coordination.endpoint_health import EndpointHealth
 from acaciarelay.coordination.loop_budget import LongStep, LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
@@ -142,6 +143,8 @@
         )
         self.servers: list[asyncio.Server] = []
         self.stopping = asyncio.Event()
+        # Event loop time of the first signal to stop.
+        self.stop_requested_at: float | None = None
         self.cache.on_configuration.append(self.reconcile_agents)
         self.cache.on_endpoints.append(self.reconcile_agents)
 
@@ -149,6 +152,9 @@
         """Serve until a stop is requested, then drain."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stopping.set)
+            # Replaces the handler that does nothing, and keeps the wake-up of the loop.
+            signal.signal(number, self.record_stop_signal)
+            signal.siginterrupt(number, False)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.listen()
         self.follower.start()
@@ -163,6 +169,11 @@
         await self.drain()
         return 0
 
+    def record_stop_signal(self, *_: object) -> None:
+        """Record the time of the first signal, even while a task holds the loop."""
+        if self.stop_requested_at is None:
+            self.stop_requested_at = self.loop.time()
+
     def tick(self) -> None:
         """Do what is due; an error in one step must not end the process."""
         run_steps(
@@ -307,8 +318,11 @@
 
     async def drain(self) -> None:
         """Report not ready, end the requests of callers, then close all."""
-        grace_s = self.settings.stop_grace_s
-        stop = EntryStop(self.callers, self.relay.drain, grace_s, self.tick_peers)
+        began_at = self.stop_requested_at
+        if began_at is None:
+            began_at = self.loop.time()
+        window = DrainWindow.for_grace(began_at, self.settings.stop_grace_s)
+        stop = EntryStop(self.callers, self.relay.drain, window, self.tick_peers)
         await stop.run()
         run_steps(server.close for server in self.servers)
         run_steps(
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -4,6 +4,8 @@
 import contextlib
 import errno
 import operator
+import os
+import signal
 import socket
 import time
 from collections.abc import Iterator
@@ -30,6 +32,7 @@
 LARGE_ANSWER = b"x" * 3_000_000
 SMALL_BUFFER_BYTES = 16_384
 GRACE_S = 1.5
+HELD_S = 0.6
 # The grace time ends this long before the process has to be gone.
 EXIT_MARGIN_S = 1.2
 
@@ -89,6 +92,13 @@
     return bytes(received)
 
 
+def hold_loop(seconds: float) -> None:
+    """Compute for some time, as a long step of the event loop does."""
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+        pass
+
+
 def fail(*_: object) -> None:
     raise RuntimeError("unexpected")
 
@@ -338,6 +348,34 @@
     assert "eliot:traceback" in logged_types(log)
 
 
+async def test_a_signal_that_the_loop_handles_late_does_not_delay_the_stop(
+    monkeypatch,
+):
+    """Guards against a grace time that is counted from when the loop was free."""
+    loop = asyncio.get_running_loop()
+    entry = RelayEntry(attrs.evolve(SETTINGS, stop_grace_s=GRACE_S))
+    monkeypatch.setattr(entry, "listen", listen_nowhere)
+    running = asyncio.create_task(entry.run())
+    listener = await loop.create_server(entry.build_inbound, "127.0.0.1", 0)
+    sock = await open_channel(listener)
+    await loop.sock_sendall(sock, SMALL_UPLOAD)
+    await asyncio.sleep(0.05)
+    signalled_at = loop.time()
+    os.kill(os.getpid(), signal.SIGTERM)
+    hold_loop(HELD_S)
+    # A second signal is no new beginning.
+    os.kill(os.getpid(), signal.SIGTERM)
+    received = await read_to_end(sock)
+    answered_s = loop.time() - signalled_at
+    assert received.startswith(b"HTTP/1.1 503")
+    sock.close()
+    assert await running == 0
+    margin_s = drain_window.MIN_EXIT_MARGIN_S
+    assert answered_s < GRACE_S - margin_s + HELD_S / 2
+    assert loop.time() - signalled_at < GRACE_S
+    listener.close()
+
+
 async def test_a_pause_over_the_end_of_the_grace_does_not_cut_an_unread_request():
     """Guards against a half-read request whose caller learns nothing at the stop."""
     loop = asyncio.get_running_loop()
--- a/tests/unit/platform_path/test_relay_drain.py
+++ b/tests/unit/platform_path/test_relay_drain.py
@@ -18,6 +18,7 @@
         noticed_at=(now + ends_at) / 2,
         ends_at=ends_at,
         streams_end_at=ends_at,
+        grace_ends_at=ends_at,
     )
 
 
@@ -43,7 +44,11 @@
 ):
     """Guards against a late request that is cut, or one refused without need."""
     window = DrainWindow(
-        began_at=5.0, noticed_at=15.0, ends_at=20.0, streams_end_at=20.0
+        began_at=5.0,
+        noticed_at=15.0,
+        ends_at=20.0,
+        streams_end_at=20.0,
+        grace_ends_at=20.0,
     )
     assert window.can_finish(now, deadline, expected_s, may_be_cut) is finishes
 
