Keep doing what is due periodically while an entry stops

An entry that stops takes the time between two requests for a pause of its process: in a load around stops, one of four stops logged `resumed_after_pause` of 1.05 and 1.43 s, at 3.0 and 5.4 s after SIGTERM, though nothing had paused it and the test's own event loop was never late by 0.1 s. The entry then distrusts its tables, so that the next requests wait for the store, and empties what its organisations may still use.

Cause: the loop of the stop only sent the peers what was due. Nothing but requests checked the clock that notices pauses, endpoints that had not registered again were kept, and rows that are held for a time were held on. The method that does all of it periodically is called in the stop too.

The test failed before (a pause of 11.5 s by its clock) and passes.

--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -322,7 +322,7 @@
         if began_at is None:
             began_at = self.loop.time()
         window = DrainWindow.for_grace(began_at, self.settings.stop_grace_s)
-        stop = EntryStop(self.callers, self.relay.drain, window, self.tick_peers)
+        stop = EntryStop(self.callers, self.relay.drain, window, self.tick)
         await stop.run()
         run_steps(server.close for server in self.servers)
         run_steps(
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -22,6 +22,7 @@
 from acaciarelay.programs.relay_entry import TICK_S, RelayEntry
 from acaciarelay.protocol.codes import refuse
 from acaciarelay.state.routing import CallerLimits
+from acaciarelay.state.run_clock import PAUSE_S
 from acaciarelay.transport.inbound_server import InboundConnection
 from acaciarelay.transport.sockets import accept_completed
 
@@ -376,6 +377,33 @@
     listener.close()
 
 
+async def test_a_stop_without_requests_does_not_look_like_a_pause(monkeypatch, log):
+    """Guards against a stopping entry that distrusts its tables and usage levels."""
+    loop = asyncio.get_running_loop()
+    entry = RelayEntry(attrs.evolve(SETTINGS, stop_grace_s=GRACE_S))
+    now = 0.0
+
+    def advance(_: float) -> None:
+        nonlocal now
+        now += PAUSE_S / 2
+
+    monkeypatch.setattr(entry.peers, "tick", advance)
+    monkeypatch.setattr(entry.run_clock, "clock", lambda: now)
+    entry.run_clock.checked_at = now
+    listener = await loop.create_server(entry.build_inbound, "127.0.0.1", 0)
+    sock = await open_channel(listener)
+    await loop.sock_sendall(sock, SMALL_UPLOAD)
+    while not entry.connections:  # noqa: ASYNC110
+        await asyncio.sleep(0)
+    await entry.drain()
+    sock.close()
+    listener.close()
+    assert now > PAUSE_S
+    # What each request does first.
+    entry.run_clock.check()
+    assert "resumed_after_pause" not in logged_types(log)
+
+
 async def test_a_pause_over_the_end_of_the_grace_does_not_cut_an_unread_request():
     """Guards against a half-read request whose caller learns nothing at the stop."""
     loop = asyncio.get_running_loop()
