Answer the requests behind another one before a stop closes their connection

What callers saw: of three orders sent at once on one connection, the first was answered and the other two were dropped with the connection, when SIGTERM came while the first ran.

Cause: the first answer after SIGTERM says Connection: close, whatever else has been received. It now does so only if nothing but blank lines has come behind its request, so that the last of the requests says it. Each is still decided by what can end in the grace time, and refused if it can't.

The same cause elsewhere: a request that is cut in its answer takes those behind it along, which no order of answers can avoid.

--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -357,6 +357,16 @@
 
     # Responses.
 
+    @property
+    def announces_close(self) -> bool:
+        """Return whether the next response is the last one on this connection.
+
+        A caller that has sent more requests is owed their answers too.
+        """
+        if self.phase is Phase.CLOSING or not self.last_request:
+            return self.last_request
+        return count_blank_bytes(self.pending) == len(self.pending)
+
     def reject(self, refusal: Refusal) -> None:
         """Refuse the request that is being read or has no answer yet, then close."""
         self.record_end(ClosedBy.ENTRY)
@@ -372,7 +382,7 @@
     def start(self, status: int, headers: Sequence[Header], flush: bool = True) -> None:
         """Write a response head; buffer it for the next write without ``flush``."""
         fields = encode_headers(headers)
-        if self.last_request:
+        if self.announces_close:
             fields.append((b"Connection", b"close"))
         self.response_started = True
         self.write_event(h11.Response(status_code=status, headers=fields), flush)
