End connections with a blank line behind their last request at the idle limit

A blank line that had come behind a request left its connection without the timer of the idle limit after the answer: it stayed open until its caller or a stop closed it. Found while looking for bytes behind an answer.

The timer is set before what came meanwhile is read; a request in it replaces the timer. The new test failed with a blank line on the parent (no end in 2 s with a limit of 0.2 s) and passes, without one it passed before. Looked for elsewhere: the first request of a connection has the timer since it was opened, and blank lines leave it in place.

--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -349,11 +349,10 @@
         self.blank_bytes = 0
         if self.gate is not None:
             self.gate.resume(PauseReason.PIPELINED)
+        self.set_timer(self.limits().idle_timeout_s)
         if self.pending:
             # Start with the data that arrived during the response.
             self.data_received(b"")
-            return
-        self.set_timer(self.limits().idle_timeout_s)
 
     # Responses.
 
--- a/tests/unit/platform_path/test_inbound_server.py
+++ b/tests/unit/platform_path/test_inbound_server.py
@@ -113,3 +113,23 @@
         assert answer.status == 200
         assert runner.runs[0].body == b"y" * 90_000
         assert monitor.longest_s < 0.2
+
+
+@pytest.mark.parametrize("tail", [b"", b"\r\n"], ids=["nothing", "blank line"])
+async def test_a_connection_without_a_next_request_ends_at_the_idle_limit(tail):
+    """Guards against a connection kept for ever by what follows a request."""
+    async with RelayRig() as rig:
+        limits = configuration()["limits"] | {"idleTimeoutMs": 200}
+        rig.configure(configuration(2, limits=limits))
+        await rig.add_runner("orders")
+        host, _, port = rig.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            HEAD.encode() + b"Attempt-Id: a\r\nContent-Length: 0\r\n\r\n" + tail
+        )
+        try:
+            async with asyncio.timeout(2.0):
+                answer = await reader.read(-1)
+        finally:
+            writer.transport.abort()
+        assert answer.startswith(b"HTTP/1.1 200 ")
