Close a link on which a second hello arrives

What was seen (trial, a real entry): one connection to the link port sent 2,000 hellos with an address each, and the entry counted 1,020 reached peers (acaciarelay_peers_reached), of which none existed, for as long as the connection lasted; its processor time rose from 0.38 to 1.45 s in 6 s of dialling them. The number of known peers decides its share of the retry budget and of usage limits.

Cause: MessageLink took each hello for the opening of its link, and told its handlers so.

A process sends one hello on a link, as the first message. A second one closes the link.

Ruled out: that a sound process repeats it; hello is sent in connection_made only.

A hello on each of many connections still names as many peers.

--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -226,6 +226,9 @@
 
     def receive(self, message: LinkMessage) -> None:
         match message:
+            case Hello() if self.peer is not None:
+                # A link belongs to one peer.
+                self.close()
             case Hello():
                 self.peer = message
                 self.opened_at = self.loop.time()
--- a/tests/unit/platform_path/test_message_link.py
+++ b/tests/unit/platform_path/test_message_link.py
@@ -167,6 +167,26 @@
         writer.transport.abort()
 
 
+async def test_a_second_hello_closes_a_link():
+    """Guards against one connection that passes for many peers."""
+    hellos = [
+        Hello(name="a", lifetime="a", address=f"127.0.9.{number}:1", zone="zone-a")
+        for number in range(1, 101)
+    ]
+    async with LinkedPair() as pair:
+        port = pair.server.server.sockets[0].getsockname()[1]
+        known = len(pair.ends)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"".join(encode_message(hello) for hello in hellos))
+        async with asyncio.timeout(SILENCE_TIMEOUT_S / 2):
+            with contextlib.suppress(OSError):
+                while await reader.read(65_536):
+                    continue
+        writer.transport.abort()
+        assert len(pair.ends) - known == 1
+        assert pair.closed == 1
+
+
 async def test_messages_of_one_read_are_handled_in_their_order():
     """Guards against messages that overtake others which wait for a later turn."""
     numbers = []
