Bound the pages of a table of the store that are read

What was seen (trial, a store in the same process whose pages of 500 rows each say that there are more): a complete read of a table had no end in 5 s, both with the same page again and again (435 pages, a peak of 311 MB) and with ascending keys (413 pages, 302 MB).

Cause: StoreClient.read_table has a time limit for each page and kept the rows of all of them; nothing bounded their number, and each of them is a call that is priced.

A read is given up at 32 MiB of pages, and at a page that ends before the key that it was asked to begin with. The follower then asks again later, as after other failed calls.

Ruled out: the bound of one answer, since each page is a sound one.

--- a/src/acaciarelay/platform/store.py
+++ b/src/acaciarelay/platform/store.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # The store sends pages of up to 1 MB of rows.
 MAX_ANSWER_BYTES = 8 * 1_048_576
+# All pages of a table that is read completely.
+MAX_TABLE_BYTES = 32 * 1_048_576
 # Header with the era of the store's versions, in all answers of stores that have eras.
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 15
@@ -81,6 +83,7 @@
     ) -> Result[RowPage, StoreError]:
         """Read all rows of a table, each page within ``timeout_s``."""
         rows: list[StoreRow] = []
+        size = 0
         first_key = ""
         version: StoreVersion | None = None
         while True:
@@ -92,10 +95,15 @@
                     return Err(error)
                 case Ok(_Answer(status=200) as answer):
                     page, more = _decode_page(answer)
+                    size += len(answer.body)
                 case Ok(_Answer(status=status)):
                     return Err(StoreError(f"the store answered {status}"))
             if page is None:
                 return Err(StoreError("the store's answer is unreadable"))
+            if size > MAX_TABLE_BYTES:
+                return Err(StoreError("the table is too large"))
+            if first_key and page.rows and page.rows[-1].key < first_key:
+                return Err(StoreError("the store repeats a page"))
             if version is not None and page.version.era != version.era:
                 return Err(StoreError("the store was restored between two pages"))
             rows.extend(page.rows)
--- a/tests/unit/platform_path/test_endless_platform.py
+++ b/tests/unit/platform_path/test_endless_platform.py
@@ -1,10 +1,14 @@
 """Answers without end of the store, and of an engine to the agent beside it."""
 
 import asyncio
+import base64
 import contextlib
+import itertools
 import time
 
 import attrs
+import orjson
+import pytest
 from result import Err
 
 from acaciarelay.platform.store import StoreClient, StoreError
@@ -18,6 +22,8 @@
 MAX_STORE_BYTES = 10_000_000
 MAX_REPORT_BYTES = 100_000
 CALL_TIMEOUT_S = 4.0
+MAX_TABLE_READ_S = 10.0
+MAX_TABLE_BYTES = 36_000_000
 
 
 @attrs.define
@@ -63,6 +69,49 @@
     assert endless.sent_bytes < MAX_STORE_BYTES + BUFFERED_BYTES
 
 
+def same_pages():
+    return itertools.repeat(page([f"key-{number}" for number in range(500)]))
+
+
+def ascending_pages():
+    for first in itertools.count(0, 500):
+        yield page([f"key-{number:012}" for number in range(first, first + 500)])
+
+
+def page(keys):
+    value = base64.b64encode(b"x" * 1_000).decode()
+    rows = [{"key": key, "value": value, "ver": 1} for key in keys]
+    return orjson.dumps({"rows": rows, "ver": 1, "hasMore": True})
+
+
+@pytest.mark.parametrize("pages", [same_pages, ascending_pages])
+async def test_a_table_without_end_is_given_up(pages):
+    """Guards against a read that goes on, and keeps more, with each sound page."""
+    sent_bytes = 0
+
+    async def serve(reader, writer):
+        nonlocal sent_bytes
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            for body in pages():
+                await reader.readuntil(b"\r\n\r\n")
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                writer.write(head.encode() + body)
+                sent_bytes += len(body)
+                await writer.drain()
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = StoreClient(f"{host}:{port}")
+    async with server:
+        async with asyncio.timeout(MAX_TABLE_READ_S):
+            answer = await client.read_table("servers", CALL_TIMEOUT_S)
+        client.close()
+        await asyncio.sleep(0.05)
+    assert isinstance(answer, Err)
+    assert sent_bytes < MAX_TABLE_BYTES
+
+
 async def test_a_report_without_end_is_given_up():
     """Guards against an agent that keeps what its engine sends for half a second."""
     async with endless_server() as endless:
