Collect ended streams for slow callers at the end of a stop

Of 8 MB, a caller that read on at 7.4 s had 6.5 MB, one that read on at 7.6 s 3.6 MB.

Cause: a stream waits for its caller in drain(), so that its end is still in the endpoint's connection when the time limit ends it, and the abort drops what is unsent. A plain answer is in the process as a whole, and is sent on until the connections are closed (7.8 s): it held.

From the end of the grace time of unanswered requests on (7.0 s), drain() no longer waits for slow callers, up to 32 MB of all answers together, shared equally.

Ruled out: an end at the last byte that the caller acknowledged, for streams that the engine still writes: they can't end in time. A longer time limit for streams that wait in drain(): a runner's end would stay unknown behind 64 KB.

--- a/src/acaciarelay/programs/caller_server.py
+++ b/src/acaciarelay/programs/caller_server.py
@@ -19,6 +19,8 @@
 # that did not announce its close, while the entry stops.
 NEXT_REQUEST_S = 0.5
 CLOSE_CHECK_INTERVAL_S = 0.05
+# Bytes of answers that a stopping entry collects for all slow callers together.
+MAX_COLLECTED_BYTES = 32_000_000
 
 
 class CallerServer:
@@ -39,6 +41,8 @@
         self.listener: socket.socket | None = None
         self.server: asyncio.Server | None = None
         self.last_accepts: list[asyncio.Task] = []
+        # A connection's part of ``MAX_COLLECTED_BYTES``, once answers are collected.
+        self.collected_share_bytes: int | None = None
 
     async def listen(self, host: str, port: int) -> None:
         """Accept connections at an address; raises ``OSError``."""
@@ -110,6 +114,13 @@
             with log_errors():
                 connection.reject(refusal)
 
+    def collect_answers(self) -> None:
+        """Let answers end at their endpoints, however slowly callers read them."""
+        if self.collected_share_bytes is None:
+            self.collected_share_bytes = MAX_COLLECTED_BYTES // max(1, self.busy_count)
+        for connection in self.connections:
+            connection.collect(self.collected_share_bytes)
+
     async def close(self, end_at: float) -> None:
         """Close all connections; until ``end_at``, answers on their way may be read.
 
--- a/src/acaciarelay/programs/entry_stop.py
+++ b/src/acaciarelay/programs/entry_stop.py
@@ -21,7 +21,8 @@
 
     Requests that can't end in the grace time are refused, and those without an answer
     at its end are answered with what is known of them. An answer that has begun goes on
-    for longer, and is cut then.
+    for longer: what its endpoint still sends is collected for a slow caller. It is cut
+    then, unless it is whole; a whole one may be read until the connections are closed.
     ``tick`` is called again and again meanwhile. An error in a step is logged, and the
     stop goes on.
     """
@@ -70,6 +71,7 @@
         steps = [self.tick]
         if self.window.is_over(now):
             steps += [self.drain.end_unanswered, self.refuse_unread]
+            steps.append(self.callers.collect_answers)
         if self.window.is_noticed(now):
             steps += [self.callers.stop_listening, self.callers.close_idle]
         return steps
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -424,6 +424,11 @@
             raise CallerDisconnectedError
         await self.output.drain()
 
+    def collect(self, size: int) -> None:
+        """Accept up to ``size`` bytes of the answer before the caller reads them."""
+        if self.output is not None and self.output.collect_bytes < size:
+            self.output.collect(size)
+
     # Time-outs and closing.
 
     @property
--- a/src/acaciarelay/transport/response_output.py
+++ b/src/acaciarelay/transport/response_output.py
@@ -17,6 +17,8 @@
         self.buffer = bytearray()
         # Present while the transport has paused writing; done when it resumes.
         self.resumed: asyncio.Future | None = None
+        # Unsent bytes below which ``drain`` doesn't wait.
+        self.collect_bytes = 0
 
     @property
     def is_open(self) -> bool:
@@ -41,9 +43,16 @@
         """
         if not self.is_open:
             raise CallerDisconnectedError
-        if self.resumed is not None:
+        if self.resumed is not None and self.unsent_bytes >= self.collect_bytes:
             await asyncio.shield(self.resumed)
 
+    def collect(self, size: int) -> None:
+        """Let ``drain`` wait only while at least ``size`` bytes are unsent."""
+        self.collect_bytes = size
+        if self.resumed is not None:
+            self.resume()
+            self.pause()
+
     def pause(self) -> None:
         """Let ``drain`` wait."""
         if self.resumed is None:
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -140,7 +140,8 @@
 
     An answer starts after ``work_s`` seconds. A stream has ``events`` events, which
     are ``step_s`` seconds apart; with ``body_s`` the second half of another body
-    follows that many seconds after the first. ``slowdown`` returns the factor by which
+    follows that many seconds after the first. ``padding_bytes`` lengthen each event and
+    each other body. ``slowdown`` returns the factor by which
     work takes longer on the VM at a time; if set, answers report it with the load.
     ``on_crash`` is called after a crash, which breaks all connections.
     """
@@ -150,6 +151,7 @@
     step_s: float = 0.005
     work_s: float = 0.02
     body_s: float = 0.0
+    padding_bytes: int = 0
     events: int = 10
     slowdown: Callable[[float], float] | None = None
     faults: RunnerFaults = attrs.Factory(RunnerFaults)
@@ -297,7 +299,7 @@
             return await self.drip(connection, faults.drip_s)
         await self.work(self.work_s)
         status = 500 if faults.error else 200
-        body = f"answer of {self.endpoint_id} to {attempt}".encode()
+        body = f"answer of {self.endpoint_id} to {attempt}".encode() + self.padding
         if faults.short:
             connection.start(status, [*headers, ("Content-Length", "500")])
             connection.write(body)
@@ -328,6 +330,10 @@
         connection.write(body[half:])
         connection.finish()
 
+    @property
+    def padding(self) -> bytes:
+        return b"x" * self.padding_bytes
+
     def load_report(self) -> list[tuple[str, str]]:
         if self.slowdown is None:
             return []
@@ -374,7 +380,8 @@
                     connection.write(f"id: {number}\ndata: pie".encode())
                 await asyncio.sleep(self.step_s)
                 return connection.abort()
-            connection.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            piece = f"id: {number}\ndata: piece {number}".encode() + self.padding
+            connection.write(piece + b"\n\n")
             await self.work(self.step_s)
         connection.finish()
 
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -18,18 +18,24 @@
 from acaciarelay.coordination import drain_window
 from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
+from acaciarelay.programs import caller_server
 from acaciarelay.programs.caller_server import CLOSE_CHECK_INTERVAL_S, CallerServer
 from acaciarelay.programs.relay_entry import TICK_S, RelayEntry
 from acaciarelay.protocol.codes import refuse
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.state.run_clock import PAUSE_S
-from acaciarelay.transport.inbound_server import InboundConnection
+from acaciarelay.transport.inbound_server import (
+    CallerDisconnectedError,
+    InboundConnection,
+)
 from acaciarelay.transport.sockets import accept_completed
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 UPLOAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n"
 SMALL_UPLOAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\n\r\n"
 CHUNKED = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+PIECE = b"x" * 60_000
+COLLECTED_BYTES = 4_000_000
 LARGE_ANSWER = b"x" * 3_000_000
 SMALL_BUFFER_BYTES = 16_384
 GRACE_S = 1.5
@@ -75,6 +81,18 @@
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
 
 
+class EndlessServer(Server):
+    """A server whose answers don't end, as fast as callers read them."""
+
+    async def serve(self, connection, request):
+        connection.start(200, [])
+        with contextlib.suppress(CallerDisconnectedError):
+            while True:
+                connection.write(PIECE)
+                await connection.drain()
+                await asyncio.sleep(0)
+
+
 async def open_channel(server: asyncio.Server) -> socket.socket:
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
@@ -228,6 +246,32 @@
         assert (await read_to_end(sock)).endswith(LARGE_ANSWER)
 
 
+async def test_what_a_stopping_entry_collects_for_slow_callers_is_bounded(
+    monkeypatch,
+):
+    """Guards against an entry that runs out of memory by endless answers."""
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(caller_server, "MAX_COLLECTED_BYTES", COLLECTED_BYTES)
+    server = EndlessServer()
+    listener = await server.start()
+    socks = [await open_channel(listener) for _ in range(2)]
+    for sock in socks:
+        await loop.sock_sendall(sock, REQUEST)
+    await asyncio.sleep(0.3)
+    callers = CallerServer(server.build, server.connections)
+    assert callers.unsent_bytes < COLLECTED_BYTES / 2
+    for _ in range(5):
+        callers.collect_answers()
+        await asyncio.sleep(0.1)
+    for connection in server.connections:
+        most_bytes = COLLECTED_BYTES / 2 + len(PIECE)
+        assert COLLECTED_BYTES / 2 <= connection.unsent_bytes < most_bytes + 100
+    for sock in socks:
+        sock.close()
+    await callers.close(loop.time())
+    listener.close()
+
+
 async def test_too_many_open_files_at_the_last_accept_do_not_end_the_stop(log):
     """Guards against a process that ends before its requests are answered."""
 
