Log an error in applying rows and go on following the store

What callers would see (CONFIG, LOST): an entry that keeps its old configuration and endpoints for good, without a line in its log.

Cause: an error raised by a listener of StateCache, or while rows are applied, ended the task that follows the table; one that peers' rows raised closed the peer's link.

Now each listener is run by itself, and a failing call of a feed is logged and made again on a new connection after the retry interval.

Ruled out: a known row that raises one (none; test_odd_rows passes before and after).

Evidence: test_an_error_in_a_listener_does_not_end_the_feed and test_an_error_in_applying_a_page_does_not_end_the_feed, with injected errors, failed before and pass after. test_store_follower, test_relay_state_cache, test_restored_edges, test_odd_rows: 106 passed.

--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -17,7 +17,7 @@
 )
 from acaciarelay.platform.endpoints import decode_endpoint, registration_order
 from acaciarelay.platform.store import RowPage
-from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.logs import log_event, run_steps
 from acaciarelay.programs.peer_rows import decode_row, encode_row
 from acaciarelay.protocol.link_messages import PeerRow
 from acaciarelay.state.cached_table import CachedTable, StoreRow
@@ -398,15 +398,17 @@
             self._notify_listeners(ENDPOINT_TABLE)
 
     def _notify_listeners(self, table: str) -> None:
-        """Notify the listeners of a table; first drop its tombstones if it is large."""
+        """Notify the listeners of a table; first drop its tombstones if it is large.
+
+        An error in a listener is logged, and must not end what has brought the rows.
+        """
         cached = self.tables[table].cached
         if len(cached.rows) > MAX_ROWS_WITH_TOMBSTONES:
             cached.drop_removed()
         callbacks = (
             self.on_configuration if table == OPERATOR_TABLE else self.on_endpoints
         )
-        for callback in callbacks:
-            callback()
+        run_steps(callbacks)
 
 
 def log_stale_read(table: str, version: StoreVersion, known: StoreVersion) -> None:
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import attrs
+import eliot
 from result import Err, Ok, Result
 
 from acaciarelay.coordination.loop_budget import LoopBudget
@@ -173,7 +174,7 @@
         try:
             while True:
                 began = time.monotonic()
-                next_call = await self.update(client, table, feed)
+                next_call = await self.try_update(client, table, feed)
                 if next_call is _NextCall.AT_ONCE:
                     continue
                 interval_s = self.interval_s(table)
@@ -187,6 +188,17 @@
         finally:
             client.close()
 
+    async def try_update(
+        self, client: StoreClient, table: str, feed: _Feed
+    ) -> _NextCall:
+        """Make one call; an unexpected error is logged and must not end the feed."""
+        try:
+            return await self.update(client, table, feed)
+        except Exception:
+            eliot.write_traceback()
+            client.close()
+            return _NextCall.AFTER_RETRY_INTERVAL
+
     async def update(self, client: StoreClient, table: str, feed: _Feed) -> _NextCall:
         """Make one call for a table; return when the next one follows."""
         match await self.next_page(client, table, feed):
--- a/tests/unit/platform_path/test_store_follower.py
+++ b/tests/unit/platform_path/test_store_follower.py
@@ -168,3 +168,34 @@
         await asyncio.sleep(0.3)
         (endpoint,) = followed.cache.endpoints.all()
         assert endpoint.draining
+
+
+async def test_an_error_in_a_listener_does_not_end_the_feed():
+    """Guards against a configuration that never comes after an unexpected error."""
+
+    def fail():
+        raise RuntimeError("unexpected")
+
+    async with FollowedStore() as followed:
+        noticed = []
+        followed.cache.on_configuration.append(fail)
+        followed.cache.on_configuration.append(lambda: noticed.append(True))
+        followed.configure(2)
+        await followed.until_version(2, 2.0)
+        followed.configure(3)
+        await followed.until_version(3, 2.0)
+        assert len(noticed) == 2
+
+
+async def test_an_error_in_applying_a_page_does_not_end_the_feed(monkeypatch):
+    """Guards against a table that is never read again after an unexpected error."""
+
+    def fail(*_):
+        raise RuntimeError("unexpected")
+
+    async with FollowedStore() as followed:
+        with monkeypatch.context() as patched:
+            patched.setattr(followed.cache, "apply_changes", fail)
+            followed.configure(2)
+            await asyncio.sleep(0.5)
+        await followed.until_version(2, RETURN_BOUND_S)
