--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -190,6 +190,7 @@
         service: str,
         number: int,
         through: Callable[[str, str], Awaitable[str]] | None = None,
+        runner_type: type[PlatformRunner] = PlatformRunner,
         **fields: Any,
     ) -> None:
         """Start a runner at 127.0.2.NUMBER and register it in the store.
@@ -198,7 +199,7 @@
         proxy's address.
         """
         name = f"i-{number}"
-        runner = PlatformRunner(name, **fields)
+        runner = runner_type(name, **fields)
         server, bound = await listen(runner.handle, f"127.0.2.{number}:0")
         address = bound
         if through is not None:
