Reset a connection whose unfinished answer has no other end

Found by reading; the platform's callers speak HTTP/1.1, where the missing last chunk shows it.

Cause: an answer of unknown length to HTTP/1.0 ends with its connection, and asyncio's abort closes the socket without a reset if the kernel has sent all. The orderly close of a stop did the same to an answer that its time limit had not cut yet.

Now such a connection is reset. Others end as before: a reset could destroy events that their callers have not read yet.

Ruled out: HTTP/1.1 answers, which are chunked (test_a_stream_cut_at_the_end_of_the_grace_does_not_look_complete).

--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -22,7 +22,10 @@
     CallerDisconnectedError,
     ResponseOutput,
 )
-from acaciarelay.transport.sockets import enable_dead_peer_detection
+from acaciarelay.transport.sockets import (
+    enable_dead_peer_detection,
+    reset_at_close,
+)
 
 __all__ = [
     "CallerDisconnectedError",
@@ -30,6 +33,8 @@
     "InboundHandler",
 ]
 
+# HTTP version in which a response of unknown length ends with its connection.
+HTTP_1_0 = b"1.0"
 # Limit of pipelined data that is buffered during a response; reading pauses above it.
 MAX_PIPELINED_BYTES = 65_536
 # A caller that acknowledges no data for this long is treated as disconnected.
@@ -476,8 +481,17 @@
             self.transport.write_eof()
         self.set_timer(LINGER_S)
 
+    @property
+    def would_end_response(self) -> bool:
+        """Return whether an orderly close makes an unfinished response look whole."""
+        is_unfinished = self.http.our_state is h11.SEND_BODY
+        return is_unfinished and self.http.their_http_version == HTTP_1_0
+
     def close(self) -> None:
         """Close once all written data has been sent."""
+        if self.would_end_response:
+            self.abort()
+            return
         self.record_end(ClosedBy.ENTRY)
         self.phase = Phase.CLOSING
         self.set_timer(None)
@@ -488,5 +502,8 @@
         """Abort the connection, so that a truncated response can't look complete."""
         self.record_end(ClosedBy.ENTRY)
         self.phase = Phase.CLOSING
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if self.would_end_response:
+            reset_at_close(self.transport)
+        self.transport.abort()
--- a/src/acaciarelay/transport/sockets.py
+++ b/src/acaciarelay/transport/sockets.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import socket
+import struct
 
 import eliot
 
-__all__ = ["accept_completed", "enable_dead_peer_detection", "listen"]
+__all__ = [
+    "accept_completed",
+    "enable_dead_peer_detection",
+    "listen",
+    "reset_at_close",
+]
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+# Linger for 0 s: the kernel drops unsent data and sends a reset.
+RESET_LINGER = struct.pack("ii", 1, 0)
 
 
 def enable_dead_peer_detection(
@@ -32,6 +40,13 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, int(user_timeout_s * 1000))
 
 
+def reset_at_close(transport: asyncio.BaseTransport) -> None:
+    """Let the close of a connection reach the peer as a reset."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+
+
 def listen(host: str, port: int, backlog: int) -> socket.socket:
     """Return a non-blocking listening socket; raises ``OSError``."""
     sock = socket.socket()
--- a/tests/unit/platform_path/test_closing_connections.py
+++ b/tests/unit/platform_path/test_closing_connections.py
@@ -83,3 +83,30 @@
     await asyncio.sleep(0.05)
     assert not last_answer.connections
     server.close()
+
+
+class EndlessAnswer(LastAnswer):
+    """A server whose answers are begun and never finished."""
+
+    async def serve(self, connection, request):
+        connection.start(200, [])
+        connection.write(b"piece")
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("end", ["abort", "close"])
+async def test_a_cut_answer_without_a_length_does_not_look_complete(end):
+    """Guards against an answer to HTTP/1.0 that ends early like a complete one."""
+    loop = asyncio.get_running_loop()
+    server = EndlessAnswer()
+    listener = await loop.create_server(server.build, "127.0.0.1", 0)
+    sock = await open_slow_channel(listener)
+    await loop.sock_sendall(sock, b"GET / HTTP/1.0\r\nHost: x\r\n\r\n")
+    async with asyncio.timeout(5):
+        assert (await loop.sock_recv(sock, 65_536)).endswith(b"piece")
+    (connection,) = server.connections
+    getattr(connection, end)()
+    with pytest.raises(ConnectionResetError):
+        await read_to_end(sock)
+    sock.close()
+    listener.close()
