--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 import attrs
+import eliot
 
 from acaciarelay.platform.configuration import (
     CONFIGURATION_KEY,
@@ -286,9 +287,14 @@
             self.apply_changes(table, decoded, version, after_outage)
 
     def _apply_row(self, table: str, row: StoreRow, after_outage: bool) -> bool:
-        if table == OPERATOR_TABLE:
-            return row.key == CONFIGURATION_KEY and self._apply_configuration(row)
-        return self._apply_endpoint(row, after_outage)
+        """Apply a row; log an unexpected error, which must not end who brought it."""
+        try:
+            if table == OPERATOR_TABLE:
+                return row.key == CONFIGURATION_KEY and self._apply_configuration(row)
+            return self._apply_endpoint(row, after_outage)
+        except Exception:
+            eliot.write_traceback()
+            return False
 
     def _apply_configuration(self, row: StoreRow) -> bool:
         if row.value is None:
