--- a/tests/integration/test_agents_beside_changes.py
+++ b/tests/integration/test_agents_beside_changes.py
@@ -17,6 +17,10 @@
 # How long the agent is frozen, and when in it the change comes: its link is lost then.
 FROZEN_S = 2.6
 CHANGED_AFTER_S = 2.0
+# A change that comes before the link is lost, and the work of a run that goes on for
+# longer than any freeze.
+EARLY_CHANGE_S = 1.4
+LONG_WORK_S = 3.6
 
 
 def long_routes(version: int) -> dict[str, Any]:
@@ -105,3 +109,22 @@
     await asyncio.sleep(2.5)
     answer = await call(fleet, "/plain/a")
     assert (answer.status, answer.complete) == (200, True)
+
+
+@pytest.mark.parametrize("frozen_s", [1.5, 2.0, 2.4])
+@pytest.mark.parametrize("change", [long_routes, without_engine])
+async def test_an_order_under_way_at_a_change_beside_a_frozen_agent(
+    fleet, change, frozen_s
+):
+    """Guards against an order given up as a change comes while its agent is frozen."""
+    fleet.runners["i-1"].work_s = LONG_WORK_S
+    order = asyncio.create_task(call(fleet, "/order/a"))
+    await asyncio.sleep(0.1)
+    agent = fleet.programs["agent-1"].process
+    agent.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(EARLY_CHANGE_S)
+    fleet.configure(change(3))
+    await asyncio.sleep(frozen_s - EARLY_CHANGE_S)
+    agent.send_signal(signal.SIGCONT)
+    answer = await order
+    assert (answer.status, answer.complete) == (200, True)
