End a stream at a frozen VM before its caller leaves it

Cause: the entry waited longer than callers do. A stream that may not run again ended only when the engine's agent had been silent for 2.5 s, and one that may be resumed only once another engine was placed, which a burst prevented. Callers abandon a stream after 2 s without an event, four times the objective, or eight times the gap that the route allows between events, whichever is longest. A cancellation after that waits at the frozen VM with the rest.

A takeover begins after 1.7 s as was meant, not at the next check 0.1 s later: a stalled attempt is looked at every 0.1 s.

Ruled out, by the logs of the entries: cancellations that are late or don't go out (4 ms after each caller's end), and requests sent after their caller had left.

Evidence: test_frozen_vms, streams before the head and within the answer, resumable or not: 4 of 4 failed on the parent, 0 of 4 now. Silences of a sound VM (1.5 s), callers that wait for 4 s, and takeovers: 6 of 6 pass before and after.

--- a/src/acaciarelay/coordination/slot_client.py
+++ b/src/acaciarelay/coordination/slot_client.py
@@ -24,10 +24,6 @@
 STATE_STALE_AFTER_SILENCE_S = 1.2
 # Wait assumed while the state of an engine is unknown or stale.
 DEFAULT_WAIT_S = 0.05
-# An agent that has sent nothing for longer than this counts as unresponsive: it is
-# frozen or behind a network partition. A sound VM may be silent for 1.5 s after a
-# heartbeat that was due 0.5 s later.
-AGENT_TIMEOUT_S = 2.5
 UNKNOWN_SPEED = EngineSpeed()
 
 
@@ -147,12 +143,12 @@
         self.agents[host] = AgentLink(host, link)
         self._silent_since.pop(host, None)
 
-    def is_unresponsive(self, host: str, now: float) -> bool:
-        """Return whether the agent at a host has timed out."""
+    def silence_s(self, host: str, now: float) -> float:
+        """Return how long the agent at a host has sent nothing, 0 without an agent."""
         agent = self.agents.get(host)
         if agent is None:
-            return now - self._silent_since.get(host, now) > AGENT_TIMEOUT_S
-        return now - agent.link.last_received_at > AGENT_TIMEOUT_S
+            return now - self._silent_since.get(host, now)
+        return now - agent.link.last_received_at
 
     def link_closed(self, host: str, link: MessageLink) -> None:
         """Remove a lost link; requests that wait only for its agent get no slot."""
--- a/src/acaciarelay/platform/configuration.py
+++ b/src/acaciarelay/platform/configuration.py
@@ -30,6 +30,11 @@
 ENDPOINT_TABLE = "servers"
 # Value of an organisation's ``unit`` whose rate and burst are in tokens.
 TOKEN_UNIT = "token_stream"
+# Callers abandon a stream after the longest of these gaps: a time, and multiples of the
+# route's objective and of the gap for which its events are still on time.
+MIN_ABANDONED_GAP_S = 2.0
+OBJECTIVES_PER_ABANDONED_GAP = 4
+TARGETS_PER_ABANDONED_GAP = 8
 
 
 class FormatError(Exception):
@@ -92,14 +97,16 @@
     elif kind == "streaming" and raw.get("resumable"):
         repeatability = Repeatability.RESUMABLE
     timeout_s = raw["timeoutMs"] / 1000
+    streaming = kind == "streaming"
     return Route(
         name=raw.get("name", ""),
         host=raw["host"],
         prefix=raw["prefix"],
         repeatability=repeatability,
-        streaming=kind == "streaming",
+        streaming=streaming,
         timeout_s=timeout_s,
         objective_s=raw["sloMs"] / 1000 if raw.get("sloMs") else timeout_s,
+        max_event_gap_s=_max_event_gap_s(raw) if streaming else None,
         rank=int(raw.get("priority") or 0),
         targets=targets,
         max_attempts=int(raw.get("maxAttempts") or 1),
@@ -107,6 +114,17 @@
     )
 
 
+def _max_event_gap_s(raw: dict[str, Any]) -> float:
+    """Return how long callers wait for an event before they abandon a stream."""
+    objective_ms = raw.get("sloMs") or 0
+    event_gap_ms = raw.get("gapTargetMs") or 0
+    gap_ms = max(
+        OBJECTIVES_PER_ABANDONED_GAP * objective_ms,
+        TARGETS_PER_ABANDONED_GAP * event_gap_ms,
+    )
+    return max(MIN_ABANDONED_GAP_S, gap_ms / 1000)
+
+
 def _service(raw: dict[str, Any]) -> Service:
     engine = None
     if raw.get("engine"):
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -83,6 +83,7 @@
     ``error_response`` is the last error response, passed on when no further attempt is
     allowed. ``events_received`` counts the events of the current attempt's answer, and
     ``answer_received`` is true once the end of an answer has come.
+    ``retries_ended`` is true once the caller leaves too soon for another attempt.
     ``on_trial`` is true once it may run despite a suspicion, in one attempt. ``steps``
     describes the attempts for the log.
     """
@@ -105,6 +106,7 @@
     last_event: int | None = None
     head_sent: bool = False
     events_received: int = 0
+    retries_ended: bool = False
     on_trial: bool = False
     error_response: ErrorResponse | None = None
     endpoint: Endpoint | None = None
@@ -125,9 +127,18 @@
         """Whether the caller has a part of the answer."""
         return self.head_sent or self.answer_received
 
+    @property
+    def abandoned_at(self) -> float | None:
+        """When the caller abandons the stream if no event comes, ``None`` if never."""
+        if self.route.max_event_gap_s is None:
+            return None
+        return (self.last_event_at or self.arrived_at) + self.route.max_event_gap_s
+
     @property
     def may_retry(self) -> bool:
         """Whether the request may run once more."""
+        if self.retries_ended:
+            return False
         return self.repeatable and self.run_count < self.route.max_attempts
 
     @property
--- a/src/acaciarelay/state/routing.py
+++ b/src/acaciarelay/state/routing.py
@@ -42,8 +42,9 @@
     ``objective_s`` is the service level objective, counted from a request's arrival: it
     determines how long the request may wait for a slot, and a request past it is served
     after the others of its rank. ``timeout_s`` is the longest time that a request may
-    take. ``max_attempts`` counts the attempts that may run the request. ``anonymous``
-    routes need no caller key.
+    take. ``max_event_gap_s`` is the time without an event after which callers abandon a
+    stream, ``None`` for other requests. ``max_attempts`` counts the attempts that may
+    run the request. ``anonymous`` routes need no caller key.
     """
 
     name: str
@@ -53,6 +54,7 @@
     streaming: bool
     timeout_s: float
     objective_s: float
+    max_event_gap_s: float | None
     rank: int
     targets: tuple[Target, ...]
     max_attempts: int
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -35,7 +35,7 @@
 # Interim responses (status 1xx) accepted before the final one.
 MAX_INTERIM_RESPONSES = 8
 # Interval of the checks of a connection that stays stalled.
-STALL_RECHECK_S = 0.2
+STALL_RECHECK_S = 0.1
 # A timer is later than this after a pause of this process, which may have hidden the
 # endpoint's progress.
 MAX_TIMER_DELAY_S = 0.2
