Close no connection while its caller still reads an answer

What callers saw, by a test: an answer on its way to a slow caller ended with a reset when the caller sent its next request during a stop, though the answer had not announced the close.

Cause: a connection counted as idle from the moment its answer was written, not from when the caller had it. After 0.5 s the stop closed it, and so did the end of the stop at 7.5 s; the next request then stayed unread, and Linux answers a close with unread input by a reset, which drops what is in the send buffer.

Now a connection is idle at a stop once the caller's host has acknowledged all written bytes (the transport's buffer and TIOCOUTQ of the socket). A close before that is half-closed and read on, as after a last answer.

--- a/src/acaciarelay/programs/caller_server.py
+++ b/src/acaciarelay/programs/caller_server.py
@@ -88,6 +88,10 @@
         for connection in list(self.connections):
             if connection.phase is not Phase.IDLE:
                 continue
+            if connection.unacknowledged_bytes:
+                # The caller still reads its answer.
+                connection.idle_since = now
+                continue
             if now - connection.idle_since < NEXT_REQUEST_S:
                 continue
             with log_errors():
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -25,6 +25,7 @@
 from acaciarelay.transport.sockets import (
     enable_dead_peer_detection,
     reset_at_close,
+    unacknowledged_bytes,
 )
 
 __all__ = [
@@ -441,6 +442,11 @@
         """Return the number of written bytes that the kernel hasn't accepted yet."""
         return self.output.unsent_bytes if self.output is not None else 0
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of written bytes that the caller's host may not have."""
+        return unacknowledged_bytes(self.transport) if self.transport else 0
+
     @property
     def unanswered(self) -> bool:
         """Return whether a request was read completely and has no response so far."""
@@ -495,6 +501,9 @@
         self.record_end(ClosedBy.ENTRY)
         self.phase = Phase.CLOSING
         self.set_timer(None)
+        if self.unacknowledged_bytes:
+            self.close_after_response()
+            return
         if self.transport is not None:
             self.transport.close()
 
--- a/src/acaciarelay/transport/sockets.py
+++ b/src/acaciarelay/transport/sockets.py
@@ -1,8 +1,10 @@
 """Listening sockets, and socket options that detect a dead peer."""
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 
 import eliot
 
@@ -11,6 +13,7 @@
     "enable_dead_peer_detection",
     "listen",
     "reset_at_close",
+    "unacknowledged_bytes",
 ]
 
 KEEPALIVE_IDLE_S = 1
@@ -47,6 +50,23 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
 
 
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the number of written bytes that the peer's host hasn't acknowledged.
+
+    They are lost if the connection is closed with unread input.
+    """
+    unsent = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return unsent
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError:
+        # Not every kernel tells it.
+        return unsent
+    return unsent + struct.unpack("i", queued)[0]
+
+
 def listen(host: str, port: int, backlog: int) -> socket.socket:
     """Return a non-blocking listening socket; raises ``OSError``."""
     sock = socket.socket()
--- a/tests/unit/platform_path/test_closing_at_the_stop.py
+++ b/tests/unit/platform_path/test_closing_at_the_stop.py
@@ -19,7 +19,11 @@
 from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.programs import caller_server
-from acaciarelay.programs.caller_server import CLOSE_CHECK_INTERVAL_S, CallerServer
+from acaciarelay.programs.caller_server import (
+    CLOSE_CHECK_INTERVAL_S,
+    NEXT_REQUEST_S,
+    CallerServer,
+)
 from acaciarelay.programs.relay_entry import TICK_S, RelayEntry
 from acaciarelay.protocol.codes import refuse
 from acaciarelay.state.routing import CallerLimits
@@ -81,6 +85,13 @@
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
 
 
+class KeepAliveServer(Server):
+    """A server whose answers leave their connections open."""
+
+    async def serve(self, connection, request):
+        connection.respond(200, [], LARGE_ANSWER)
+
+
 class EndlessServer(Server):
     """A server whose answers don't end, as fast as callers read them."""
 
@@ -246,6 +257,44 @@
         assert (await read_to_end(sock)).endswith(LARGE_ANSWER)
 
 
+async def test_an_answer_that_did_not_announce_the_close_is_read_by_a_slow_caller():
+    """Guards against the close of a connection as idle while its answer is unsent."""
+    loop = asyncio.get_running_loop()
+    server = KeepAliveServer()
+    listener = await server.start()
+    sock = await open_channel(listener)
+    await loop.sock_sendall(sock, REQUEST)
+    await asyncio.sleep(0.1)
+    async with stopping(server):
+        await asyncio.sleep(NEXT_REQUEST_S + 0.2)
+        await loop.sock_sendall(sock, REQUEST)
+        await asyncio.sleep(0.1)
+        received = await read_to_end(sock)
+    assert received.count(LARGE_ANSWER) == 2
+    sock.close()
+    listener.close()
+
+
+async def test_a_request_at_the_end_of_the_stop_does_not_reset_the_answer_before():
+    """Guards against the last close of a connection whose answer is on its way."""
+    loop = asyncio.get_running_loop()
+    server = KeepAliveServer()
+    listener = await server.start()
+    sock = await open_channel(listener)
+    await loop.sock_sendall(sock, REQUEST)
+    await asyncio.sleep(0.1)
+    callers = CallerServer(server.build, server.connections)
+    closing = asyncio.create_task(callers.close(loop.time() + 2.0))
+    await asyncio.sleep(0.1)
+    await loop.sock_sendall(sock, REQUEST)
+    await asyncio.sleep(0.1)
+    received = await read_to_end(sock)
+    assert received.endswith(LARGE_ANSWER)
+    sock.close()
+    await closing
+    listener.close()
+
+
 async def test_what_a_stopping_entry_collects_for_slow_callers_is_bounded(
     monkeypatch,
 ):
