Bound what is kept of requests that wait behind another one

What was seen (trial, a real entry): ten callers that ask for /ready without end and read the answers drove the entry from 34 to 226 MB in 12 s, where the smallest VM has 232; ten that leave the answers unread to 187 MB. Orders beside them were answered (0.26 s at most). At the callers' port one connection kept 5.9 MB after 2 s of requests.

Cause: since a request that came together with the one before it waits until its connection may take more of the event loop. Reading goes on in that wait, 64 KiB for each pause, and the bound of 64 KiB was checked only while an answer was being made, which is short, and was lifted at its end whatever was left.

The same bound holds now while a request waits for its turn, and after each request: with more than 64 KiB kept, nothing is read. A request that is incomplete lifts it, so that a body or a head that needs more than that is read on.

Ruled out: answers that pile up unread, since it came over with callers that read them, and holding the next request back while answers are unsent changed nothing that was measured.

--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -36,7 +36,7 @@
 
 # HTTP version in which a response of unknown length ends with its connection.
 HTTP_1_0 = b"1.0"
-# Limit of pipelined data that is buffered during a response; reading pauses above it.
+# Limit of pipelined data that is buffered; reading pauses above it.
 MAX_PIPELINED_BYTES = 65_536
 # A caller that acknowledges no data for this long is treated as disconnected.
 TCP_USER_TIMEOUT_S = 8.0
@@ -173,14 +173,15 @@
                 self.pending += data
                 if self.parse_handle is None:
                     self.read_head()
+                else:
+                    self.bound_pending()
             case Phase.BODY:
                 # The time-out of the head also limits each pause within the body.
                 self.set_timer(self.limits().head_timeout_s)
                 self.receive(data)
             case Phase.RESPONSE:
                 self.pending += data
-                if len(self.pending) > MAX_PIPELINED_BYTES:
-                    self.gate.pause(PauseReason.PIPELINED)
+                self.bound_pending()
             case Phase.CLOSING:
                 return
 
@@ -224,10 +225,21 @@
             self.reject(refuse(problem))
             return
         if end < 0:
+            assert self.gate is not None
+            self.gate.resume(PauseReason.PIPELINED)
             return
         data = bytes(self.pending)
         self.pending.clear()
         self.receive(data)
+        self.bound_pending()
+
+    def bound_pending(self) -> None:
+        """Read no more while much waits for the request before it."""
+        assert self.gate is not None
+        if len(self.pending) > MAX_PIPELINED_BYTES:
+            self.gate.pause(PauseReason.PIPELINED)
+        else:
+            self.gate.resume(PauseReason.PIPELINED)
 
     def receive(self, data: bytes) -> None:
         try:
@@ -354,7 +366,7 @@
         self.idle_since = self.loop.time()
         self.blank_bytes = 0
         if self.gate is not None:
-            self.gate.resume(PauseReason.PIPELINED)
+            self.bound_pending()
         self.set_timer(self.limits().idle_timeout_s)
         if self.pending:
             # Start with the data that arrived during the response.
--- a/tests/unit/platform_path/test_endless_callers.py
+++ b/tests/unit/platform_path/test_endless_callers.py
@@ -15,6 +15,8 @@
 MAX_ORDER_S = 1.0
 MAX_STEP_S = 0.2
 HEAD_TIMEOUT_MS = 3_000
+# Two reads, and what was kept before them.
+MAX_KEPT_BYTES = 3 * 65_536
 REQUEST_LINE = "POST /order/a HTTP/1.1\r\nHost: shop.example\r\n"
 CHUNKED = f"{REQUEST_LINE}Api-Key: {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
 FIELDS = "x:\r\n" * 1_900
@@ -87,6 +89,25 @@
         assert monitor.longest_s < MAX_STEP_S
 
 
+async def test_requests_without_end_keep_little_memory():
+    """Guards against requests that are read faster than they are answered."""
+    async with RelayRig() as rig:
+        rig.configure(limits())
+        first, repeated = ENDLESS["requests"]
+        end_at = time.monotonic() + 2.0
+        callers = [
+            asyncio.create_task(send_without_end(rig, first, repeated, end_at))
+            for _ in range(CALLERS)
+        ]
+        largest = 0
+        while time.monotonic() < end_at:
+            kept = [len(connection.pending) for connection in rig.connections]
+            largest = max([largest, *kept])
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*callers)
+        assert largest <= MAX_KEPT_BYTES
+
+
 @pytest.mark.parametrize("blank", ["\r\n", "\r\n\r\n", "\r\n" * 32])
 async def test_blank_lines_before_a_request_are_ignored(blank):
     """Guards against requests that are refused for a line that servers ignore."""
