Keep a reload beside the start from ending a program

What callers would see: an entry that is not there after its settings changed while it started; with signals in series, the next start begins only once the platform has noticed. No request is cut, as none is accepted by then.

Cause: the default action of SIGHUP ends a process, and the programs handle the signal only once all modules are loaded.

What is left is the start of the interpreter itself.

Ruled out: SIGTERM, which shall end a process that serves nothing yet.

--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -114,6 +114,7 @@
             self.loop.add_signal_handler(number, self.stopping.set)
         # The agent has nothing to reload, and the signal must not end it.
         self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self.server.listen(self.settings.host, self.settings.agent_port)
         metrics = await serve_metrics(self.settings.metrics_address, self.metrics)
         log_event("started", engine=self.settings.engine_address, always=True)
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -156,6 +156,7 @@
             signal.signal(number, self.record_stop_signal)
             signal.siginterrupt(number, False)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self.listen()
         self.follower.start()
         log_event("started", address=self.settings.caller_address, always=True)
--- a/src/relay_agent.py
+++ b/src/relay_agent.py
@@ -1,8 +1,11 @@
 """Start script of an agent on the users' platform."""
 
+import signal
 import sys
 
-from acaciarelay.programs.relay_agent import main
-
 if __name__ == "__main__":
+    # The program unblocks the signal once it handles it; before, it would end it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    from acaciarelay.programs.relay_agent import main
+
     sys.exit(main())
