--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -289,7 +289,7 @@
 
     def refuse(self, connection: InboundConnection, refusal: Refusal) -> None:
         # -1 stands for the rank, which is known only after admission.
-        self.relay.count_refusal(refusal, -1)
+        self.relay.recorder.count_refusal(refusal, -1)
         log_event("input_refused", code=refusal.code.name)
         respond_refusal(connection, refusal)
 
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -22,6 +22,7 @@
 from acaciarelay.programs.relay_refusal import respond_refusal
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.relay_takeover import Takeovers
+from acaciarelay.programs.request_recorder import RequestRecorder, interrupted_outcome
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.relayed_request import (
@@ -33,7 +34,6 @@
     RelayedRequest,
 )
 from acaciarelay.state.run_clock import RunClock
-from acaciarelay.transport.connection_phase import ClosedBy
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
@@ -55,8 +55,6 @@
 # When a caller may send a request again that a stopping entry refused; another entry
 # serves it.
 STOPPING_RETRY_AFTER_S = 0.05
-# Outcomes of requests whose callers may have no whole answer.
-UNANSWERED_OUTCOMES = ("cut", "caller_gone", "failed")
 # How long a request waits for a fresh word from the store or a peer after a pause.
 TRUST_WAIT_S = 0.5
 
@@ -86,6 +84,7 @@
         self.slot_client = slot_client
         self.placer = Placer(cache, health, slot_client, retry_budget)
         self.drain = RequestDrain(self.placer)
+        self.recorder = RequestRecorder(metrics, self.drain)
         self.crashes = crashes
         self.takeovers = Takeovers(
             self.placer, self.drain, retry_budget, slot_client, self.may_go_elsewhere
@@ -122,7 +121,9 @@
         except TimeoutError:
             refusal = None if relayed.answer_received else self.timeout_refusal(relayed)
         except (CallerDisconnectedError, asyncio.CancelledError) as error:
-            self.record_end(connection, relayed, _outcome_of(connection, error), None)
+            self.recorder.record_end(
+                connection, relayed, interrupted_outcome(connection, error), None
+            )
             if relayed.certainly_not_run:
                 self.admission.refund(relayed)
             raise
@@ -308,10 +309,10 @@
         complete.
         """
         if refusal is None:
-            self.record_end(connection, relayed, "delivered", None)
+            self.recorder.record_end(connection, relayed, "delivered", None)
             return
         outcome = "refused" if relayed.certainly_not_run else "failed"
-        self.record_end(connection, relayed, outcome, refusal)
+        self.recorder.record_end(connection, relayed, outcome, refusal)
         if relayed.certainly_not_run:
             self.admission.refund(relayed)
         if relayed.head_sent:
@@ -330,7 +331,7 @@
     ) -> None:
         request_id = decode_request_id(request.headers)
         # -1 stands for the rank, which is not known before admission.
-        self.count_refusal(refusal, -1)
+        self.recorder.count_refusal(refusal, -1)
         routing = self.cache.routing
         log_event(
             "request_refused",
@@ -341,96 +342,6 @@
         )
         respond_refusal(connection, refusal, request_id)
 
-    def count_refusal(self, refusal: Refusal, rank: int) -> None:
-        self.metrics.count(
-            "refusals_total",
-            code=refusal.code.number,
-            reason=refusal.code.name,
-            tier=rank,
-            organisation_class="",
-        )
-
-    def record_end(
-        self,
-        connection: InboundConnection,
-        relayed: RelayedRequest,
-        outcome: str,
-        refusal: Refusal | None,
-    ) -> None:
-        """Count and log the end of a request."""
-        now = self.loop.time()
-        if refusal is not None:
-            self.count_refusal(refusal, relayed.rank)
-        self.metrics.count(
-            "requests_total", tier=relayed.rank, organisation_class="", outcome=outcome
-        )
-        if relayed.first_sent_at is not None and outcome not in ("caller_gone", "cut"):
-            taken_s = now - relayed.first_sent_at
-            self.drain.answer_times.observe(relayed.route.name, taken_s)
-        stages = {
-            "queue": relayed.first_sent_at,
-            "first": relayed.first_event_at,
-            "whole": now,
-        }
-        for stage, at in stages.items():
-            if at is not None:
-                self.metrics.observe(
-                    "stage_seconds",
-                    at - relayed.arrived_at,
-                    route=relayed.route.name,
-                    stage=stage,
-                )
-        log_event(
-            "request_ended",
-            request_id=relayed.traits.request_id,
-            outcome=outcome,
-            code=refusal.code.name if refusal else None,
-            answer_begun=relayed.head_sent,
-            route=relayed.route.name,
-            service=relayed.service,
-            rank=relayed.rank,
-            endpoint=relayed.endpoint.endpoint_id if relayed.endpoint else None,
-            steps=relayed.steps,
-            evidence=str(relayed.evidence),
-            queued_s=_elapsed_s(relayed.arrived_at, relayed.first_sent_at),
-            first_event_s=_elapsed_s(relayed.arrived_at, relayed.first_event_at),
-            whole_s=round(now - relayed.arrived_at, 4),
-            configuration=relayed.routing.version,
-            **self.stop_fields(connection, relayed, outcome),
-        )
-
-    def stop_fields(
-        self, connection: InboundConnection, relayed: RelayedRequest, outcome: str
-    ) -> dict[str, object]:
-        """Return the fields of a request that ends while the entry stops.
-
-        The rate limit of the log spares the lines of requests without a whole answer.
-        """
-        if self.drain.window is None:
-            return {}
-        fields = self.drain.times_after_stop(relayed)
-        return fields | {
-            "answer_received": relayed.answer_received,
-            "events": relayed.events_received,
-            "unsent_bytes": connection.unsent_bytes,
-            "always": outcome in UNANSWERED_OUTCOMES,
-        }
-
-
-def _outcome_of(connection: InboundConnection, error: BaseException) -> str:
-    """Return who ended a request whose handler was interrupted."""
-    match connection.closed_by:
-        case ClosedBy.ENTRY:
-            return "cut"
-        case None if isinstance(error, asyncio.CancelledError):
-            return "cut"
-        case _:
-            return "caller_gone"
-
-
-def _elapsed_s(start: float, end: float | None) -> float | None:
-    return round(end - start, 4) if end is not None else None
-
 
 def _describe(outcome: AttemptOutcome, placement: Placement) -> str:
     name = placement.endpoint.endpoint_id
