Log an error at one link and go on with the timers of all

What callers would see: requests placed by links that send and notice nothing any more, until the other side closes them. Found by reading, not in a run.

Cause: an error raised by the timers of one link left LinkTicker.tick before it set the next tick, so that no link of the process sent a heartbeat or noticed a silence from then on.

Ruled out: a known cause of such an error (none).

Evidence: test_an_error_at_one_link_does_not_end_the_timers_of_all, with an injected error, failed before and passes after; test_message_link and test_peer_links: 16 passed.

--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import attrs
+import eliot
 
 from acaciarelay.coordination.loop_budget import LoopBudget, Reader
 from acaciarelay.protocol.link_messages import (
@@ -86,7 +87,11 @@
         now = loop.time()
         # Closing a link takes effect later, so the set does not change meanwhile.
         for link in self.links:
-            link.check_timers(now)
+            try:
+                link.check_timers(now)
+            except Exception:
+                # An unexpected error at one link must not end the timers of all.
+                eliot.write_traceback()
         self.timer = loop.call_later(TICK_S, self.tick) if self.links else None
 
 
--- a/tests/unit/platform_path/test_message_link.py
+++ b/tests/unit/platform_path/test_message_link.py
@@ -23,6 +23,7 @@
 )
 from acaciarelay.transport.message_link import (
     SILENCE_TIMEOUT_S,
+    TICK_S,
     Dialer,
     LinkHandlers,
     LinkServer,
@@ -206,3 +207,28 @@
         writer.transport.abort()
         server.close()
     assert numbers == list(range(1_000))
+
+
+async def test_an_error_at_one_link_does_not_end_the_timers_of_all():
+    """Guards against links that send no heartbeat after an unexpected error."""
+
+    class TimedLink:
+        """A link whose timers may fail."""
+
+        def __init__(self, fails):
+            self.fails = fails
+            self.checks = 0
+
+        def check_timers(self, now):
+            self.checks += 1
+            if self.fails:
+                raise RuntimeError("unexpected")
+
+    ticker = LinkTicker()
+    links = [TimedLink(fails) for fails in (True, False)]
+    for link in links:
+        ticker.add(link)
+    await asyncio.sleep(5 * TICK_S)
+    for link in links:
+        assert link.checks >= 2
+        ticker.discard(link)
