Log an error in an agent's loop and go on granting slots

What callers would see: requests at an engine whose agent is gone until it is started again, and slots granted twice meanwhile.

Cause: an unexpected error while the engine's report was read, or slots were granted after it, left RelayAgent.run and ended the process.

Ruled out: a report that raises one (test_odd_figures and test_endless_platform pass before and after).

Evidence: test_an_error_in_reading_a_report_does_not_end_the_agent, with an injected error, failed before and passes after; test_agent_states, test_endless_platform and test_odd_figures: 40 passed.

--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -16,7 +16,7 @@
 from acaciarelay.programs.crash_detector import CrashDetector, crash_record
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.engine_reports import EngineReports
-from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.logs import log_errors, log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.metrics_server import serve_metrics
 from acaciarelay.programs.relay_settings import (
@@ -119,10 +119,8 @@
         metrics = await serve_metrics(self.settings.metrics_address, self.metrics)
         log_event("started", engine=self.settings.engine_address, always=True)
         while not self.stopping.is_set():
-            if time.monotonic() < self.untracked_until:
-                await self.update_untracked_runs()
-            else:
-                self.forget_untracked_runs()
+            with log_errors():
+                await self.check_untracked_runs()
             try:
                 async with asyncio.timeout(REPORT_INTERVAL_S):
                     await self.stopping.wait()
@@ -134,6 +132,13 @@
         metrics.close()
         return 0
 
+    async def check_untracked_runs(self) -> None:
+        """Count the untracked runs within the window, and forget them after it."""
+        if time.monotonic() < self.untracked_until:
+            await self.update_untracked_runs()
+        else:
+            self.forget_untracked_runs()
+
     async def update_untracked_runs(self) -> None:
         """Count the engine's runs that hold no granted slot."""
         report = await self.reports.read()
--- a/tests/unit/platform_path/test_agent_states.py
+++ b/tests/unit/platform_path/test_agent_states.py
@@ -127,19 +127,39 @@
         assert abs(rounded_s - wait_s) <= max(0.011, 0.125 * wait_s)
 
 
+def choose_ports(agent):
+    """Let an agent listen at ports that are free."""
+    agent.settings = attrs.evolve(
+        agent.settings,
+        ports=[free_port(2), 0],
+        metrics_address=f"127.0.0.1:{free_port()}",
+    )
+
+
 async def test_untracked_runs_are_forgotten_when_no_report_comes(agent, monkeypatch):
     """Guards against slots that stay taken because a window's last report failed."""
     monkeypatch.setattr(relay_agent, "UNTRACKED_RUNS_WINDOW_S", 0.2)
     agent.reports.address = "127.0.0.1:1"
     agent.untracked_runs = 4
     agent.untracked_until = time.monotonic() + 0.2
-    agent.settings = attrs.evolve(
-        agent.settings,
-        ports=[free_port(2), 0],
-        metrics_address=f"127.0.0.1:{free_port()}",
-    )
+    choose_ports(agent)
     running = asyncio.create_task(agent.run())
     await asyncio.sleep(1.0)
     assert agent.untracked_runs == 0
     agent.stopping.set()
     assert await running == 0
+
+
+async def test_an_error_in_reading_a_report_does_not_end_the_agent(agent, monkeypatch):
+    """Guards against an agent that ends with the slots it has granted."""
+
+    async def fail():
+        raise RuntimeError("unexpected")
+
+    choose_ports(agent)
+    monkeypatch.setattr(agent.reports, "read", fail)
+    running = asyncio.create_task(agent.run())
+    await asyncio.sleep(3 * relay_agent.REPORT_INTERVAL_S)
+    assert not running.done()
+    agent.stopping.set()
+    assert await running == 0
