Test requests of a stopping entry that a quiet second must not refuse

What callers saw: a request that reached a stopping entry more than a second after the one before got 429 although its organisation was within its limit; while the store was away it was held for 0.5 s first.

--- a/tests/integration/test_entry_stop.py
+++ b/tests/integration/test_entry_stop.py
@@ -12,6 +12,8 @@
 )
 from relay_rig import RawAnswer, configuration, read_raw_answer, route
 
+from acaciarelay.programs.relay_request import TRUST_WAIT_S
+
 # Time from SIGTERM, in seconds, at which the entries of these tests still listen for a
 # second, and at which too little is left of their grace time of 4 s for LATE_WORK_S.
 LATE_S = 1.6
@@ -279,3 +281,44 @@
         check_refused(await order)
         assert not ran(fleet, "paused")
         assert await stopping == 0
+
+
+async def test_a_stop_without_requests_is_not_taken_for_a_pause(tmp_path):
+    """Guards against an entry that distrusts its state although it always ran."""
+    async with PlatformFleet(tmp_path) as fleet:
+        entry = await start_fleet(fleet)
+        stopping = begin_stop(entry)
+        await asyncio.sleep(LATE_S)
+        assert (await call(fleet, "/order/a", "late")).status == 200
+        assert await stopping == 0
+        types = {line["message_type"] for line in entry.log()}
+        assert "resumed_after_pause" not in types
+
+
+async def test_a_late_request_is_not_held_while_the_store_is_away(tmp_path):
+    """Guards against a wait for the store's word in a stop, as after a pause."""
+    async with PlatformFleet(tmp_path) as fleet:
+        entry = await start_fleet(fleet)
+        fleet.store.go_away()
+        stopping = begin_stop(entry)
+        await asyncio.sleep(LATE_S)
+        began = asyncio.get_running_loop().time()
+        assert (await call(fleet, "/order/a", "late")).status == 200
+        assert asyncio.get_running_loop().time() - began < TRUST_WAIT_S
+        assert await stopping == 0
+
+
+async def test_a_late_request_within_the_rate_limit_is_served(tmp_path):
+    """Guards against usage that is forgotten in a stop, as after a pause."""
+    async with PlatformFleet(tmp_path) as fleet:
+        value = configuration(3, routes=[route("/order/", "non_idempotent")])
+        value["tenants"][0] |= {"ratePerS": 100, "burst": 2000}
+        fleet.configure(value)
+        await fleet.add_runner("orders", 3)
+        entry = await fleet.add_entry(1)
+        await asyncio.sleep(1.0)
+        assert (await call(fleet, "/order/a", "usual")).status == 200
+        stopping = begin_stop(entry)
+        await asyncio.sleep(LATE_S)
+        assert (await call(fleet, "/order/a", "late")).status == 200
+        assert await stopping == 0
