--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,6 +18,7 @@
 
 from integration.platform_fleet import PlatformFleet
 from relay_rig import HOST, KEY, configuration, read_raw_answer, route
+from seeded_runs import run_seeds
 from soak_checks import Call, describe, find_violation
 
 from acaciarelay_standins.platform_runner import ENDLESS_PARTS, RunnerFaults
@@ -371,16 +372,8 @@
 def main() -> int:
     """Run the seeds; the exit code is 1 if one of them has violations."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=12.0)
-    options = parser.parse_args()
-    failed = []
-    for seed in range(options.first, options.first + options.seeds):
-        if not asyncio.run(run_seed(seed, options.seconds)):
-            failed.append(seed)
-    print(f"{options.seeds} seeds, failed: {failed}")
-    return 1 if failed else 0
+    return run_seeds(parser, lambda seed, options: run_seed(seed, options.seconds))
 
 
 if __name__ == "__main__":
--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -18,6 +18,7 @@
 import attrs
 from integration.platform_fleet import PlatformFleet, Program, request_head
 from relay_rig import RawAnswer, configuration, read_raw_answer, route
+from seeded_runs import run_seeds
 from stop_soak_checks import LOSSES, Request, Stop, Verdict, describe, judge
 from stop_soak_runner import PacedRunner, Work
 
@@ -411,16 +412,8 @@
 def main() -> int:
     """Run the seeds; the exit code is 1 if one of them has losses."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--rounds", type=int, default=1)
-    options = parser.parse_args()
-    failed = []
-    for seed in range(options.first, options.first + options.seeds):
-        if not asyncio.run(run_seed(seed, options.rounds)):
-            failed.append(seed)
-    print(f"{options.seeds} seeds, failed: {failed}")
-    return 1 if failed else 0
+    return run_seeds(parser, lambda seed, options: run_seed(seed, options.rounds))
 
 
 if __name__ == "__main__":
