Take the ports of the test of ports from the range of the tests

It took a port that the kernel chooses for connections, and waits for the next one, which another process's connection may hold for as long as it lasts; free_port then searches on.

Both ports come from the range of the test worker now, where nothing but a test binds.

--- a/tests/unit/test_ports.py
+++ b/tests/unit/test_ports.py
@@ -2,6 +2,7 @@
 
 import socket
 
+from acaciarelay_standins import ports
 from acaciarelay_standins.ports import (
     FIRST_PORT,
     LAST_PORT,
@@ -44,8 +45,9 @@
 
 def test_a_port_in_use_on_any_address_is_not_returned(monkeypatch):
     """Guards against a probe of one address while another one has the port."""
+    port = free_port(2)
+    monkeypatch.setattr(ports, "_assigned_ports", set())
     with socket.socket() as taken:
-        taken.bind(("127.0.7.1", 0))
-        port = taken.getsockname()[1]
+        taken.bind(("127.0.7.1", port))
         monkeypatch.setenv(PORTS_VARIABLE, f"{port}-{port + 1}")
         assert free_port() == port + 1
