Serve each rank a least share while more urgent ones flood

Change: an entry counts arrivals and first attempts by service and rank. A request that got no answer of its agents in time says so in its log line.

--- a/src/acaciarelay/coordination/slot_queue.py
+++ b/src/acaciarelay/coordination/slot_queue.py
@@ -15,6 +15,8 @@
 EARLY_REFUSAL_FACTOR = 2.0
 # Slots that are never reserved for more urgent ranks, so that no rank starves.
 UNRESERVED_SLOTS = 2
+# Rank in this queue of a request that is below the floor of its own rank.
+FLOOR_RANK = -1
 
 
 @attrs.define(eq=False)
@@ -30,6 +32,12 @@
     predicted_wait_s: float
     granted_at: float | None = None
 
+    @property
+    def rank(self) -> int:
+        """Return the rank by which the request is ordered and gets slots."""
+        request = self.slot_request
+        return FLOOR_RANK if request.below_floor else request.rank
+
     @property
     def weight(self) -> float:
         """Return the weight of the request in the wait prediction.
@@ -47,8 +55,9 @@
 class SlotQueue:
     """Decide which waiting request gets the next free slot.
 
-    The order is by rank, then requests within their service level objective before
-    those past it, then by the organisation's virtual time, then by arrival.
+    Requests below the floor of their rank come first. Then the order is by rank, then
+    requests within their service level objective before those past it, then by the
+    organisation's virtual time, then by arrival.
     """
 
     def __init__(self) -> None:
@@ -121,7 +130,7 @@
                 continue
             granted = self._granted_by_rank()
             self.forecast.record_occupancy(granted, now)
-            if self._available(state.slot_request.rank, granted, untracked_runs) < 1:
+            if self._available(state.rank, granted, untracked_runs) < 1:
                 break
             del self.waiting[key]
             self._charge(state.slot_request)
@@ -135,7 +144,7 @@
         state = self.waiting[key]
         slot_request = state.slot_request
         return (
-            slot_request.rank,
+            state.rank,
             slot_request.late,
             self._virtual_times[slot_request.organisation],
             state.queued_at,
@@ -188,7 +197,7 @@
             return [0.0] * ranks
         by_rank = [0.0] * ranks
         for state in self.waiting.values():
-            by_rank[min(state.slot_request.rank, ranks - 1)] += state.weight
+            by_rank[max(0, min(state.rank, ranks - 1))] += state.weight
         prediction = self._prediction(now, untracked_runs)
         waits = []
         ahead = 0.0
@@ -213,7 +222,7 @@
         for other, state in self.waiting.items():
             if other != key and self._order(other) < order:
                 ahead += state.weight
-        rank = self.waiting[key].slot_request.rank
+        rank = self.waiting[key].rank
         return self._prediction(now, untracked_runs).wait_s(rank, ahead)
 
     def pop_if_infeasible(
@@ -240,7 +249,7 @@
         ahead = 0.0
         for key in sorted(self.waiting, key=self._order):
             state = self.waiting[key]
-            wait_s = prediction.wait_s(state.slot_request.rank, ahead)
+            wait_s = prediction.wait_s(state.rank, ahead)
             if state.is_infeasible(wait_s, now):
                 del self.waiting[key]
                 refused.append(state)
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -12,6 +12,7 @@
     ExpectedAnswer,
     choose_engines,
 )
+from acaciarelay.coordination.rank_floor import RankFloor
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
 from acaciarelay.coordination.slot_client import (
     AgentLink,
@@ -75,6 +76,7 @@
         self.health = health
         self.slot_client = slot_client
         self.retry_budget = retry_budget
+        self.floor = RankFloor()
 
     async def place(self, relayed: RelayedRequest) -> Placement | None:
         """Choose an endpoint; ``None`` when none has a free slot in time."""
@@ -154,12 +156,15 @@
         """Ask the best agents for a slot, unless none is expected within the budget."""
         now = time.monotonic()
         agents = self._choose_agents(relayed, by_host, now)
+        below_floor = self.floor.is_below(relayed.service, relayed.rank, now)
         expected_s = min(agent.expected_wait_s(relayed.rank, now) for agent in agents)
-        if expected_s > budget_s * MAX_EXPECTED_WAIT_FRACTION:
+        if expected_s > budget_s * MAX_EXPECTED_WAIT_FRACTION and not below_floor:
             relayed.steps.append(f"expected wait {expected_s:.3f} s")
             return SlotDenied(refused=True)
         budget_s = max(0.0, budget_s)
-        slot_request = self._slot_request(relayed, len(agents), budget_s)
+        slot_request = attrs.evolve(
+            self._slot_request(relayed, len(agents), budget_s), below_floor=below_floor
+        )
         match await self.slot_client.acquire(agents, slot_request, budget_s):
             case EngineSlot() as slot:
                 chosen = by_host[slot.agent.host]
@@ -171,6 +176,8 @@
             case SlotDenied() as answer:
                 if answer.refused:
                     relayed.steps.append(f"no place in time at {len(agents)} agents")
+                else:
+                    relayed.steps.append(f"no answer of {len(agents)} agents in time")
                 return answer
 
     def _any_engine_too_slow(
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -150,7 +150,9 @@
         """Try endpoints until the request is answered or no attempt is left."""
         if not self.drain.can_finish(relayed, None):
             return self.give_up(relayed, "entry_stopping")
-        self.retry_budget.record_first_attempt(relayed.service, time.monotonic())
+        now = time.monotonic()
+        self.retry_budget.record_first_attempt(relayed.service, now)
+        self.placer.floor.record_arrival(relayed.service, relayed.rank, now)
         # A retry was spent that has reached no endpoint yet.
         is_prepaid = False
         while True:
@@ -184,6 +186,10 @@
                     ):
                         return self.give_up(relayed, "retry_budget_spent")
                     is_prepaid = True
+                if relayed.first_sent_at is None:
+                    self.placer.floor.record_served(
+                        relayed.service, relayed.rank, time.monotonic()
+                    )
                 outcome = await self.attempts.attempt(
                     connection, request, relayed, placement.endpoint
                 )
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -99,6 +99,8 @@
     ``wait_s`` is how long the request may wait for a slot. ``late`` is true when the
     request has passed its service level objective. ``slots`` is the configured capacity
     of the engine, and ``asked`` the number of agents asked for this request.
+    ``below_floor`` is true when requests of this rank are served less often than their
+    floor allows, so that this one goes before all ranks.
     """
 
     request: str
@@ -111,6 +113,7 @@
     output_tokens: int
     slots: int
     asked: int
+    below_floor: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/slot_fleet_model.py
+++ b/tests/slot_fleet_model.py
@@ -19,6 +19,7 @@
     choose_engines,
 )
 from acaciarelay.coordination.engine_model import EngineSpeed
+from acaciarelay.coordination.rank_floor import RankFloor
 from acaciarelay.coordination.slot_queue import SlotQueue, SlotRequestState
 from acaciarelay.protocol.link_messages import SlotRequest
 
@@ -57,6 +58,7 @@
     name: str
     load: Load
     open_at: set[int]
+    below_floor: bool = False
     granted: bool = False
     ended: bool = False
 
@@ -72,6 +74,7 @@
         for queue in self.queues:
             queue.slot_limit = slots + EXTRA_SLOTS
         self.published = [[0.0] * ranks for _ in range(engines)]
+        self.floor = RankFloor()
         self.requests: dict[str, _Request] = {}
         self.results = {rank: RankResult() for rank in range(ranks)}
         self.now = 0.0
@@ -111,13 +114,16 @@
             )
             for index, waits in enumerate(self.published)
         ]
+        self.floor.record_arrival("", load.rank, self.now)
+        below_floor = self.floor.is_below("", load.rank, self.now)
         answer = ExpectedAnswer(prompt_tokens=500, output_tokens=100, left_s=10.0)
         chosen = choose_engines(options, answer, self.rng)
-        if min(option.queue_s for option in chosen) > load.wait_s:
+        expected_s = min(option.queue_s for option in chosen)
+        if expected_s > load.wait_s and not below_floor:
             self.results[load.rank].refused += 1
             return
         hosts = [int(option.host) for option in chosen]
-        request = _Request(str(next(self._numbers)), load, set(hosts))
+        request = _Request(str(next(self._numbers)), load, set(hosts), below_floor)
         self.requests[request.name] = request
         for index in hosts:
             self.at(MESSAGE_S, lambda i=index: self.ask(i, request, len(hosts)))
@@ -138,6 +144,7 @@
             return
         request.granted = True
         self.results[request.load.rank].served += 1
+        self.floor.record_served("", request.load.rank, self.now)
         hold_s = self.rng.expovariate(1 / request.load.hold_s)
         self.at(hold_s, lambda: self.release(index, request))
         for other in request.open_at - {index}:
@@ -162,6 +169,7 @@
             output_tokens=100,
             slots=self.slots,
             asked=asked,
+            below_floor=request.below_floor,
         )
         queue = self.queues[index]
         queue.enqueue(self, slot_request, self.now)
