Add the types and interfaces of monitored rollouts

The decision code and its wiring are built side by side.

Endpoint has a field for the version of its software, empty by default.

--- /dev/null
+++ b/src/acaciarelay/coordination/rollout/share.py
@@ -0,0 +1,30 @@
+"""Limit of an entry's requests to a version that is on trial."""
+
+__all__ = ["ShareLimit"]
+
+# Fraction of the allowed share that an entry uses. The rest covers requests that are
+# counted as sent to the service but that its engines don't count as arrived.
+USED_SHARE = 0.9
+
+
+class ShareLimit:
+    """Allow the new version a share of the requests that this entry has sent.
+
+    The entry starts without credit, so the sum over all entries keeps to the share
+    whichever of them start, stop or are cut off, and without an exchange of counts.
+    """
+
+    def __init__(self, share: float) -> None:
+        self.used_share = share * USED_SHARE
+        self.sent = 0
+        self.sent_new = 0
+
+    def may_send_new(self) -> bool:
+        """Return whether the next request may go to the new version."""
+        return self.sent_new + 1 <= self.used_share * (self.sent + 1)
+
+    def record_sent(self, new: bool) -> None:
+        """Record a request, first attempt or repeat, that was sent to an endpoint."""
+        self.sent += 1
+        if new:
+            self.sent_new += 1
--- a/src/acaciarelay/state/endpoints.py
+++ b/src/acaciarelay/state/endpoints.py
@@ -18,7 +18,8 @@
     """Registration of an endpoint, as written by the endpoint itself.
 
     ``slots`` is the number of requests that it runs at once. ``started_ms`` is the Unix
-    time of its start in milliseconds, 0 if the registration has none.
+    time of its start in milliseconds, 0 if the registration has none. ``version`` is
+    that of its software, empty if the registration has none.
     """
 
     endpoint_id: str
@@ -28,6 +29,7 @@
     slots: int
     draining: bool
     started_ms: int
+    version: str = ""
 
     @property
     def host(self) -> str:
