Let the store's stand-in refuse foreign writes and perform writes late

Cause: the platform's store answers a write of tables op and servers with 403, tells all current rows in a 412, and may perform a call after its connection was lost; the stand-in did neither. Change: the 403, all rows of the conditions in a 412, and the fault late_writes_s.

--- a/src/acaciarelay_standins/platform_store.py
+++ b/src/acaciarelay_standins/platform_store.py
@@ -3,7 +3,8 @@
 Besides the calls of the platform it has:
 
 - ``POST /faults`` replaces all faults. See ``StoreFaults``.
-- ``POST /put`` writes a row as the operator or a runner does.
+- ``POST /put`` writes a row as the operator or a runner does; a value ``null``
+  removes it.
 - ``POST /compact`` compacts the history.
 - ``POST /restore`` goes back to an older copy. See ``RestorePoint``.
 - ``GET /calls`` returns the number of calls by path.
@@ -30,6 +31,8 @@
 
 MAX_FEED_WAIT_S = 30.0
 ERA_HEADER = "Store-Era"
+# Tables that only the operator and the runners write.
+FOREIGN_TABLES = ("op", "servers")
 FIRST_ERA = 1
 
 
@@ -41,8 +44,9 @@
     ``reset`` resets their connections. ``hosts`` limits these to callers at those
     hosts. ``slow_s`` delays each answer, in seconds, and ``transit_s`` each answer that
     is already complete. ``lose_answers`` is how many of the next writes take effect
-    without an answer. ``stale_versions`` answers ``/rows-get`` as of that many versions
-    ago.
+    without an answer, and ``late_writes_s`` how long after the loss of their connection
+    writes are performed, if their conditions hold then. ``stale_versions`` answers
+    ``/rows-get`` as of that many versions ago.
     """
 
     status: int = 0
@@ -52,6 +56,7 @@
     slow_s: float = 0.0
     transit_s: float = 0.0
     lose_answers: int = 0
+    late_writes_s: float = 0.0
     stale_versions: int = 0
 
 
@@ -250,7 +255,7 @@
             case "/rows-feed":
                 return await self.feed(query)
             case "/rows-tx":
-                return self.transact(orjson.loads(raw))
+                return self.transact_or_defer(orjson.loads(raw))
         return _Answer(self.era, 404, {})
 
     async def inject_fault(self, connection: InboundConnection) -> _Answer | None:
@@ -303,14 +308,29 @@
             except TimeoutError:
                 continue
 
+    def transact_or_defer(self, body: Any) -> _Answer:
+        """Apply a transaction, later and without an answer if the faults say so."""
+        for row in (*(body.get("writes") or ()), *(body.get("remove") or ())):
+            if row["table"] in FOREIGN_TABLES:
+                return _Answer(self.era, 403, {})
+        delay_s = self.faults.late_writes_s
+        if not delay_s:
+            return self.transact(body)
+        asyncio.get_running_loop().call_later(delay_s, self.transact, body)
+        return _Answer(self.era, lost=True)
+
     def transact(self, body: Any) -> _Answer:
         """Apply a transaction if all its expected versions hold."""
+        current = []
+        holds = True
         for condition in body.get("expectedRev") or ():
             rows = self.rows(condition["table"], condition["part"], self.version)
             found = rows.get(condition["key"])
-            if (found.version if found else 0) != condition["ver"]:
-                current = [_row(found)] if found else []
-                return self.answer_rows(412, current, self.version)
+            if found is not None:
+                current.append(_row(found))
+            holds &= (found.version if found else 0) == condition["ver"]
+        if not holds:
+            return self.answer_rows(412, current, self.version)
         writes = []
         for row in body.get("writes") or ():
             writes.append((row["table"], row["part"], row["key"], row["value"]))
