Add conditional writes and reads of one row to the store's client

Cause: rollouts write rows under conditions. Change: StoreClient.write with typed outcomes (written, condition failed, refused, unknown) and StoreClient.read_row; a page has the store's time.

--- a/src/acaciarelay/platform/store.py
+++ b/src/acaciarelay/platform/store.py
@@ -3,6 +3,8 @@
 import asyncio
 import base64
 import binascii
+from collections.abc import Sequence
+from typing import Any
 from urllib.parse import quote
 
 import attrs
@@ -19,13 +21,29 @@
     connect,
 )
 
-__all__ = ["HistoryCompacted", "RowPage", "StoreClient", "StoreError", "StoreRow"]
+__all__ = [
+    "ConditionFailed",
+    "HistoryCompacted",
+    "RowCondition",
+    "RowPage",
+    "RowWrite",
+    "RowsWritten",
+    "StoreClient",
+    "StoreError",
+    "StoreRow",
+    "WriteRefused",
+    "WriteUnknown",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 # The store sends pages of up to 1 MB of rows.
 MAX_ANSWER_BYTES = 8 * 1_048_576
 # All pages of a table that is read completely.
 MAX_TABLE_BYTES = 32 * 1_048_576
+# Statuses of a write with a defined meaning.
+WRITTEN_STATUS = 200
+CONDITION_FAILED_STATUS = 412
+UNAVAILABLE_STATUS = 503
 # Header with the era of the store's versions, in all answers of stores that have eras.
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 15
@@ -35,11 +53,13 @@
 class RowPage:
     """Rows of a table, and the store's newest version when they were read.
 
-    For a table read in several pages it is the lowest version of all pages.
+    For a table read in several pages it is the lowest version of all pages. ``now_ms``
+    is the store's time in the answer, 0 if it has none.
     """
 
     rows: list[StoreRow]
     version: StoreVersion
+    now_ms: int = 0
 
 
 @attrs.frozen
@@ -56,6 +76,52 @@
     era: int
 
 
+@attrs.frozen(kw_only=True)
+class RowCondition:
+    """Version that a row must have for a write; 0 if it must not exist."""
+
+    table: str
+    key: str
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class RowWrite:
+    """New value of a row; ``None`` removes it."""
+
+    table: str
+    key: str
+    value: bytes | None
+
+
+@attrs.frozen
+class RowsWritten:
+    """All rows were written, under one version."""
+
+    version: StoreVersion
+
+
+@attrs.frozen
+class ConditionFailed:
+    """Nothing was written; ``rows`` are current rows as far as the store tells them."""
+
+    rows: list[StoreRow]
+
+
+@attrs.frozen
+class WriteRefused:
+    """Nothing was written, and nothing will be."""
+
+    detail: str
+
+
+@attrs.frozen
+class WriteUnknown:
+    """The write may have been performed, or may be performed later."""
+
+    detail: str
+
+
 @attrs.frozen
 class _Answer:
     status: int
@@ -76,6 +142,8 @@
         self.loop_budget = loop_budget
         self.era = era
         self._connection: EndpointConnection | None = None
+        # Whether the call on its way was sent, wholly or in part.
+        self._sent = False
         self._lock = asyncio.Lock()
 
     async def read_table(
@@ -141,10 +209,55 @@
             case Ok(_Answer(status=status)):
                 return Err(StoreError(f"the store answered {status}"))
 
+    async def read_row(
+        self, table: str, key: str, timeout_s: float
+    ) -> Result[RowPage, StoreError]:
+        """Read one row; the page has no row if it does not exist."""
+        path = f"/rows-get?table={quote(table)}&part=&limit=1"
+        path += f"&from={quote(key, safe='')}"
+        match await self._call("GET", path, b"", timeout_s):
+            case Err(error):
+                return Err(error)
+            case Ok(_Answer(status=200) as answer):
+                page, _ = _decode_page(answer)
+            case Ok(_Answer(status=status)):
+                return Err(StoreError(f"the store answered {status}"))
+        if page is None:
+            return Err(StoreError("the store's answer is unreadable"))
+        rows = [row for row in page.rows if row.key == key]
+        return Ok(attrs.evolve(page, rows=rows))
+
+    async def write(
+        self,
+        conditions: Sequence[RowCondition],
+        writes: Sequence[RowWrite],
+        timeout_s: float,
+    ) -> Result[RowsWritten, ConditionFailed | WriteRefused | WriteUnknown]:
+        """Write and remove rows in one transaction if all conditions hold."""
+        body = _encode_transaction(conditions, writes)
+        match await self._call("POST", "/rows-tx", body, timeout_s):
+            case Err(StoreError(detail=detail)):
+                return Err(WriteUnknown(detail) if self._sent else WriteRefused(detail))
+            case Ok(_Answer(status=status) as answer):
+                pass
+        if status == WRITTEN_STATUS:
+            version = _decode_written(answer)
+            if version is None:
+                return Err(WriteUnknown("the store's answer is unreadable"))
+            return Ok(RowsWritten(version))
+        if status == CONDITION_FAILED_STATUS:
+            page, _ = _decode_page(answer)
+            return Err(ConditionFailed(page.rows if page is not None else []))
+        detail = f"the store answered {status}"
+        if status == UNAVAILABLE_STATUS or 400 <= status < 500:
+            return Err(WriteRefused(detail))
+        return Err(WriteUnknown(detail))
+
     async def _call(
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> Result[_Answer, StoreError]:
         async with self._lock:
+            self._sent = False
             try:
                 async with asyncio.timeout(timeout_s):
                     return await self._exchange(method, path, body)
@@ -169,6 +282,7 @@
                     self._connection = connection
         assert connection is not None
         headers = [("Host", self.address), ("content-length", str(len(body)))]
+        self._sent = True
         connection.send(method, path, headers, body)
         status = 0
         era = self.era
@@ -212,11 +326,44 @@
         raw = orjson.loads(answer.body)
         rows = [_decode_row(item, answer.era) for item in raw["rows"]]
         version = StoreVersion(answer.era, int(raw["ver"]))
-        return RowPage(rows=rows, version=version), bool(raw.get("hasMore"))
+        now_ms = int(raw.get("nowMs", 0))
+        page = RowPage(rows=rows, version=version, now_ms=now_ms)
+        return page, bool(raw.get("hasMore"))
     except (ValueError, KeyError, TypeError, OverflowError, binascii.Error):
         return None, False
 
 
+def _encode_transaction(
+    conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
+) -> bytes:
+    expected = []
+    for item in conditions:
+        expected.append(_row_id(item.table, item.key) | {"ver": item.version})
+    written = []
+    removed = []
+    for row in writes:
+        row_id = _row_id(row.table, row.key)
+        if row.value is None:
+            removed.append(row_id)
+            continue
+        written.append(row_id | {"value": base64.b64encode(row.value).decode()})
+    return orjson.dumps({"expectedRev": expected, "writes": written, "remove": removed})
+
+
+def _row_id(table: str, key: str) -> dict[str, Any]:
+    return {"table": table, "part": "", "key": key}
+
+
+def _decode_written(answer: _Answer) -> StoreVersion | None:
+    try:
+        number = orjson.loads(answer.body)["ver"]
+    except (ValueError, KeyError, TypeError):
+        return None
+    if type(number) is not int or number <= 0:
+        return None
+    return StoreVersion(answer.era, number)
+
+
 def _decode_row(raw: dict, era: int) -> StoreRow:
     # The store marks a removed row with "compacted".
     removed = bool(raw.get("compacted")) or raw.get("value") is None
