Add the messages of monitored rollouts to the links between entries

Cause: the coordinator of an order needs the counts of all entries, and they its permission. The messages about crashes move to a module of their own, unchanged. Tested: test_rollout_messages.py and test_link_messages.py pass.

--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -14,13 +14,17 @@
 import cattrs
 import orjson
 
-from acaciarelay.coordination.prompt_parts import PromptParts, part_name
-from acaciarelay.protocol.prompt_codec import (
-    decode_parts,
-    decode_prompts,
-    encode_parts,
-    encode_prompts,
+from acaciarelay.coordination.prompt_parts import PromptParts
+from acaciarelay.protocol.crash_messages import (
+    BrokenRun,
+    CrashRecord,
+    CrashReport,
+    decode_crash,
+    encode_benign,
+    encode_crash,
 )
+from acaciarelay.protocol.prompt_codec import decode_parts, encode_parts
+from acaciarelay.protocol.rollout_messages import RolloutCounts, RolloutPermission
 
 __all__ = [
     "BrokenRun",
@@ -37,6 +41,8 @@
     "PeerRows",
     "PeerStatus",
     "Ping",
+    "RolloutCounts",
+    "RolloutPermission",
     "ZoneUsage",
     "SlotGrant",
     "SlotRefusal",
@@ -60,7 +66,8 @@
     ``TableVersions``, ``orders_eras`` when it understands the store's eras, and
     ``digests_parts`` when it understands ``BrokenRun`` and ``CrashReport``.
     ``reports_crashes`` is true when it understands an earlier form of these, which no
-    current process sends.
+    current process sends. ``rolls_out`` is true when it takes part in monitored
+    rollouts and understands ``RolloutCounts`` and ``RolloutPermission``.
     """
 
     name: str
@@ -71,6 +78,7 @@
     reports_crashes: bool = False
     orders_eras: bool = False
     digests_parts: bool = False
+    rolls_out: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -266,42 +274,6 @@
     held: dict[str, int] = attrs.Factory(dict)
 
 
-@attrs.frozen(kw_only=True)
-class BrokenRun:
-    """Tells an agent that its engine broke off a run before the answer began.
-
-    ``engine`` identifies the incarnation of the engine, and ``parts`` are the shared
-    parts of the prompt.
-    """
-
-    engine: str
-    parts: PromptParts
-
-
-@attrs.frozen(kw_only=True)
-class CrashRecord:
-    """Crash of an incarnation of an engine, ``age_s`` seconds ago.
-
-    ``prompts`` holds the shared parts of each prompt whose answer the engine had not
-    begun.
-    """
-
-    engine: str
-    age_s: float
-    prompts: frozenset[PromptParts]
-
-
-@attrs.frozen(kw_only=True)
-class CrashReport:
-    """Tells entries of crashes, and when parts of prompts were last answered.
-
-    ``benign_s`` holds by the digest of a part the seconds since then.
-    """
-
-    crashes: list[CrashRecord]
-    benign_s: dict[int, float]
-
-
 LinkMessage = (
     Hello
     | Heartbeat
@@ -318,6 +290,8 @@
     | ZoneUsage
     | BrokenRun
     | CrashReport
+    | RolloutCounts
+    | RolloutPermission
 )
 
 _KINDS: dict[str, Any] = {
@@ -336,6 +310,8 @@
     "zone": ZoneUsage,
     "broken": BrokenRun,
     "crash": CrashReport,
+    "counts": RolloutCounts,
+    "permission": RolloutPermission,
 }
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 _FIELDS = {
@@ -358,14 +334,7 @@
     lambda value, _: {int(name, 16): float(number) for name, number in value.items()},
 )
 _CONVERTER.register_structure_hook(PromptParts, lambda text, _: decode_parts(text))
-_CONVERTER.register_structure_hook(
-    CrashRecord,
-    lambda values, _: CrashRecord(
-        engine=str(values[0]),
-        age_s=float(values[1]),
-        prompts=decode_prompts(values[2], values[3]),
-    ),
-)
+_CONVERTER.register_structure_hook(CrashRecord, lambda values, _: decode_crash(values))
 _USAGE_FIELDS = [field.name for field in attrs.fields(EntryUsage)]
 _CONVERTER.register_structure_hook(
     EntryUsage,
@@ -380,21 +349,17 @@
     if isinstance(part, PromptParts):
         return encode_parts(part)
     if isinstance(part, CrashRecord):
-        return [part.engine, part.age_s, *encode_prompts(part.prompts)]
+        return encode_crash(part)
     assert isinstance(part, PeerRow)
     return attrs.asdict(part)
 
 
-def _by_name(values: dict[int, float]) -> dict[str, float]:
-    return {part_name(digest): value for digest, value in values.items()}
-
-
 def encode_message(message: LinkMessage) -> bytes:
     """Encode a message as a line, with its line feed."""
     kind = type(message)
     values = [getattr(message, name) for name in _FIELDS[kind]]
     if isinstance(message, CrashReport):
-        values = [message.crashes, _by_name(message.benign_s)]
+        values = [message.crashes, encode_benign(message.benign_s)]
     return orjson.dumps([_NAMES[kind], *values], default=_encode_part) + b"\n"
 
 
--- a/tests/unit/platform_path/test_link_messages.py
+++ b/tests/unit/platform_path/test_link_messages.py
@@ -13,6 +13,8 @@
     PeerRows,
     PeerStatus,
     Ping,
+    RolloutCounts,
+    RolloutPermission,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
@@ -72,6 +74,26 @@
             )
         ],
     ),
+    RolloutCounts(
+        service="orders",
+        era=1,
+        order=7,
+        number=3,
+        epoch=2,
+        phase=1,
+        old_running=4,
+        old={"read": [120, 1, [[20, 118], [31, 1]], [[3, 2]]]},
+        new={},
+    ),
+    RolloutPermission(
+        service="orders",
+        era=1,
+        order=7,
+        epoch=2,
+        phase=3,
+        state="rolled_back",
+        age_s=4.25,
+    ),
 ]
 
 
