--- a/src/acaciarelay/platform/endpoints.py
+++ b/src/acaciarelay/platform/endpoints.py
@@ -14,6 +14,7 @@
 
 MAX_PORT = 65_535
 MAX_SLOTS = 65_536
+MAX_VERSION = 256
 # A larger number is not exact in all JSON libraries.
 MAX_EXACT_NUMBER = 2**53
 DRAINING_BY_STATE = {"ready": False, "draining": True}
@@ -49,6 +50,7 @@
             slots=_whole(raw["slots"], 1, MAX_SLOTS),
             draining=DRAINING_BY_STATE[_text(raw["state"])],
             started_ms=_whole(raw.get("born", 0), 0, MAX_EXACT_NUMBER),
+            version=_version(raw.get("version")),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise FormatError(f"unreadable registration: {error!r}") from error
@@ -76,6 +78,13 @@
     return value
 
 
+def _version(value: Any) -> str:
+    """Return the version of an endpoint's software, empty if it is unreadable."""
+    if not isinstance(value, str) or len(value) > MAX_VERSION:
+        return ""
+    return value
+
+
 def _whole(value: Any, least: int, most: int) -> int:
     """Return a whole number within bounds; raises ``ValueError``."""
     if type(value) is not int or not least <= value <= most:
