--- a/src/acaciarelay_standins/platform_store.py
+++ b/src/acaciarelay_standins/platform_store.py
@@ -3,8 +3,7 @@
 Besides the calls of the platform it has:
 
 - ``POST /faults`` replaces all faults. See ``StoreFaults``.
-- ``POST /put`` writes a row as the operator or a runner does; a value ``null``
-  removes it.
+- ``POST /put`` writes a row as the operator or a runner does; ``null`` removes it.
 - ``POST /compact`` compacts the history.
 - ``POST /restore`` goes back to an older copy. See ``RestorePoint``.
 - ``GET /calls`` returns the number of calls by path.
