--- a/src/acaciarelay/coordination/rollout/answer_counts.py
+++ b/src/acaciarelay/coordination/rollout/answer_counts.py
@@ -1,32 +1,123 @@
 """Answers of both versions as counted by one entry."""
 
-from acaciarelay.state.rollout import EntryCounts, Phase, RolloutOrder
+import collections
+
+import attrs
+
+from acaciarelay.state.rollout import (
+    OTHER_ROUTES,
+    BucketCounts,
+    EntryCounts,
+    Phase,
+    RolloutOrder,
+    RouteCounts,
+    VersionCounts,
+    time_bucket,
+)
 
 __all__ = ["AnswerCounts"]
 
+# Routes that are counted by themselves; the answers of all others are counted together.
+MAX_ROUTES = 16
+
+
+@attrs.define(eq=False)
+class _Route:
+    requests: int = 0
+    failures: int = 0
+    times: dict[int, int] = attrs.Factory(lambda: collections.defaultdict(int))
+
+
+@attrs.frozen
+class _Running:
+    route: str
+    new: bool
+    since: float
+    work: float
+
 
 class AnswerCounts:
     """Count this entry's requests and answers since it learned of an order."""
 
     def __init__(self, order: RolloutOrder, entry: str, lifetime: str) -> None:
-        raise NotImplementedError
+        self.order = order
+        self.entry = entry
+        self.lifetime = lifetime
+        self.number = 0
+        self.names: set[str] = set()
+        # By whether the version is the new one.
+        self.routes: dict[bool, dict[str, _Route]] = {False: {}, True: {}}
+        self.running: dict[int, _Running] = {}
 
-    def begin(self, key: int, route: str, new: bool, now: float) -> None:
-        """Record that a request was sent to an engine; ``key`` names the attempt."""
-        raise NotImplementedError
-
-    def end(self, key: int, failed: bool, now: float, work: float = 1.0) -> None:
-        """Record the end of an answer.
+    def begin(
+        self, key: int, route: str, new: bool, now: float, work: float = 1.0
+    ) -> None:
+        """Record that a request was sent to an engine; ``key`` names the attempt.
 
         Its time is divided by ``work``, the expected time of such a request relative to
         others of its route. Answers that vary less are told apart sooner.
         """
-        raise NotImplementedError
+        if route not in self.names:
+            if len(self.names) < MAX_ROUTES:
+                self.names.add(route)
+            else:
+                route = OTHER_ROUTES
+        work = work if 1e-3 < work < 1e3 else 1.0
+        self.running[key] = _Running(route, new, now, work)
+
+    def end(self, key: int, failed: bool, now: float) -> None:
+        """Record the end of an answer, whole or not."""
+        running = self.running.pop(key, None)
+        if running is None:
+            return
+        route = self.routes[running.new].setdefault(running.route, _Route())
+        route.requests += 1
+        if failed:
+            route.failures += 1
+            return
+        route.times[time_bucket((now - running.since) / running.work)] += 1
 
     def forget(self, key: int) -> None:
         """Leave out an attempt that says nothing, as when its caller has left."""
-        raise NotImplementedError
+        self.running.pop(key, None)
 
     def report(self, epoch: int, phase: Phase, now: float) -> EntryCounts:
         """Return the counts so far."""
-        raise NotImplementedError
+        self.number += 1
+        ages: dict[bool, dict[str, dict[int, int]]] = {False: {}, True: {}}
+        old_running = 0
+        for running in self.running.values():
+            by_bucket = ages[running.new].setdefault(running.route, {})
+            bucket = time_bucket((now - running.since) / running.work)
+            by_bucket[bucket] = by_bucket.get(bucket, 0) + 1
+            old_running += not running.new
+        return EntryCounts(
+            entry=self.entry,
+            lifetime=self.lifetime,
+            order=self.order.revision,
+            number=self.number,
+            epoch=epoch,
+            phase=phase,
+            old_running=old_running,
+            old=_version_counts(self.routes[False], ages[False]),
+            new=_version_counts(self.routes[True], ages[True]),
+        )
+
+
+def _version_counts(
+    routes: dict[str, _Route], ages: dict[str, dict[int, int]]
+) -> VersionCounts:
+    counts = {}
+    for name in routes.keys() | ages.keys():
+        route = routes.get(name) or _Route()
+        counts[name] = RouteCounts(
+            requests=route.requests,
+            failures=route.failures,
+            times=_bucket_counts(route.times),
+            running=_bucket_counts(ages.get(name, {})),
+        )
+    return counts
+
+
+def _bucket_counts(counts: dict[int, int]) -> BucketCounts:
+    return tuple(sorted(counts.items()))
--- /dev/null
+++ b/src/acaciarelay/coordination/rollout/answer_log.py
@@ -0,0 +1,244 @@
+"""Answers of both versions over all entries, grouped for their comparison."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from acaciarelay.coordination.rollout.strata import Stratum, Totals
+from acaciarelay.state.rollout import (
+    OTHER_ROUTES,
+    TIME_BUCKETS,
+    EntryCounts,
+    LifetimeCounts,
+    Phase,
+    RouteCounts,
+    VersionCounts,
+)
+
+__all__ = ["AnswerLog"]
+
+# Times of the new version are taken for this many buckets less, a factor of 1.41: a
+# version may be that much slower without being bad, or its few engines may be.
+MARGIN_BUCKETS = 2
+# A request counts as slow, and is no longer waited for, this many buckets above the old
+# version's median: at 4 times the median.
+SLOW_BUCKETS = 8
+# Answers of the old version from which on the median of a route is known.
+MIN_FOR_MEDIAN = 20
+# Bounds of what is kept: routes by name, and lifetimes of entries.
+MAX_ROUTES = 32
+MAX_LIFETIMES = 128
+
+
+@attrs.define(eq=False)
+class _Lifetime:
+    """What is known of one lifetime of an entry.
+
+    ``slow`` holds the number of requests that have counted as slow, by route and
+    version. ``restored`` are its totals from a coordinator's row, until it reports.
+    """
+
+    counts: EntryCounts | None = None
+    restored: LifetimeCounts | None = None
+    slow: dict[tuple[str, bool], int] = attrs.Factory(dict)
+
+
+class AnswerLog:
+    """Group cumulative counts by second and route.
+
+    What an entry has counted before its first report here is in ``before``, since it is
+    unknown in which seconds; what it has answered while all its requests went to the
+    new version is in ``full``, beside the old version's answers before.
+    """
+
+    def __init__(self) -> None:
+        self.before: dict[str, Stratum] = {}
+        self.full: dict[str, Stratum] = {}
+        self.old_total = Totals()
+        self.new_total = Totals()
+        self._slice: dict[str, Stratum] = {}
+        self._lifetimes: dict[tuple[str, str], _Lifetime] = {}
+        self._slow_from: dict[str, int] = {}
+        self._names: set[str] = set()
+
+    def restore(self, counts: tuple[LifetimeCounts, ...]) -> None:
+        """Take the totals of lifetimes that have not reported here."""
+        for totals in counts:
+            lifetime = self._lifetime((totals.entry, totals.lifetime))
+            if lifetime is None or lifetime.counts is not None or lifetime.restored:
+                continue
+            lifetime.restored = totals
+            self._add_restored(totals, 1)
+
+    def _add_restored(self, totals: LifetimeCounts, sign: int) -> None:
+        stratum = self.before.setdefault(OTHER_ROUTES, Stratum())
+        for new, requests, failures in (
+            (False, totals.old_requests, totals.old_failures),
+            (True, totals.new_requests, totals.new_failures),
+        ):
+            stratum.add(new, sign * requests, sign * failures)
+            total = self.new_total if new else self.old_total
+            total.add(sign * requests, sign * failures)
+
+    def totals(self) -> tuple[LifetimeCounts, ...]:
+        """Return the totals by lifetime."""
+        totals = []
+        for (entry, name), lifetime in self._lifetimes.items():
+            if lifetime.counts is None:
+                if lifetime.restored is not None:
+                    totals.append(lifetime.restored)
+                continue
+            old, new = lifetime.counts.old.values(), lifetime.counts.new.values()
+            totals.append(
+                LifetimeCounts(
+                    entry=entry,
+                    lifetime=name,
+                    old_requests=sum(route.requests for route in old),
+                    old_failures=sum(route.failures for route in old),
+                    new_requests=sum(route.requests for route in new),
+                    new_failures=sum(route.failures for route in new),
+                )
+            )
+        return tuple(totals)
+
+    def reports(self) -> list[EntryCounts]:
+        """Return the last counts of each lifetime."""
+        return [
+            lifetime.counts
+            for lifetime in self._lifetimes.values()
+            if lifetime.counts is not None
+        ]
+
+    def add(self, counts: EntryCounts) -> None:
+        """Take the counts of an entry; ignores those that are not newer."""
+        lifetime = self._lifetime((counts.entry, counts.lifetime))
+        if lifetime is None:
+            return
+        last = lifetime.counts
+        if last is not None and counts.number <= last.number:
+            return
+        if lifetime.restored is not None:
+            self._add_restored(lifetime.restored, -1)
+            lifetime.restored = None
+        for new in (False, True):
+            last_routes = _routes(last, new)
+            for route, now in _routes(counts, new).items():
+                before = last_routes.get(route, RouteCounts())
+                self._add_route(lifetime, last, route, new, before, now)
+        lifetime.counts = counts
+
+    def _lifetime(self, key: tuple[str, str]) -> _Lifetime | None:
+        lifetime = self._lifetimes.get(key)
+        if lifetime is None and len(self._lifetimes) < MAX_LIFETIMES:
+            lifetime = self._lifetimes[key] = _Lifetime()
+        return lifetime
+
+    def _add_route(
+        self,
+        lifetime: _Lifetime,
+        last: EntryCounts | None,
+        route: str,
+        new: bool,
+        before: RouteCounts,
+        now: RouteCounts,
+    ) -> None:
+        requests = max(0, now.requests - before.requests)
+        failures = min(requests, max(0, now.failures - before.failures))
+        (self.new_total if new else self.old_total).add(requests, failures)
+        name = self._name(route)
+        under_full = last is not None and last.phase is Phase.FULL
+        if new == under_full:
+            # The full traffic is compared with the old version's answers before it.
+            self.full.setdefault(name, Stratum()).add(new, requests, failures)
+        if under_full:
+            return
+        group = self.before if last is None else self._slice
+        stratum = group.setdefault(name, Stratum())
+        stratum.add(new, requests, failures)
+        self._add_times(lifetime, stratum, name, route, new, before, now)
+
+    def _add_times(
+        self,
+        lifetime: _Lifetime,
+        stratum: Stratum,
+        name: str,
+        route: str,
+        new: bool,
+        before: RouteCounts,
+        now: RouteCounts,
+    ) -> None:
+        """Add the times of answers, and the requests that have become slow.
+
+        A slow request counts once, when it becomes slow, and not when it ends.
+        """
+        margin = MARGIN_BUCKETS if new else 0
+        slow_from = self._slow_from.get(name, TIME_BUCKETS)
+        times = stratum.times(new)
+        earlier = dict(before.times)
+        for bucket, count in now.times:
+            added = count - earlier.get(bucket, 0)
+            if added > 0 and bucket - margin < slow_from:
+                times[max(0, bucket - margin)] += added
+        if slow_from == TIME_BUCKETS:
+            return
+        key = (route, new)
+        if key not in lifetime.slow:
+            lifetime.slow[key] = _count_from(before.times, slow_from + margin)
+        slow = _count_from(now.times, slow_from + margin)
+        slow += _count_from(now.running, slow_from + margin)
+        added = slow - lifetime.slow[key]
+        if added > 0:
+            times[slow_from] += added
+            lifetime.slow[key] = slow
+
+    @property
+    def route_count(self) -> int:
+        return max(1, len(self._names))
+
+    def _name(self, route: str) -> str:
+        if route not in self._names:
+            if len(self._names) >= MAX_ROUTES:
+                return OTHER_ROUTES
+            self._names.add(route)
+        return route
+
+    def take_slice(self) -> dict[str, Stratum]:
+        """Return and forget the answers of the second that ends."""
+        taken = self._slice
+        self._slice = {}
+        for name, stratum in taken.items():
+            if name not in self._slow_from:
+                self._find_median(name, stratum)
+        return taken
+
+    def _find_median(self, name: str, stratum: Stratum) -> None:
+        """Set from when on requests of a route are slow, if its median is known.
+
+        Until then, the answers wait for the next second.
+        """
+        total = sum(stratum.old_times.values())
+        if total < MIN_FOR_MEDIAN:
+            held = self._slice.setdefault(name, Stratum())
+            held.old_times, stratum.old_times = stratum.old_times, held.old_times
+            held.new_times, stratum.new_times = stratum.new_times, held.new_times
+            return
+        below = 0
+        for bucket in sorted(stratum.old_times):
+            below += stratum.old_times[bucket]
+            if 2 * below >= total:
+                slow_from = min(TIME_BUCKETS - 1, bucket + SLOW_BUCKETS)
+                break
+        self._slow_from[name] = slow_from
+        for times in (stratum.old_times, stratum.new_times):
+            for bucket in [bucket for bucket in times if bucket > slow_from]:
+                times[slow_from] += times.pop(bucket)
+
+
+def _routes(counts: EntryCounts | None, new: bool) -> VersionCounts:
+    if counts is None:
+        return {}
+    return counts.new if new else counts.old
+
+
+def _count_from(counts: Iterable[tuple[int, int]], first: int) -> int:
+    return sum(count for bucket, count in counts if bucket >= first)
--- a/src/acaciarelay/coordination/rollout/coordinator.py
+++ b/src/acaciarelay/coordination/rollout/coordinator.py
@@ -1,12 +1,52 @@
 """Coordinator of a rollout: lease, phases and end of an order."""
 
+import math
 from collections.abc import Iterable
 
-from acaciarelay.coordination.rollout.steps import Action, Event
-from acaciarelay.state.rollout import RolloutOrder, RolloutState, Verdict
+from acaciarelay.coordination.placement.rendezvous import choose_subset
+from acaciarelay.coordination.rollout.comparison import VersionComparison
+from acaciarelay.coordination.rollout.lease import LEASE_S, RowLease
+from acaciarelay.coordination.rollout.plan import RolloutPlan
+from acaciarelay.coordination.rollout.steps import (
+    Action,
+    CountsReceived,
+    EndConfirmed,
+    EnginesSeen,
+    EntriesSeen,
+    EpochHeard,
+    Event,
+    OrderReplaced,
+    ReadRows,
+    Remark,
+    RowsRead,
+    SendPermission,
+    Tick,
+    WriteEnded,
+)
+from acaciarelay.state.rollout import Phase, RolloutOrder, RolloutState, Verdict
 
 __all__ = ["RolloutCoordinator", "counts_receivers"]
 
+# Interval of the renewals of the lease.
+RENEW_INTERVAL_S = 1.0
+# Intervals of the reads of both rows: while another entry coordinates, and while the
+# outcome of a write is unknown.
+WATCH_INTERVAL_S = 0.5
+SETTLE_INTERVAL_S = 0.2
+# Interval of the permissions while they don't change.
+PERMISSION_INTERVAL_S = 0.5
+# Difference between the times at which entries claim, in the order of their ranks, so
+# that few of them try at once.
+CLAIM_STAGGER_S = 0.2
+MAX_CLAIM_DELAY_S = 2.0
+
+
+def _ranked(order: RolloutOrder, entries: Iterable[str]) -> list[str]:
+    """Return the entries in the order in which they are to coordinate an order."""
+    names = sorted(set(entries))
+    key = f"{order.service}/{order.revision.era}/{order.revision.number}"
+    return choose_subset(key, names, len(names))
+
 
 def counts_receivers(
     order: RolloutOrder, entries: Iterable[str], coordinator: str
@@ -16,7 +56,10 @@
     ``coordinator`` is the address of the one that sent the last permission; empty if
     none has.
     """
-    raise NotImplementedError
+    ranked = _ranked(order, entries)
+    receivers = [coordinator] if coordinator else ranked[:1]
+    deputies = [entry for entry in ranked if entry not in receivers]
+    return receivers + deputies[:1]
 
 
 class RolloutCoordinator:
@@ -34,18 +77,180 @@
         now: float,
         ended: RolloutState = RolloutState.RUNNING,
     ) -> None:
-        raise NotImplementedError
+        self.order = order
+        self.entry = entry
+        self.first_seen = now
+        self.lease = RowLease(order=order, holder=f"{entry}/{lifetime}")
+        self.plan = RolloutPlan(order, now, VersionComparison(order.duration_s))
+        self.known_end = ended
+        # The rows hold the end, or the order was replaced.
+        self.done = False
+        self._acting = False
+        self._read_asked_at = -math.inf
+        self._sent: tuple[int, Phase] | None = None
+        self._sent_at = -math.inf
 
     @property
     def is_coordinator(self) -> bool:
         """Whether this entry holds the lease, as far as it knows."""
-        raise NotImplementedError
+        return self._acting and not self.done
 
     @property
     def verdict(self) -> Verdict:
         """Finding about the new version so far."""
-        raise NotImplementedError
+        return self.plan.verdict
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take an event and return the actions that follow from it."""
-        raise NotImplementedError
+        if self.done:
+            return []
+        actions: list[Action] = []
+        fresh = False
+        match event:
+            case Tick():
+                pass
+            case RowsRead():
+                fresh = self.lease.read(event, now)
+                if fresh:
+                    self._follow_age(event)
+            case WriteEnded():
+                self.lease.write_ended(event, now)
+            case CountsReceived(counts):
+                if counts.order == self.order.revision:
+                    self.plan.comparison.observe(counts, now)
+            case EnginesSeen(old=old, new=new):
+                self.plan.set_engines(old, new)
+            case EntriesSeen(entries):
+                self.plan.entries = entries
+            case EpochHeard(epoch):
+                self.lease.max_epoch = max(self.lease.max_epoch, epoch)
+                if self.lease.epoch and epoch > self.lease.epoch:
+                    self.lease.release()
+        if self._is_over(actions):
+            return actions
+        self._update_term(actions, now)
+        if self.is_coordinator:
+            self._coordinate(actions, now)
+        elif fresh:
+            self._claim_if_due(actions, now)
+        self._read_if_due(actions, now)
+        return actions
+
+    def _follow_age(self, rows: RowsRead) -> None:
+        """Take the time at which the order was first seen from the row."""
+        row = self.lease.own_row
+        if row is not None and 0 < row.since_ms <= rows.now_ms:
+            age_s = (rows.now_ms - row.since_ms) / 1000.0
+            self.plan.began_at = min(self.plan.began_at, rows.read_at - age_s)
+
+    def _is_over(self, actions: list[Action]) -> bool:
+        """Stop when the rows hold the end of this order, or are of a later one."""
+        state = self.lease.ended
+        rows = self.lease.rows
+        if state.is_end:
+            self.done = True
+            actions.append(EndConfirmed(state))
+            if self._acting:
+                actions.append(self._permission(Phase.ENDED, state, self.first_seen))
+            return True
+        row = rows.coordinator if rows is not None else None
+        if row is not None and row.order > self.order.revision:
+            self.done = True
+            actions.append(OrderReplaced())
+        return self.done
+
+    def _update_term(self, actions: list[Action], now: float) -> None:
+        """Begin or end the term as coordinator with the lease."""
+        lease = self.lease
+        if lease.epoch and not lease.is_valid(now):
+            lease.release()
+        holds = lease.epoch > 0
+        if holds and not self._acting:
+            row = lease.own_row
+            assert row is not None
+            self.plan.comparison.restore(row.counts)
+            self.plan.begin()
+            actions.append(Remark("rollout_coordinated", f"epoch {lease.epoch}"))
+        if self._acting and not holds:
+            actions.append(Remark("rollout_coordination_lost", "lease ended"))
+        self._acting = holds
+
+    def _claim_if_due(self, actions: list[Action], now: float) -> None:
+        """Claim the lease if nobody holds it, as of rows that were just read."""
+        lease = self.lease
+        rows = lease.rows
+        if lease.pending is not None or rows is None:
+            return
+        row = lease.own_row
+        if row is None:
+            waited_s = rows.read_at - self.first_seen - self._claim_delay_s()
+        elif row.holder == lease.holder:
+            waited_s = 0.0
+        else:
+            delay_s = LEASE_S + self._claim_delay_s()
+            waited_s = rows.read_at - lease.unchanged_since - delay_s
+        if waited_s < 0.0:
+            return
+        if row is not None and row.phase is Phase.FULL:
+            self.plan.inherited_full = True
+        if not self.order.has_duration:
+            reason = "the order has no usable duration"
+            self.plan.finish(RolloutState.ROLLED_BACK, reason)
+        state = self.known_end if self.known_end.is_end else self.plan.end
+        if state is RolloutState.SUCCEEDED and not self.known_end.is_end:
+            # Decided in an earlier term; it is judged anew in the next one.
+            state = RolloutState.RUNNING
+        if state.is_end:
+            actions.append(Remark(f"rollout_{state}", self._end_reason()))
+        age_ms = int(self.plan.age_s(now) * 1000.0)
+        write = lease.claim(now, state, Phase.NONE, rows.now_ms - age_ms)
+        actions.append(write)
+
+    def _claim_delay_s(self) -> float:
+        ranked = _ranked(self.order, (*self.plan.entries, self.entry))
+        return min(MAX_CLAIM_DELAY_S, CLAIM_STAGGER_S * ranked.index(self.entry))
+
+    def _end_reason(self) -> str:
+        return self.plan.reason or "end state seen before"
+
+    def _coordinate(self, actions: list[Action], now: float) -> None:
+        """Permit what is due, and renew the lease or write the end."""
+        lease, plan = self.lease, self.plan
+        before = plan.end
+        plan.advance(now, lease.epoch)
+        if plan.end is not before:
+            actions.append(Remark(f"rollout_{plan.end}", plan.reason))
+        sent = (lease.epoch, plan.phase)
+        if sent != self._sent or now - self._sent_at >= PERMISSION_INTERVAL_S:
+            self._sent, self._sent_at = sent, now
+            actions.append(self._permission(plan.phase, RolloutState.RUNNING, now))
+        if lease.pending is not None or lease.needs_read:
+            return
+        if (
+            plan.end.is_end
+            or plan.phase is not lease.written_phase
+            or now - lease.renewed_at >= RENEW_INTERVAL_S
+        ):
+            counts = plan.comparison.totals()
+            actions.append(lease.renew(now, plan.end, plan.phase, counts))
+
+    def _permission(
+        self, phase: Phase, state: RolloutState, now: float
+    ) -> SendPermission:
+        return SendPermission(
+            epoch=self.lease.epoch,
+            phase=phase,
+            state=state,
+            age_s=max(0.0, self.plan.age_s(now)),
+        )
+
+    def _read_if_due(self, actions: list[Action], now: float) -> None:
+        lease = self.lease
+        if lease.pending is not None:
+            return
+        interval_s = SETTLE_INTERVAL_S if lease.needs_read else WATCH_INTERVAL_S
+        if self.is_coordinator and not lease.needs_read:
+            return
+        if now - self._read_asked_at >= interval_s:
+            self._read_asked_at = now
+            actions.append(ReadRows())
--- /dev/null
+++ b/src/acaciarelay/coordination/rollout/evidence.py
@@ -0,0 +1,125 @@
+"""Evidence that one version is worse than another, as e-values.
+
+An e-value is a statistic whose mean is at most 1 while both versions answer alike. The
+product of those of successive seconds exceeds 1 / error at any time with at most the
+probability ``error`` (Ville's inequality), so it may be looked at as often as wanted.
+
+All are conditional on what both versions together have answered: given that, each split
+of these answers between the versions is equally likely while they answer alike. A rise
+of failures or times at both is thus no evidence, however large it is.
+"""
+
+import math
+from collections.abc import Mapping
+
+__all__ = ["ChangeMixture", "log_failure_evidence", "log_time_evidence"]
+
+# Up to this number of answers of the new version, the mean of the tilted statistic is
+# exact. Beyond, it is that of a normal variable of the same variance.
+MAX_EXACT = 16
+# Values above this bound say no more than the bound.
+MAX_VALUE = 1e15
+
+
+def _log_choose(total: int, chosen: int) -> float:
+    return (
+        math.lgamma(total + 1)
+        - math.lgamma(chosen + 1)
+        - math.lgamma(total - chosen + 1)
+    )
+
+
+def log_failure_evidence(
+    old_requests: int,
+    old_failures: int,
+    new_requests: int,
+    new_failures: int,
+    odds: float,
+) -> float:
+    """Return the logarithm of the evidence that failures are ``odds`` times as likely.
+
+    It is the likelihood ratio of the number of failures at the new version, given the
+    number at both.
+    """
+    failures = old_failures + new_failures
+    if not failures or not old_requests or not new_requests:
+        return 0.0
+    others = old_requests + new_requests - failures
+    most = min(failures, new_requests)
+    log_odds = math.log(odds)
+    terms = []
+    for at_new in range(max(0, new_requests - others), most + 1):
+        terms.append(
+            _log_choose(failures, at_new)
+            + _log_choose(others, new_requests - at_new)
+            + at_new * log_odds
+        )
+    highest = max(terms)
+    log_sum = highest + math.log(sum(math.exp(term - highest) for term in terms))
+    total = _log_choose(old_requests + new_requests, new_requests)
+    return new_failures * log_odds - (log_sum - total)
+
+
+def log_time_evidence(
+    old: Mapping[int, int], new: Mapping[int, int], tilt: float
+) -> float:
+    """Return the logarithm of the evidence that the new version's times are longer.
+
+    ``old`` and ``new`` hold numbers of answers by bucket. The statistic is the sum of
+    the ranks of the new version's answers among those of both, scaled to -1 to 1 and
+    multiplied by ``tilt``.
+    """
+    old_total, new_total = sum(old.values()), sum(new.values())
+    if not old_total or not new_total:
+        return 0.0
+    total = old_total + new_total
+    ranks: list[tuple[float, int]] = []
+    statistic = 0.0
+    below = 0
+    for bucket in sorted(old.keys() | new.keys()):
+        count = old.get(bucket, 0) + new.get(bucket, 0)
+        rank = tilt * ((2 * below + count) / total - 1.0)
+        ranks.append((rank, count))
+        statistic += rank * new.get(bucket, 0)
+        below += count
+    if new_total > MAX_EXACT:
+        # The ranks' mean is 0; the answers of one version are drawn without return.
+        variance = sum(count * rank * rank for rank, count in ranks) / max(1, total - 1)
+        return statistic - new_total * variance * (old_total / total) / 2.0
+    # Coefficients of the product of (1 + exp(rank) x) over all answers.
+    sums = [1.0] + [0.0] * new_total
+    for rank, count in ranks:
+        weight = math.exp(rank)
+        factors = [
+            math.comb(count, chosen) * weight**chosen
+            for chosen in range(min(count, new_total) + 1)
+        ]
+        for chosen in range(new_total, -1, -1):
+            sums[chosen] = sum(
+                factor * sums[chosen - index]
+                for index, factor in enumerate(factors[: chosen + 1])
+            )
+    return statistic - math.log(sums[new_total]) + _log_choose(total, new_total)
+
+
+class ChangeMixture:
+    """Evidence that a version has turned bad at one of several seconds.
+
+    Half of the weight is on the first second, the rest is spread over the others. The
+    mean stays at most 1, so no further correction for the number of seconds is due.
+    """
+
+    def __init__(self, steps: int) -> None:
+        self.step_weight = 0.5 / max(1, steps)
+        self.begun = 0.5
+        self.to_come = 0.5
+
+    @property
+    def value(self) -> float:
+        return self.begun + self.to_come
+
+    def multiply(self, evidence: float) -> None:
+        """Take the evidence of the next second."""
+        begins = min(self.step_weight, self.to_come)
+        self.to_come -= begins
+        self.begun = min(MAX_VALUE, (self.begun + begins) * evidence)
--- /dev/null
+++ b/src/acaciarelay/coordination/rollout/strata.py
@@ -0,0 +1,46 @@
+"""Answers of both versions that are compared with each other."""
+
+import collections
+
+import attrs
+
+__all__ = ["Stratum", "Totals"]
+
+
+def _buckets() -> dict[int, int]:
+    return collections.defaultdict(int)
+
+
+@attrs.define(eq=False)
+class Stratum:
+    """Answers of one route over the same time."""
+
+    old_requests: int = 0
+    old_failures: int = 0
+    new_requests: int = 0
+    new_failures: int = 0
+    old_times: dict[int, int] = attrs.Factory(_buckets)
+    new_times: dict[int, int] = attrs.Factory(_buckets)
+
+    def add(self, new: bool, requests: int, failures: int) -> None:
+        if new:
+            self.new_requests += requests
+            self.new_failures += failures
+        else:
+            self.old_requests += requests
+            self.old_failures += failures
+
+    def times(self, new: bool) -> dict[int, int]:
+        return self.new_times if new else self.old_times
+
+
+@attrs.define(eq=False)
+class Totals:
+    """Answers of one version over all routes."""
+
+    requests: int = 0
+    failures: int = 0
+
+    def add(self, requests: int, failures: int) -> None:
+        self.requests += requests
+        self.failures += failures
