Reserve a request's part of the share and hand a lease over at a stop

Cause: a request waits for its slot after its engine was chosen, so that others chose the new version on the same credit; and a coordinator that stops left the order without one for the whole lease. Change: ShareLimit.reserve and release; the event Stopping, on which the holder writes its row with a lease of 0 s, which others need not wait out.

--- a/src/acaciarelay/coordination/rollout/coordinator.py
+++ b/src/acaciarelay/coordination/rollout/coordinator.py
@@ -20,6 +20,7 @@
     Remark,
     RowsRead,
     SendPermission,
+    Stopping,
     Tick,
     WriteEnded,
 )
@@ -86,6 +87,9 @@
         # The rows hold the end, or the order was replaced.
         self.done = False
         self._acting = False
+        # This entry stops, and has written that others may take the lease.
+        self._stopping = False
+        self._handed_over = False
         self._read_asked_at = -math.inf
         self._sent: tuple[int, Phase] | None = None
         self._sent_at = -math.inf
@@ -126,6 +130,8 @@
                 self.lease.max_epoch = max(self.lease.max_epoch, epoch)
                 if self.lease.epoch and epoch > self.lease.epoch:
                     self.lease.release()
+            case Stopping():
+                self._stopping = True
         if self._is_over(actions):
             return actions
         self._update_term(actions, now)
@@ -162,7 +168,8 @@
     def _update_term(self, actions: list[Action], now: float) -> None:
         """Begin or end the term as coordinator with the lease."""
         lease = self.lease
-        if lease.epoch and not lease.is_valid(now):
+        handed_over = self._handed_over and lease.pending is None
+        if lease.epoch and (handed_over or not lease.is_valid(now)):
             lease.release()
         holds = lease.epoch > 0
         if holds and not self._acting:
@@ -179,7 +186,7 @@
         """Claim the lease if nobody holds it, as of rows that were just read."""
         lease = self.lease
         rows = lease.rows
-        if lease.pending is not None or rows is None:
+        if self._stopping or lease.pending is not None or rows is None:
             return
         row = lease.own_row
         if row is None:
@@ -187,7 +194,7 @@
         elif row.holder == lease.holder:
             waited_s = 0.0
         else:
-            delay_s = LEASE_S + self._claim_delay_s()
+            delay_s = min(LEASE_S, row.lease_s) + self._claim_delay_s()
             waited_s = rows.read_at - lease.unchanged_since - delay_s
         if waited_s < 0.0:
             return
@@ -226,6 +233,11 @@
             actions.append(self._permission(plan.phase, RolloutState.RUNNING, now))
         if lease.pending is not None or lease.needs_read:
             return
+        if self._stopping and not plan.end.is_end:
+            self._handed_over = True
+            counts = plan.comparison.totals()
+            actions.append(lease.hand_over(now, plan.phase, counts))
+            return
         if (
             plan.end.is_end
             or plan.phase is not lease.written_phase
--- a/src/acaciarelay/coordination/rollout/lease.py
+++ b/src/acaciarelay/coordination/rollout/lease.py
@@ -168,6 +168,15 @@
         )
         return self._write(row, state, now)
 
+    def hand_over(
+        self, now: float, phase: Phase, counts: tuple[LifetimeCounts, ...]
+    ) -> WriteRows:
+        """Return the write by which the holder lets others take the lease at once."""
+        former = self.own_row
+        assert former is not None
+        row = attrs.evolve(former, lease_s=0.0, phase=phase, counts=counts)
+        return self._write(row, RolloutState.RUNNING, now)
+
     def _write(self, row: CoordinatorRow, state: RolloutState, now: float) -> WriteRows:
         rows = self.rows
         assert rows is not None
--- a/src/acaciarelay/coordination/rollout/plan.py
+++ b/src/acaciarelay/coordination/rollout/plan.py
@@ -130,8 +130,8 @@
 
     def _old_are_idle(self, epoch: int) -> bool:
         """Return whether all entries report that they use no old engine any more."""
-        idle = set()
-        busy = set()
+        idle: set[str] = set()
+        busy: set[str] = set()
         for counts in self.comparison.log.reports():
             follows = counts.phase is Phase.FULL and counts.epoch == epoch
             (idle if follows and not counts.old_running else busy).add(counts.entry)
--- a/src/acaciarelay/coordination/rollout/share.py
+++ b/src/acaciarelay/coordination/rollout/share.py
@@ -12,16 +12,27 @@
 
     The entry starts without credit, so the sum over all entries keeps to the share
     whichever of them start, stop or are cut off, and without an exchange of counts.
+    ``reserved`` requests may go to the new version but were not sent yet.
     """
 
     def __init__(self, share: float) -> None:
         self.used_share = share * USED_SHARE
         self.sent = 0
         self.sent_new = 0
+        self.reserved = 0
 
     def may_send_new(self) -> bool:
         """Return whether the next request may go to the new version."""
-        return self.sent_new + 1 <= self.used_share * (self.sent + 1)
+        used = self.sent_new + self.reserved
+        return used + 1 <= self.used_share * (self.sent + 1)
+
+    def reserve(self) -> None:
+        """Keep the share of a request that has to wait before it is sent."""
+        self.reserved += 1
+
+    def release(self) -> None:
+        """End a reservation, before the request is sent or when it is not."""
+        self.reserved = max(0, self.reserved - 1)
 
     def record_sent(self, new: bool) -> None:
         """Record a request, first attempt or repeat, that was sent to an endpoint."""
--- a/src/acaciarelay/coordination/rollout/steps.py
+++ b/src/acaciarelay/coordination/rollout/steps.py
@@ -25,6 +25,7 @@
     "Remark",
     "RowsRead",
     "SendPermission",
+    "Stopping",
     "Tick",
     "WriteEnded",
     "WriteOutcome",
@@ -112,6 +113,11 @@
     epoch: int
 
 
+@attrs.frozen
+class Stopping:
+    """This entry is about to stop, and hands over what it coordinates."""
+
+
 Event = (
     Tick
     | RowsRead
@@ -120,6 +126,7 @@
     | EnginesSeen
     | EntriesSeen
     | EpochHeard
+    | Stopping
 )
 
 
