--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -20,13 +20,19 @@
 from acaciarelay.platform.store import RowPage
 from acaciarelay.programs.logs import log_event, run_steps
 from acaciarelay.programs.peer_rows import decode_row, encode_row
+from acaciarelay.programs.row_logs import (
+    log_changed_endpoint,
+    log_held_row,
+    log_stale_read,
+    log_unreadable_row,
+)
 from acaciarelay.protocol.link_messages import PeerRow
 from acaciarelay.state.cached_table import CachedTable, StoreRow
 from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S, EndpointList
 from acaciarelay.state.routing import RoutingTable
 from acaciarelay.state.store_era import StoreVersion
 
-__all__ = ["TABLES", "StateCache", "log_stale_read"]
+__all__ = ["TABLES", "StateCache"]
 
 TABLES = (OPERATOR_TABLE, ENDPOINT_TABLE)
 # Number of rows in a table above which its tombstones are dropped. Until then they are
@@ -88,6 +94,8 @@
         self._unconfirmed: set[str] = set()
         self.on_configuration: list[Callable[[], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
+        # Called with each row of the operator's table that is no configuration.
+        self.on_operator_row: Callable[[StoreRow], None] = lambda row: None
 
     def staleness_s(self, table: str) -> float:
         """Return the seconds since a table was last known to be current."""
@@ -290,12 +298,18 @@
         """Apply a row; log an unexpected error, which must not end who brought it."""
         try:
             if table == OPERATOR_TABLE:
-                return row.key == CONFIGURATION_KEY and self._apply_configuration(row)
+                return self._apply_operator_row(row)
             return self._apply_endpoint(row, after_outage)
         except Exception:
             eliot.write_traceback()
             return False
 
+    def _apply_operator_row(self, row: StoreRow) -> bool:
+        if row.key == CONFIGURATION_KEY:
+            return self._apply_configuration(row)
+        self.on_operator_row(row)
+        return False
+
     def _apply_configuration(self, row: StoreRow) -> bool:
         if row.value is None:
             log_event("configuration_row_missing", row_version=row.version.number)
@@ -304,14 +318,7 @@
         try:
             routing = decode_configuration(row.value)
         except FormatError as error:
-            log_event(
-                "row_unreadable",
-                table=OPERATOR_TABLE,
-                key=row.key,
-                era=row.version.era,
-                row_version=row.version.number,
-                detail=str(error),
-            )
+            log_unreadable_row(OPERATOR_TABLE, row, error)
             return False
         if not self._replaces_configuration(row, routing):
             return False
@@ -330,7 +337,7 @@
         return True
 
     def _replaces_configuration(self, row: StoreRow, routing: RoutingTable) -> bool:
-        """Return whether a row that the table puts in force changes anything."""
+        """Return whether a row that is to be in force changes anything."""
         in_force = self.configuration_row
         if in_force is None or self.routing is None:
             return True
@@ -344,15 +351,7 @@
         held = cached.held.get(row.key)
         if held is None or cached.rows[row.key].version != row.version:
             return
-        log_event(
-            "row_held",
-            table=table,
-            key=row.key,
-            era=row.version.era,
-            row_version=row.version.number,
-            held_era=held.version.era,
-            held_version=held.version.number,
-        )
+        log_held_row(table, row, held)
 
     def _apply_endpoint(self, row: StoreRow, after_outage: bool) -> bool:
         if row.value is None:
@@ -371,28 +370,12 @@
         try:
             endpoint = decode_endpoint(row.key, row.value)
         except FormatError as error:
-            log_event(
-                "row_unreadable",
-                table=ENDPOINT_TABLE,
-                key=row.key,
-                era=row.version.era,
-                row_version=row.version.number,
-                detail=str(error),
-            )
-            # Some other writer's row, which describes no usable endpoint, has replaced
-            # the registration.
+            log_unreadable_row(ENDPOINT_TABLE, row, error)
+            # Some other writer's row has replaced the registration.
             return self.endpoints.remove(row.key)
         changed = self.endpoints.upsert(endpoint)
         if changed:
-            log_event(
-                "endpoint_changed",
-                endpoint=row.key,
-                service=endpoint.service,
-                address=endpoint.address,
-                draining=endpoint.draining,
-                era=row.version.era,
-                version=row.version.number,
-            )
+            log_changed_endpoint(row, endpoint)
         return changed
 
     def expire_endpoints(self) -> None:
@@ -415,15 +398,3 @@
             self.on_configuration if table == OPERATOR_TABLE else self.on_endpoints
         )
         run_steps(callbacks)
-
-
-def log_stale_read(table: str, version: StoreVersion, known: StoreVersion) -> None:
-    """Log an answer of the store that is older than what is known."""
-    log_event(
-        "stale_read_ignored",
-        table=table,
-        era=version.era,
-        version=version.number,
-        known_era=known.era,
-        known_version=known.number,
-    )
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -19,11 +19,8 @@
     StoreError,
 )
 from acaciarelay.programs.logs import log_event
-from acaciarelay.programs.relay_state_cache import (
-    TABLES,
-    StateCache,
-    log_stale_read,
-)
+from acaciarelay.programs.relay_state_cache import TABLES, StateCache
+from acaciarelay.programs.row_logs import log_stale_read
 from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S
 from acaciarelay.state.store_era import StoreVersion
 
