Follow the operator's orders of new versions in the entries

Cause: the decisions of monitored rollouts need rows, messages, counts and requests. Settings rollout_share, rollout_slack and rollout_bound_ms; without a share nothing of this is built. Metrics by service and version.

--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -229,6 +229,31 @@
         "Steps that kept the event loop from other tasks for 50 ms or more, by who "
         "sends.",
     ),
+    Metric(
+        "acaciarelay_rollout_requests_total",
+        "counter",
+        ("service", "version"),
+        "Requests sent to engines of a version since an order was in force.",
+    ),
+    Metric(
+        "acaciarelay_rollout_failures_total",
+        "counter",
+        ("service", "version"),
+        "Requests of these that failed at the engine.",
+    ),
+    Metric(
+        "acaciarelay_rollout_share",
+        "gauge",
+        ("service", "version"),
+        "Part of this entry's requests since the order that went to the new version.",
+    ),
+    Metric(
+        "acaciarelay_rollout_state",
+        "gauge",
+        ("service", "version"),
+        "What may be sent to the new version: 0 nothing, 1 its share, 2 all requests, "
+        "3 all after success, 4 nothing after a roll-back.",
+    ),
     Metric(
         "acaciarelay_commands_total",
         "counter",
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -19,6 +19,8 @@
 from acaciarelay.programs.broken_answer import broken_by
 from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.rollouts import Rollouts
+from acaciarelay.programs.running_attempts import RunningAttempt
 from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.endpoints import Endpoint, EndpointList
 from acaciarelay.state.relayed_request import (
@@ -62,8 +64,8 @@
     ``on_stall`` is called again and again while an attempt is stalled. Answers that are
     collected before they are passed on share ``memory``, and reading all answers takes
     its time from ``loop_budget``. ``crashes`` learns which
-    prompts endpoints answer and which runs they broke off, and ``endpoints`` which of
-    them leave.
+    prompts endpoints answer and which runs they broke off, ``endpoints`` which of them
+    leave, and ``rollouts`` how the versions on trial answer.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         loop_budget: LoopBudget,
         crashes: CrashGuard,
         endpoints: EndpointList,
+        rollouts: Rollouts | None = None,
     ) -> None:
+        self.rollouts = rollouts
         self.endpoints = endpoints
         self.crashes = crashes
         self.health = health
@@ -115,6 +119,8 @@
                 return NotRun(f"connect: {fault.detail}", False)
             case Ok(endpoint_connection):
                 pass
+        outcome: AttemptOutcome | None = None
+        running: RunningAttempt | None = None
         try:
             headers = endpoint_headers(
                 relayed.traits,
@@ -136,6 +142,8 @@
             endpoint_connection.send(
                 request.method, request.target, headers, request.body
             )
+            if self.rollouts is not None:
+                running = self.rollouts.sent(relayed, endpoint)
             endpoint_connection.watch_progress(
                 min(MAX_STALL_S, STALL_FRACTION * relayed.route.timeout_s),
                 lambda: self.stalled(relayed, endpoint, endpoint_connection),
@@ -152,6 +160,8 @@
                 )
         finally:
             endpoint_connection.close()
+            if self.rollouts is not None and running is not None:
+                self.rollouts.ended(running, outcome)
         self.record_outcome(relayed, outcome)
         return outcome
 
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -35,6 +35,7 @@
     settings_path,
 )
 from acaciarelay.programs.relay_state_cache import TABLES, StateCache
+from acaciarelay.programs.rollouts import Rollouts
 from acaciarelay.programs.store_follower import StoreFollower
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import InboundRequest
@@ -96,19 +97,6 @@
         self.loop_budget = LoopBudget(self.record_long_step)
         own_address = f"{settings.host}:{settings.peer_port}"
         self.crashes = CrashGuard(own_address, self.slot_client, self.metrics)
-        self.relay = RequestRelay(
-            self.cache,
-            self.usage,
-            self.retry_budget,
-            self.health,
-            self.slot_client,
-            self.run_clock,
-            self.body_memory,
-            self.loop_budget,
-            self.crashes,
-            self.metrics,
-            self.rng,
-        )
         self.hello = Hello(
             name=settings.name,
             lifetime=secrets.token_hex(6),
@@ -117,6 +105,7 @@
             gathers_usage=True,
             digests_parts=True,
             orders_eras=True,
+            rolls_out=settings.rollout_share > 0.0,
         )
         self.ticker = LinkTicker(self.loop_budget)
         self.peers = Peers(
@@ -127,6 +116,30 @@
             self.crashes,
             self.ticker,
         )
+        self.rollouts: Rollouts | None = None
+        if self.hello.rolls_out:
+            self.rollouts = Rollouts(
+                settings,
+                self.hello,
+                self.cache,
+                self.peers,
+                self.metrics,
+                lambda era: self.peers.on_era(era),
+            )
+        self.relay = RequestRelay(
+            self.cache,
+            self.usage,
+            self.retry_budget,
+            self.health,
+            self.slot_client,
+            self.run_clock,
+            self.body_memory,
+            self.loop_budget,
+            self.crashes,
+            self.metrics,
+            self.rng,
+            self.rollouts,
+        )
         self.follower = StoreFollower(
             settings.store_address,
             self.cache,
@@ -319,6 +332,8 @@
 
     async def drain(self) -> None:
         """Report not ready, end the requests of callers, then close all."""
+        if self.rollouts is not None:
+            run_steps((self.rollouts.stop,))
         began_at = self.stop_requested_at
         if began_at is None:
             began_at = self.loop.time()
@@ -329,6 +344,7 @@
         run_steps(
             (
                 self.follower.close,
+                *((self.rollouts.close,) if self.rollouts is not None else ()),
                 self.peers.close,
                 self.crashes.close,
                 self.agents.close,
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -20,6 +20,8 @@
     LinkMessage,
     PeerRows,
     PeerStatus,
+    RolloutCounts,
+    RolloutPermission,
     TableVersions,
     ZoneUsage,
     encode_message,
@@ -86,6 +88,10 @@
         self.peers: dict[str, _Peer] = {}
         # Called with the newest era of the store that a peer knows.
         self.on_era: Callable[[int], None] = lambda era: None
+        # Called with the messages about rollouts, and who sent them.
+        self.on_rollout: Callable[[Hello, RolloutCounts | RolloutPermission], None] = (
+            lambda peer, message: None
+        )
         self.sent = _StatusFields()
         self.sent_at = -math.inf
         self.started_at = time.monotonic()
@@ -294,6 +300,20 @@
             if link is not None:
                 link.send(message)
 
+    def send_rollout(
+        self,
+        message: RolloutCounts | RolloutPermission,
+        receivers: Collection[str] | None = None,
+    ) -> None:
+        """Send a message about a rollout to some peers that understand it, or all."""
+        line = encode_message(message)
+        for address, peer in self.peers.items():
+            link = peer.link
+            if link is None or link.peer is None or not link.peer.rolls_out:
+                continue
+            if receivers is None or address in receivers:
+                link.send_line(line)
+
     def live_addresses(self) -> list[str]:
         """Return the addresses of this entry and of its peers that are alive."""
         return sorted([self.hello.address, *self.addresses()])
@@ -327,6 +347,8 @@
                 self.receive_zone(message)
             case CrashReport():
                 self.crashes.receive(message)
+            case RolloutCounts() | RolloutPermission():
+                self.on_rollout(link.peer, message)
             case PeerRows(rows=rows):
                 known = self.tables.decode(link, message)
                 self.cache.apply_peer_rows(link.peer.name, rows, known.tables)
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -20,6 +20,7 @@
     SlotDenied,
 )
 from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.programs.rollouts import Rollouts
 from acaciarelay.protocol.link_messages import SlotRequest
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.relayed_request import RelayedRequest
@@ -70,8 +71,10 @@
         health: EndpointHealth,
         slot_client: SlotClient,
         retry_budget: SharedRetryBudget,
+        rollouts: Rollouts | None = None,
     ) -> None:
         self.cache = cache
+        self.rollouts = rollouts
         self.health = health
         self.slot_client = slot_client
         self.retry_budget = retry_budget
@@ -102,6 +105,8 @@
                     case Placement() as placement:
                         return placement
                     case SlotDenied(refused=True):
+                        if self._leaves_trial(relayed):
+                            continue
                         return None
             else:
                 process_count = self.retry_budget.process_count
@@ -114,18 +119,41 @@
                 return None
             await asyncio.sleep(min(0.02, max(0.0, wait_until - loop.time())))
 
+    def endpoints_of(self, service: str) -> list[Endpoint]:
+        """Return the endpoints that most new requests of a service may use."""
+        endpoints = self.cache.endpoints.of_service(service)
+        if self.rollouts is None:
+            return endpoints
+        return self.rollouts.usable(service, endpoints)
+
+    def may_send(self, relayed: RelayedRequest, endpoint: Endpoint) -> bool:
+        """Return whether a request may still use the version of an endpoint."""
+        return self.rollouts is None or self.rollouts.permits(relayed, endpoint)
+
+    def _leaves_trial(self, relayed: RelayedRequest) -> bool:
+        return self.rollouts is not None and self.rollouts.leave_trial(relayed)
+
     def _candidates(self, relayed: RelayedRequest, now: float) -> list[Endpoint]:
         """Return the endpoints to choose from, preferring untried and healthy ones."""
-        endpoints = [
-            e
-            for e in self.cache.endpoints.of_service(relayed.service)
-            if self.health.deferred_until(e.endpoint_id) <= now
-        ]
+        endpoints = self._undeferred(relayed, now)
+        if not endpoints and self._leaves_trial(relayed):
+            endpoints = self._undeferred(relayed, now)
         untried = [e for e in endpoints if e.endpoint_id not in relayed.tried]
         untried = untried or endpoints
         healthy = [e for e in untried if not self.health.is_avoided(e.endpoint_id, now)]
         return healthy or untried
 
+    def _undeferred(self, relayed: RelayedRequest, now: float) -> list[Endpoint]:
+        """Return the endpoints that a request may use and that want requests."""
+        endpoints = self.cache.endpoints.of_service(relayed.service)
+        if self.rollouts is not None:
+            endpoints = self.rollouts.choose(relayed, endpoints)
+        undeferred = []
+        for endpoint in endpoints:
+            if self.health.deferred_until(endpoint.endpoint_id) <= now:
+                undeferred.append(endpoint)
+        return undeferred
+
     def _deferred_beyond(self, relayed: RelayedRequest, now: float) -> bool:
         """Return whether all endpoints want nothing for longer than a request waits."""
         wait_s = slot_wait_end(relayed) - asyncio.get_running_loop().time()
@@ -136,7 +164,7 @@
 
         0 if one of them takes requests, or if there is none.
         """
-        endpoints = self.cache.endpoints.of_service(service)
+        endpoints = self.endpoints_of(service)
         if not endpoints:
             return 0.0
         until = min(self.health.deferred_until(e.endpoint_id) for e in endpoints)
@@ -241,7 +269,7 @@
         if not output:
             return None
         endpoints = [endpoint] if endpoint is not None else None
-        endpoints = endpoints or self.cache.endpoints.of_service(relayed.service)
+        endpoints = endpoints or self.endpoints_of(relayed.service)
         hosts = {e.host for e in endpoints} & self.slot_client.agents.keys()
         prompt = relayed.traits.prompt_tokens or 0
         answers_s = []
@@ -254,7 +282,7 @@
         """Return the seconds until the service is likely to have a free slot."""
         now = time.monotonic()
         waits = []
-        for endpoint in self.cache.endpoints.of_service(relayed.service):
+        for endpoint in self.endpoints_of(relayed.service):
             agent = self.slot_client.agents.get(endpoint.host)
             if agent is not None:
                 waits.append(agent.expected_wait_s(relayed.rank, now))
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -23,6 +23,7 @@
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.relay_takeover import Takeovers
 from acaciarelay.programs.request_recorder import RequestRecorder, interrupted_outcome
+from acaciarelay.programs.rollouts import Rollouts
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.relayed_request import (
@@ -75,14 +76,16 @@
         crashes: CrashGuard,
         metrics: Metrics,
         rng: random.Random,
+        rollouts: Rollouts | None = None,
     ) -> None:
+        self.rollouts = rollouts
         self.cache = cache
         self.run_clock = run_clock
         self.admission = Admission(cache, usage, rng)
         self.retry_budget = retry_budget
         self.metrics = metrics
         self.slot_client = slot_client
-        self.placer = Placer(cache, health, slot_client, retry_budget)
+        self.placer = Placer(cache, health, slot_client, retry_budget, rollouts)
         self.drain = RequestDrain(self.placer)
         self.recorder = RequestRecorder(metrics, self.drain)
         self.crashes = crashes
@@ -96,6 +99,7 @@
             loop_budget,
             crashes,
             cache.endpoints,
+            rollouts,
         )
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
@@ -129,6 +133,8 @@
             raise
         finally:
             self.takeovers.close(relayed)
+            if self.rollouts is not None:
+                self.rollouts.release(relayed)
         self.finish(connection, relayed, refusal)
 
     async def wait_for_configuration(self) -> None:
@@ -170,6 +176,9 @@
                 placement.release()
                 await self.cache.wait_until_trusted(TRUST_WAIT_S)
                 continue
+            if not self.placer.may_send(relayed, placement.endpoint):
+                placement.release()
+                continue
             try:
                 code = self.admission.recheck(relayed)
                 if code is not None:
@@ -243,7 +252,7 @@
 
     def has_untried(self, relayed: RelayedRequest) -> bool:
         """Return whether the service has an endpoint that was not tried yet."""
-        for endpoint in self.cache.endpoints.of_service(relayed.service):
+        for endpoint in self.placer.endpoints_of(relayed.service):
             if endpoint.endpoint_id not in relayed.tried:
                 return True
         return False
--- a/src/acaciarelay/programs/relay_settings.py
+++ b/src/acaciarelay/programs/relay_settings.py
@@ -1,5 +1,6 @@
 """Settings of the relay entry and the relay agent, read from a JSON file."""
 
+import math
 import os
 from typing import Any
 
@@ -10,6 +11,8 @@
 __all__ = ["RelaySettings", "SettingsError", "load_settings", "settings_path"]
 
 PATH_VARIABLE = "ACACIARELAY_CONFIG"
+# Settings that a deployment may leave out, or leave empty.
+OPTIONAL_SETTINGS = ("rollout_share", "rollout_slack", "rollout_bound_ms")
 
 
 class SettingsError(Exception):
@@ -31,6 +34,11 @@
     milliseconds. ``memory_mb`` is the memory that the process may use, in megabytes.
     ``registration_interval_ms`` is how often endpoints renew their registrations.
     ``first_start`` is true when the entire system starts for the first time.
+
+    ``rollout_share`` is the fraction of a service's requests that a version may get
+    while it is on trial, together with ``rollout_slack`` requests; 0 stands for a
+    deployment without monitored rollouts. ``rollout_bound_ms`` is the time in
+    milliseconds within which all entries have to stop using a bad version.
     """
 
     name: str
@@ -55,6 +63,9 @@
     memory_mb: float
     first_start: bool
     registration_interval_ms: float = 1200.0
+    rollout_share: float = 0.0
+    rollout_slack: float = 0.0
+    rollout_bound_ms: float = 0.0
 
     @property
     def agent_port(self) -> int:
@@ -81,7 +92,7 @@
     except (OSError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from error
     try:
-        settings = cattrs.structure(raw, RelaySettings)
+        settings = cattrs.structure(_without_empty(raw), RelaySettings)
     except cattrs.BaseValidationError as error:
         problems = cattrs.transform_error(error)
         raise SettingsError("\n".join(problems)) from error
@@ -91,4 +102,23 @@
         raise SettingsError(
             "ports: must hold the first and the last port of a range of two or more"
         )
+    problems = []
+    for name in OPTIONAL_SETTINGS:
+        if not 0.0 <= getattr(settings, name) < math.inf:
+            problems.append(f"{name}: must be a number of at least 0")
+    if settings.rollout_share > 1.0:
+        problems.append("rollout_share: must be at most 1")
+    if problems:
+        raise SettingsError("\n".join(problems))
     return settings
+
+
+def _without_empty(raw: Any) -> Any:
+    """Return the settings without optional ones that are empty."""
+    if not isinstance(raw, dict):
+        return raw
+    return {
+        name: value
+        for name, value in raw.items()
+        if name not in OPTIONAL_SETTINGS or value not in (None, "")
+    }
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -84,8 +84,9 @@
     allowed. ``events_received`` counts the events of the current attempt's answer, and
     ``answer_received`` is true once the end of an answer has come.
     ``retries_ended`` is true once the caller leaves too soon for another attempt.
-    ``on_trial`` is true once it may run despite a suspicion, in one attempt. ``steps``
-    describes the attempts for the log.
+    ``on_trial`` is true once it may run despite a suspicion, in one attempt.
+    ``off_trial`` is true once it goes to no version of its service that is on trial.
+    ``steps`` describes the attempts for the log.
     """
 
     traits: RequestTraits
@@ -108,6 +109,7 @@
     events_received: int = 0
     retries_ended: bool = False
     on_trial: bool = False
+    off_trial: bool = False
     error_response: ErrorResponse | None = None
     endpoint: Endpoint | None = None
     first_sent_at: float | None = None
