Give the runner's stand-in a version, which may be a bad one

Cause: rollouts need runners whose answers fail or take longer by their software's version. Change: BadVersion with a share of failures, slowness, a delay and a prefix of targets, also as options of the program; the faults move to a module of their own.

--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -8,9 +8,8 @@
 import asyncio
 import collections
 import contextlib
-import itertools
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 import cattrs
@@ -24,97 +23,16 @@
 )
 from acaciarelay_standins.common import add_listen, announce, wait_for_stop
 from acaciarelay_standins.inbound_standin import listen
+from acaciarelay_standins.runner_faults import (
+    ENDLESS_PARTS,
+    GOOD_VERSION,
+    BadVersion,
+    RunnerFaults,
+)
 
-__all__ = ["PlatformRunner", "Run", "RunnerFaults", "main"]
+__all__ = ["PlatformRunner", "Run", "main"]
 
 FIRST_EVENT_ID = 1
-_CHUNKED_HEAD = (
-    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nRunner-Seal: s\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n"
-)
-_UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nRunner-Seal: s\r\n\r\n"
-
-
-def _repeat(text: str) -> Iterator[str]:
-    return itertools.repeat(text)
-
-
-def _numbered_events() -> Iterator[str]:
-    for first in itertools.count(1, 1_000):
-        numbers = range(first, first + 1_000)
-        yield "".join(f"id: {number}\ndata:\n\n" for number in numbers)
-
-
-# Parts of an answer that can be sent without end: what comes first, and what follows.
-ENDLESS_PARTS: dict[str, tuple[str, Callable[[], Iterator[str]]]] = {
-    "head": (
-        "HTTP/1.1 200 OK\r\nX-Filler: ",
-        lambda: _repeat("x" * 65_536),
-    ),
-    "fields": ("HTTP/1.1 200 OK\r\n", lambda: _repeat("X-Filler: x\r\n" * 4_096)),
-    "interim": ("", lambda: _repeat("HTTP/1.1 102 Processing\r\n\r\n" * 2_048)),
-    "body": (_CHUNKED_HEAD, lambda: _repeat(f"10000\r\n{'x' * 65_536}\r\n")),
-    "small_chunks": (_CHUNKED_HEAD, lambda: _repeat("1\r\nx\r\n" * 10_000)),
-    "comments": (_CHUNKED_HEAD, lambda: _repeat("4\r\n: x\n\r\n" * 8_192)),
-    "extension": (_CHUNKED_HEAD + "1;", lambda: _repeat("x" * 65_536)),
-    "trailer": (_CHUNKED_HEAD + "0\r\nX-Filler: ", lambda: _repeat("x" * 65_536)),
-    "trailer_fields": (_CHUNKED_HEAD + "0\r\n", lambda: _repeat("x:\r\n" * 16_384)),
-    "blank_lines": (_UNFRAMED_HEAD, lambda: _repeat("\n" * 65_536)),
-    "blank_crlf_lines": (_UNFRAMED_HEAD, lambda: _repeat("\r\n" * 32_768)),
-    "empty_comments": (_UNFRAMED_HEAD, lambda: _repeat(":\n\n" * 21_845)),
-    "events_without_data": (
-        _UNFRAMED_HEAD,
-        lambda: _repeat("event: a\n\n" * 6_553),
-    ),
-    "events_without_number": (
-        _UNFRAMED_HEAD,
-        lambda: _repeat("data:\n\n" * 9_362),
-    ),
-    "repeated_event": (_UNFRAMED_HEAD, lambda: _repeat("id: 1\ndata:\n\n" * 4_681)),
-    "numbered_events": (_UNFRAMED_HEAD, _numbered_events),
-}
-
-
-@attrs.define
-class RunnerFaults:
-    """Faults to inject; each applies to every request while it is set.
-
-    ``lose`` runs the request and resets the connection; ``cut_after`` resets it after
-    that many events, with ``torn`` in the middle of an event. ``shed`` declines the
-    request; ``error`` answers 500; ``foreign`` answers with another request's id;
-    ``unsealed`` omits the seal; ``short`` ends a body early; ``garbage`` sends bytes
-    that aren't HTTP; ``encoded`` declares a content encoding; ``silent`` never answers;
-    ``extra`` sends bytes after a complete answer; ``wrong_endpoint`` answers as if
-    another endpoint had the address. ``old_refusal`` runs the request but answers with
-    a refusal that names no request. ``endless``, a name in ``ENDLESS_PARTS``, sends
-    bytes of that part of an answer until the caller closes. ``drip_s`` sends one byte
-    in that many seconds instead of an answer. ``lying`` answers health checks with 200
-    despite the other faults, and with 503 when cleared. ``leaving`` says in each answer
-    that the runner leaves; ``retry_after`` is the text of that header in a refusal.
-    ``fatal_parts``, ids of parts of prompts, crash the runner when it begins to write
-    an answer to a prompt with one of them.
-    """
-
-    lose: bool = False
-    cut_after: int = 0
-    torn: bool = False
-    shed: bool = False
-    error: bool = False
-    foreign: bool = False
-    unsealed: bool = False
-    short: bool = False
-    garbage: bool = False
-    encoded: bool = False
-    silent: bool = False
-    extra: bool = False
-    wrong_endpoint: bool = False
-    old_refusal: bool = False
-    endless: str = ""
-    drip_s: float = 0.0
-    lying: bool = True
-    leaving: bool = False
-    retry_after: str = ""
-    fatal_parts: list[str] = attrs.Factory(list)
 
 
 @attrs.frozen
@@ -134,6 +52,14 @@
     parts: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class _Course:
+    """How the software's version answers one request."""
+
+    fails: bool = False
+    slowness: float = 1.0
+
+
 @attrs.define(eq=False)
 class PlatformRunner:
     """One runner; ``slots`` limits its concurrent runs.
@@ -143,7 +69,9 @@
     follows that many seconds after the first. ``padding_bytes`` lengthen each event and
     each other body. ``slowdown`` returns the factor by which
     work takes longer on the VM at a time; if set, answers report it with the load.
-    ``on_crash`` is called after a crash, which breaks all connections.
+    ``on_crash`` is called after a crash, which breaks all connections. ``version`` is
+    that of the runner's software, and ``bad`` how it fails; ``bad_at`` holds the
+    monotonic times of the requests that it answers badly.
     """
 
     endpoint_id: str
@@ -154,6 +82,10 @@
     padding_bytes: int = 0
     events: int = 10
     slowdown: Callable[[float], float] | None = None
+    version: str = "v1"
+    bad: BadVersion = GOOD_VERSION
+    bad_at: list[float] = attrs.Factory(list)
+    first_request_at: float | None = None
     faults: RunnerFaults = attrs.Factory(RunnerFaults)
     runs: list[Run] = attrs.Factory(list)
     cancelled: list[str] = attrs.Factory(list)
@@ -240,7 +172,8 @@
             if not set(self.faults.fatal_parts).isdisjoint(run.parts):
                 await self.work(self.work_s)
                 return self.crash()
-            await self.answer(connection, fields, attempt)
+            course = self.course_of(request.target)
+            await self.answer(connection, fields, attempt, course)
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
             raise
@@ -252,6 +185,19 @@
                     waiter.set_result(None)
                     break
 
+    def course_of(self, target: str) -> _Course:
+        """Return how the software's version answers a request that begins now."""
+        now = time.monotonic()
+        if self.first_request_at is None:
+            self.first_request_at = now
+        age_s = now - self.first_request_at
+        if not self.bad.applies(target, age_s, self.running):
+            return _Course()
+        course = _Course(self.bad.draw_failure(), self.bad.slowness)
+        if course.fails or course.slowness > 1.0:
+            self.bad_at.append(now)
+        return course
+
     def fall_silent(self, seconds: float) -> None:
         """Send nothing for some time, and then go on."""
         self.silent_until = time.monotonic() + seconds
@@ -268,7 +214,11 @@
             self.on_crash()
 
     async def answer(
-        self, connection: InboundConnection, fields: dict[str, str], attempt: str
+        self,
+        connection: InboundConnection,
+        fields: dict[str, str],
+        attempt: str,
+        course: _Course,
     ) -> None:
         faults = self.faults
         if faults.silent:
@@ -293,12 +243,12 @@
         if faults.encoded:
             headers.append(("Content-Encoding", "gzip"))
         if "token-usage" in fields:
-            return await self.stream(connection, fields, headers)
+            return await self.stream(connection, fields, headers, course)
         if faults.drip_s:
             connection.start(200, [*headers, ("Content-Length", "500")])
             return await self.drip(connection, faults.drip_s)
-        await self.work(self.work_s)
-        status = 500 if faults.error else 200
+        await self.work(self.work_s * course.slowness)
+        status = 500 if faults.error or course.fails else 200
         body = f"answer of {self.endpoint_id} to {attempt}".encode() + self.padding
         if faults.short:
             connection.start(status, [*headers, ("Content-Length", "500")])
@@ -366,9 +316,10 @@
         connection: InboundConnection,
         fields: dict[str, str],
         headers: list[tuple[str, str]],
+        course: _Course,
     ) -> None:
-        await self.work(self.work_s)
-        if self.faults.error:
+        await self.work(self.work_s * course.slowness)
+        if self.faults.error or course.fails:
             return connection.respond(500, headers, b"failed")
         connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
         if drip_s := self.faults.drip_s:
@@ -382,7 +333,7 @@
                 return connection.abort()
             piece = f"id: {number}\ndata: piece {number}".encode() + self.padding
             connection.write(piece + b"\n\n")
-            await self.work(self.step_s)
+            await self.work(self.step_s * course.slowness)
         connection.finish()
 
 
@@ -402,7 +353,7 @@
             "service": service,
             "address": address,
             "zone": zone,
-            "version": "v1",
+            "version": runner.version,
             "slots": runner.slots,
             "state": "ready",
             "coldLeftMs": 0,
@@ -427,7 +378,18 @@
 
 
 async def _run(options: argparse.Namespace) -> None:
-    runner = PlatformRunner(options.id, slots=options.slots, events=options.events)
+    runner = PlatformRunner(
+        options.id,
+        slots=options.slots,
+        events=options.events,
+        version=options.version,
+        bad=BadVersion(
+            failures=options.bad_failures,
+            slowness=options.bad_slowness,
+            after_s=options.bad_after,
+            prefix=options.bad_prefix,
+        ),
+    )
     server, bound = await listen(runner.handle, options.listen)
     announce(bound)
     task = asyncio.create_task(
@@ -448,6 +410,13 @@
     parser.add_argument("--zone", default="zone-a")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--events", type=int, default=10)
+    parser.add_argument("--version", default="v1", help="version of the software")
+    parser.add_argument("--bad-failures", type=float, default=0.0, help="share")
+    parser.add_argument("--bad-slowness", type=float, default=1.0, help="factor")
+    parser.add_argument("--bad-after", type=float, default=0.0, help="seconds")
+    parser.add_argument(
+        "--bad-prefix", default="", help="only targets with this prefix"
+    )
     asyncio.run(_run(parser.parse_args()))
 
 
--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -228,6 +228,7 @@
             sequence += 1
             state = self.states[name]
             value = registration(service, address, seq=sequence, state=state, born=born)
+            value["version"] = self.runners[name].version
             self.writer.write("servers", self.runners[name].endpoint_id, value)
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
 
--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -11,7 +11,7 @@
 import pytest
 from integration.platform_fleet import PlatformFleet
 
-from acaciarelay_standins.platform_runner import RunnerFaults
+from acaciarelay_standins.runner_faults import RunnerFaults
 
 ENDLESS_ENGINES = 2
 SOUND_ENGINES = 2
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -208,7 +208,8 @@
         server, address = await listen(runner.handle, "127.0.0.1:0")
         self.servers.append(server)
         self.runners.append(runner)
-        self.row("servers", runner.endpoint_id, registration(service, address))
+        value = registration(service, address, version=runner.version)
+        self.row("servers", runner.endpoint_id, value)
         return runner
 
     async def call(
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,9 +21,9 @@
 from seeded_runs import run_seeds
 from soak_checks import Call, describe, find_violation
 
-from acaciarelay_standins.platform_runner import ENDLESS_PARTS, RunnerFaults
 from acaciarelay_standins.platform_store import RestorePoint, StoreFaults
 from acaciarelay_standins.proxy import Faults as LinkFaults, Proxy
+from acaciarelay_standins.runner_faults import ENDLESS_PARTS, RunnerFaults
 
 __all__ = ["Soak", "main"]
 
--- a/tests/unit/platform_path/test_endless_streams.py
+++ b/tests/unit/platform_path/test_endless_streams.py
@@ -8,7 +8,7 @@
 from relay_rig import RelayRig
 from unit.platform_path.test_ends_of_answers import ScriptedRunner, chunked
 
-from acaciarelay_standins.platform_runner import ENDLESS_PARTS, RunnerFaults
+from acaciarelay_standins.runner_faults import ENDLESS_PARTS, RunnerFaults
 
 # One in five engines of a deployment sends without end, to as many callers as it runs.
 STREAMS = 10
--- a/tests/unit/platform_path/test_foreign_bytes.py
+++ b/tests/unit/platform_path/test_foreign_bytes.py
@@ -17,7 +17,7 @@
     unframed,
 )
 
-from acaciarelay_standins.platform_runner import ENDLESS_PARTS, RunnerFaults
+from acaciarelay_standins.runner_faults import ENDLESS_PARTS, RunnerFaults
 
 OTHER_HEAD = HEAD.replace("{status}", "200 OK").replace("{attempt}", "another")
 OTHER_STREAM = "".join(f"id: {number}\ndata: other {number}\n\n" for number in range(9))
--- a/tests/unit/platform_path/test_memory_budget.py
+++ b/tests/unit/platform_path/test_memory_budget.py
@@ -7,7 +7,7 @@
 from relay_rig import HOST, KEY, RawAnswer, RelayRig, configuration, read_raw_answer
 
 from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
-from acaciarelay_standins.platform_runner import RunnerFaults
+from acaciarelay_standins.runner_faults import RunnerFaults
 
 BUDGET_BYTES = 1_000_000
 BODY_BYTES = 400_000
--- a/tests/unit/platform_path/test_relay_drain.py
+++ b/tests/unit/platform_path/test_relay_drain.py
@@ -7,7 +7,7 @@
 
 from acaciarelay.coordination.answer_times import AnswerTimes
 from acaciarelay.coordination.drain_window import DrainWindow
-from acaciarelay_standins.platform_runner import RunnerFaults
+from acaciarelay_standins.runner_faults import RunnerFaults
 
 
 def window_until(ends_at: float) -> DrainWindow:
--- a/tests/unit/platform_path/test_relay_request.py
+++ b/tests/unit/platform_path/test_relay_request.py
@@ -7,7 +7,7 @@
 from relay_rig import HOST, RelayRig, configuration, route
 
 from acaciarelay.programs.relay_request import FIRST_CONFIGURATION_WAIT_S, STARTUP_S
-from acaciarelay_standins.platform_runner import RunnerFaults
+from acaciarelay_standins.runner_faults import RunnerFaults
 
 EVENTS = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 11))
 PROMISES = (408, 421, 429, 503)
--- a/tests/unit/platform_path/test_runners_in_trouble.py
+++ b/tests/unit/platform_path/test_runners_in_trouble.py
@@ -8,7 +8,7 @@
 from relay_rig import RelayRig
 
 from acaciarelay.transport.event_stream import MAX_EVENT_BYTES, EventSplitter
-from acaciarelay_standins.platform_runner import ENDLESS_PARTS, RunnerFaults
+from acaciarelay_standins.runner_faults import ENDLESS_PARTS, RunnerFaults
 
 MB = 1_000_000
 # Stream events may reach the caller at most this much later than they were sent.
