--- a/src/acaciarelay/programs/order_run.py
+++ b/src/acaciarelay/programs/order_run.py
@@ -113,7 +113,7 @@
             self.counted_at = now
             self.report_counts(now)
         self.handle(Tick())
-        self.log_phase(now)
+        self.log_phase()
 
     def see_engines(self, endpoints: Iterable[Endpoint]) -> None:
         old = new = 0
@@ -166,7 +166,7 @@
             self.links.ended.record(self.order, self.permission.state)
         else:
             self.handle(EpochHeard(message.epoch))
-        self.log_phase(now)
+        self.log_phase()
 
     def take_rows(self, rows: RowsRead) -> None:
         """Take both rows as the store holds them."""
@@ -195,7 +195,7 @@
         self.permission.receive_end(RolloutState.ROLLED_BACK, now)
         self.links.ended.record(self.order, self.permission.state)
         self.close()
-        self.log_phase(now)
+        self.log_phase()
 
     def stop(self) -> None:
         """Hand over what this entry coordinates, as it is about to stop."""
@@ -263,7 +263,7 @@
             always=True,
         )
         self.close()
-        self.log_phase(now)
+        self.log_phase()
 
     # Log.
 
@@ -299,9 +299,9 @@
             always=True,
         )
 
-    def log_phase(self, now: float) -> None:
+    def log_phase(self) -> None:
         """Log a change of what may be sent to the version."""
-        phase = self.permission.phase(now)
+        phase = self.permission.phase(time.monotonic())
         if phase is self.phase:
             return
         before, self.phase = self.phase, phase
