--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -2,6 +2,7 @@
 
 import time
 
+import attrs
 import orjson
 import pytest
 from relay_rig import WORKSHOP, configuration
@@ -19,6 +20,7 @@
     Hello,
     PeerRows,
     PeerStatus,
+    RolloutPermission,
     decode_message,
     encode_message,
 )
@@ -257,3 +259,24 @@
         for _ in range(rounds_until_all_send(40) + 1):
             knowing.peers.receive(link, stale_status({"op": 6}))
         assert any(isinstance(message, PeerRows) for message in link.sent)
+
+
+def test_messages_of_rollouts_go_to_entries_that_take_part(pair):
+    """Guards against a message that an older process closes the link for."""
+    first, _ = pair
+    links = {}
+    for number, rolls_out in ((2, True), (3, False), (4, True)):
+        links[number] = FakeLink(attrs.evolve(hello(number), rolls_out=rolls_out))
+        first.peers.add([links[number].peer.address])
+        first.peers.dialled(links[number])
+    message = RolloutPermission(
+        service="orders", era=1, order=7, epoch=1, phase=1, state="running", age_s=0.0
+    )
+    first.peers.send_rollout(message)
+    first.peers.send_rollout(message, [hello(3).address, hello(4).address])
+    counts = {number: link.sent.count(message) for number, link in links.items()}
+    assert counts == {2: 1, 3: 0, 4: 2}
+    received = []
+    first.peers.on_rollout = lambda peer, item: received.append((peer.address, item))
+    first.peers.receive(links[2], message)
+    assert received == [(hello(2).address, message)]
