Compare answer times with the spread of the engines' speeds

Engines of three generations differ in speed by a factor of up to 2.8, and a version on trial runs on few of them. The times are now compared by a score that comprises the spread of the engines, which is estimated from the engines' own answers; entries report requests and times by engine. The engines on trial change every 1.5 s.

--- a/src/acaciarelay/coordination/rollout/answer_counts.py
+++ b/src/acaciarelay/coordination/rollout/answer_counts.py
@@ -7,6 +7,7 @@
 from acaciarelay.state.rollout import (
     OTHER_ROUTES,
     BucketCounts,
+    EngineTimes,
     EntryCounts,
     Phase,
     RolloutOrder,
@@ -19,6 +20,8 @@
 
 # Routes that are counted by themselves; the answers of all others are counted together.
 MAX_ROUTES = 16
+# Engines whose times are reported.
+MAX_ENGINES = 256
 
 
 @attrs.define(eq=False)
@@ -31,11 +34,20 @@
 @attrs.frozen
 class _Running:
     route: str
+    engine: str
     new: bool
     since: float
     work: float
 
 
+@attrs.define(eq=False)
+class _Times:
+    """Number of answers and the sum of their buckets."""
+
+    answers: int = 0
+    buckets: int = 0
+
+
 class AnswerCounts:
     """Count this entry's requests and answers since it learned of an order."""
 
@@ -48,9 +60,18 @@
         # By whether the version is the new one.
         self.routes: dict[bool, dict[str, _Route]] = {False: {}, True: {}}
         self.running: dict[int, _Running] = {}
+        # By engine and version, and then by route.
+        self.engines: dict[tuple[str, bool], dict[str, _Times]] = {}
+        self.sent: dict[tuple[str, bool], int] = {}
 
     def begin(
-        self, key: int, route: str, new: bool, now: float, work: float = 1.0
+        self,
+        key: int,
+        route: str,
+        engine: str,
+        new: bool,
+        now: float,
+        work: float = 1.0,
     ) -> None:
         """Record that a request was sent to an engine; ``key`` names the attempt.
 
@@ -62,11 +83,18 @@
                 self.names.add(route)
             else:
                 route = OTHER_ROUTES
+        engine_key = (engine, new)
+        if engine_key in self.sent or len(self.sent) < MAX_ENGINES:
+            self.sent[engine_key] = self.sent.get(engine_key, 0) + 1
         work = work if 1e-3 < work < 1e3 else 1.0
-        self.running[key] = _Running(route, new, now, work)
+        self.running[key] = _Running(route, engine, new, now, work)
 
     def end(self, key: int, failed: bool, now: float) -> None:
-        """Record the end of an answer, whole or not."""
+        """Record the end of an answer, whole or not.
+
+        Attempts that found no engine, or lost one that is gone, are to be forgotten:
+        they say nothing about its version.
+        """
         running = self.running.pop(key, None)
         if running is None:
             return
@@ -75,7 +103,14 @@
         if failed:
             route.failures += 1
             return
-        route.times[time_bucket((now - running.since) / running.work)] += 1
+        bucket = time_bucket((now - running.since) / running.work)
+        route.times[bucket] += 1
+        engine = (running.engine, running.new)
+        if engine not in self.sent:
+            return
+        times = self.engines.setdefault(engine, {}).setdefault(running.route, _Times())
+        times.answers += 1
+        times.buckets += bucket
 
     def forget(self, key: int) -> None:
         """Leave out an attempt that says nothing, as when its caller has left."""
@@ -101,8 +136,34 @@
             old_running=old_running,
             old=_version_counts(self.routes[False], ages[False]),
             new=_version_counts(self.routes[True], ages[True]),
+            engines=self._engine_times(),
         )
 
+    def _engine_times(self) -> tuple[EngineTimes, ...]:
+        means = {
+            name: sum(bucket * count for bucket, count in route.times.items()) / answers
+            for name, route in self.routes[False].items()
+            if (answers := sum(route.times.values()))
+        }
+        engines = []
+        for (engine, new), requests in self.sent.items():
+            by_route = self.engines.get((engine, new), {})
+            known = {name: times for name, times in by_route.items() if name in means}
+            excess = sum(
+                times.buckets - means[name] * times.answers
+                for name, times in known.items()
+            )
+            engines.append(
+                EngineTimes(
+                    engine=engine,
+                    new=new,
+                    requests=requests,
+                    answers=sum(times.answers for times in known.values()),
+                    excess=round(excess, 1),
+                )
+            )
+        return tuple(engines)
+
 
 def _version_counts(
     routes: dict[str, _Route], ages: dict[str, dict[int, int]]
--- a/src/acaciarelay/coordination/rollout/answer_log.py
+++ b/src/acaciarelay/coordination/rollout/answer_log.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from acaciarelay.coordination.rollout.engine_spread import EngineSum
 from acaciarelay.coordination.rollout.strata import Stratum, Totals
 from acaciarelay.state.rollout import (
     OTHER_ROUTES,
@@ -17,17 +18,19 @@
 
 __all__ = ["AnswerLog"]
 
-# Times of the new version are taken for this many buckets less, a factor of 1.41: a
-# version may be that much slower without being bad, or its few engines may be.
-MARGIN_BUCKETS = 2
 # A request counts as slow, and is no longer waited for, this many buckets above the old
 # version's median: at 4 times the median.
 SLOW_BUCKETS = 8
+# Under full traffic, requests are counted by whether they take longer than this many
+# buckets above that median, 1.68 times as long: few answers of a version that is twice
+# as slow have ended before its time is over.
+LATE_BUCKETS = 3
 # Answers of the old version from which on the median of a route is known.
 MIN_FOR_MEDIAN = 20
 # Bounds of what is kept: routes by name, and lifetimes of entries.
 MAX_ROUTES = 32
 MAX_LIFETIMES = 128
+MAX_ENGINES = 512
 
 
 @attrs.define(eq=False)
@@ -35,12 +38,14 @@
     """What is known of one lifetime of an entry.
 
     ``slow`` holds the number of requests that have counted as slow, by route and
-    version. ``restored`` are its totals from a coordinator's row, until it reports.
+    version, and ``late`` those that have counted as late, by route. ``restored`` are
+    its totals from a coordinator's row, until it reports.
     """
 
     counts: EntryCounts | None = None
     restored: LifetimeCounts | None = None
     slow: dict[tuple[str, bool], int] = attrs.Factory(dict)
+    late: dict[str, int] = attrs.Factory(dict)
 
 
 class AnswerLog:
@@ -54,6 +59,8 @@
     def __init__(self) -> None:
         self.before: dict[str, Stratum] = {}
         self.full: dict[str, Stratum] = {}
+        # The last report of each entry, whichever its lifetime.
+        self.last_reports: dict[str, EntryCounts] = {}
         self.old_total = Totals()
         self.new_total = Totals()
         self._slice: dict[str, Stratum] = {}
@@ -101,14 +108,6 @@
             )
         return tuple(totals)
 
-    def reports(self) -> list[EntryCounts]:
-        """Return the last counts of each lifetime."""
-        return [
-            lifetime.counts
-            for lifetime in self._lifetimes.values()
-            if lifetime.counts is not None
-        ]
-
     def add(self, counts: EntryCounts) -> None:
         """Take the counts of an entry; ignores those that are not newer."""
         lifetime = self._lifetime((counts.entry, counts.lifetime))
@@ -126,6 +125,7 @@
                 before = last_routes.get(route, RouteCounts())
                 self._add_route(lifetime, last, route, new, before, now)
         lifetime.counts = counts
+        self.last_reports[counts.entry] = counts
 
     def _lifetime(self, key: tuple[str, str]) -> _Lifetime | None:
         lifetime = self._lifetimes.get(key)
@@ -149,7 +149,9 @@
         under_full = last is not None and last.phase is Phase.FULL
         if new == under_full:
             # The full traffic is compared with the old version's answers before it.
-            self.full.setdefault(name, Stratum()).add(new, requests, failures)
+            full = self.full.setdefault(name, Stratum())
+            full.add(new, requests, failures)
+            self._add_full_times(lifetime, full, name, route, new, before, now)
         if under_full:
             return
         group = self.before if last is None else self._slice
@@ -171,26 +173,72 @@
 
         A slow request counts once, when it becomes slow, and not when it ends.
         """
-        margin = MARGIN_BUCKETS if new else 0
         slow_from = self._slow_from.get(name, TIME_BUCKETS)
         times = stratum.times(new)
         earlier = dict(before.times)
         for bucket, count in now.times:
             added = count - earlier.get(bucket, 0)
-            if added > 0 and bucket - margin < slow_from:
-                times[max(0, bucket - margin)] += added
+            if added > 0 and bucket < slow_from:
+                times[bucket] += added
         if slow_from == TIME_BUCKETS:
             return
         key = (route, new)
         if key not in lifetime.slow:
-            lifetime.slow[key] = _count_from(before.times, slow_from + margin)
-        slow = _count_from(now.times, slow_from + margin)
-        slow += _count_from(now.running, slow_from + margin)
+            lifetime.slow[key] = _count_from(before.times, slow_from)
+        slow = _count_from(now.times, slow_from)
+        slow += _count_from(now.running, slow_from)
         added = slow - lifetime.slow[key]
         if added > 0:
             times[slow_from] += added
             lifetime.slow[key] = slow
 
+    def _add_full_times(
+        self,
+        lifetime: _Lifetime,
+        full: Stratum,
+        name: str,
+        route: str,
+        new: bool,
+        before: RouteCounts,
+        now: RouteCounts,
+    ) -> None:
+        """Add the times of answers, and the new version's late requests at once."""
+        late_from = TIME_BUCKETS
+        if name in self._slow_from:
+            late_from = self._slow_from[name] - SLOW_BUCKETS + LATE_BUCKETS
+        times = full.times(new)
+        earlier = dict(before.times)
+        for bucket, count in now.times:
+            added = count - earlier.get(bucket, 0)
+            if added > 0 and (not new or bucket < late_from):
+                times[bucket] += added
+        if not new or late_from == TIME_BUCKETS:
+            return
+        full.late_from = late_from
+        if route not in lifetime.late:
+            lifetime.late[route] = _count_from(before.times, late_from)
+            lifetime.late[route] += _count_from(before.running, late_from)
+        late = _count_from(now.times, late_from) + _count_from(now.running, late_from)
+        if late > lifetime.late[route]:
+            times[late_from] += late - lifetime.late[route]
+            lifetime.late[route] = late
+
+    def engines(self) -> dict[bool, dict[str, EngineSum]]:
+        """Return the answers of the engines so far, by version and engine."""
+        engines: dict[bool, dict[str, EngineSum]] = {False: {}, True: {}}
+        for lifetime in self._lifetimes.values():
+            if lifetime.counts is None:
+                continue
+            for times in lifetime.counts.engines:
+                by_engine = engines[times.new]
+                if times.engine not in by_engine and len(by_engine) >= MAX_ENGINES:
+                    continue
+                engine = by_engine.setdefault(times.engine, EngineSum())
+                engine.requests += times.requests
+                engine.answers += times.answers
+                engine.excess += times.excess
+        return engines
+
     @property
     def route_count(self) -> int:
         return max(1, len(self._names))
--- a/src/acaciarelay/coordination/rollout/comparison.py
+++ b/src/acaciarelay/coordination/rollout/comparison.py
@@ -6,28 +6,38 @@
 from acaciarelay.coordination.rollout.evidence import (
     ChangeMixture,
     log_failure_evidence,
-    log_time_evidence,
 )
 from acaciarelay.coordination.rollout.strata import Stratum
+from acaciarelay.coordination.rollout.time_test import TimeTest
 from acaciarelay.state.rollout import EntryCounts, LifetimeCounts, Verdict
 
 __all__ = ["VersionComparison"]
 
 # Answers are compared with those of the same second.
 SLICE_S = 1.0
-# Evidence at which a version is bad. By Ville's inequality, 1 / 4,000 for failures and
-# as much for times bounds the probability for a good version, at whatever time.
+# Evidence of failures at which a version is bad. By Ville's inequality, 1 / 4,000
+# bounds the probability for a good version, at whatever time.
 BAD_EVIDENCE = 4000.0
-# Evidence of failures at which a version is bad once the share has ended. The bound of
-# 1 / 200 is not attained, since the evidence comes in steps of about 9 for a failure:
+# Evidence at which it is bad once the share has ended. The bound of 1 / 200 is not
+# attained, since the evidence comes in steps of about 9 for each failure:
 # tools/measure_rollout.py gives the error of all rules together.
 FINAL_EVIDENCE = 200.0
-# Evidence of the share that the failures of the full traffic have to confirm.
+# Evidence of the share that the full traffic has to confirm, and the product of both.
 SUSPICIOUS_EVIDENCE = 3.0
-# Evidence of the failures of the full traffic, which are compared with those of the old
-# version before: of a suspicious version, and of any.
-CONFIRMING_EVIDENCE = 1e4
+CONFIRMED_EVIDENCE = 10_000.0
+# Evidence of the failures of the full traffic at which any version is bad.
 OVERWHELMING_EVIDENCE = 1e8
+# Scores of the times at which a version is bad: at each second, where 1 / 30,000 is the
+# probability of one for a good version, and once the share has ended, 1 / 1,450. Both
+# are less by the margin of the test.
+BAD_SCORE = 4.0
+FINAL_SCORE = 3.2
+# Additional score of a single route, for the number of routes that are looked at.
+ROUTE_SCORE = 0.3
+# Least score of the share and of the full traffic by which they confirm each other, and
+# their sum.
+SUSPICIOUS_SCORE = 1.5
+CONFIRMED_SCORES = 4.2
 # Failures of any version at which those of the full traffic count, and their share.
 MIN_DOMINANT_FULL = 20
 DOMINANT_SHARE = 0.5
@@ -42,27 +52,28 @@
 # this probability under it.
 GOOD_ERROR = 0.05
 LEAST_BAD_SHARE = 0.05
-# How many times as likely failures are, and how strongly ranks are weighted, in the
-# alternatives between which the evidence is divided, with their weights.
+# How many times as likely failures are in the alternatives between which the evidence
+# is divided, with their weights.
 ODDS = ((4.0, 0.3), (50.0, 0.7))
-TILTS = ((1.0, 0.5), (2.5, 0.5))
 # Weight of the alternative that the version is bad on all routes; the rest is divided
 # equally between the alternatives that it is bad on one of them.
 ALL_ROUTES_WEIGHT = 0.6
 
 
 class VersionComparison:
-    """Compare the answers of two versions over the same seconds and by route."""
+    """Compare the answers of two versions over the same seconds and by route.
+
+    ``found_bad`` is what is wrong with the new version, empty while nothing is.
+    """
 
     def __init__(self, duration_s: float) -> None:
-        steps = math.ceil(min(duration_s, 1e5) / SLICE_S) + 2
         self.log = AnswerLog()
-        self.failures = _Evidence(steps, ODDS)
-        self.times = _Evidence(steps, TILTS)
-        self.slice_until: float | None = None
-        # The share has ended, so that its evidence is final.
+        steps = math.ceil(min(max(duration_s, 0.0), 1e5) / SLICE_S) + 2
+        self.failures = _FailureEvidence(steps)
+        self.times = TimeTest()
         self.share_ended = False
         self.found_bad = ""
+        self._slice_until: float | None = None
 
     def observe(self, counts: EntryCounts, now: float) -> None:
         """Take the counts of an entry; older ones of its lifetime are replaced."""
@@ -92,167 +103,148 @@
 
     def _advance(self, now: float) -> None:
         """End the current second if it is over."""
-        if self.slice_until is None:
-            self.slice_until = now + SLICE_S
-        if now < self.slice_until:
+        if self._slice_until is None:
+            self._slice_until = now + SLICE_S
+        if now < self._slice_until:
             return
-        self.slice_until = now + SLICE_S
+        self._slice_until = now + SLICE_S
         strata = self.log.take_slice()
-        self.failures.add(
-            {
-                route: [_failure_log(stratum, odds) for odds, _ in ODDS]
-                for route, stratum in strata.items()
-                if stratum.old_failures or stratum.new_failures
-            }
-        )
-        self.times.add(
-            {
-                route: [_time_log(stratum, tilt) for tilt, _ in TILTS]
-                for route, stratum in strata.items()
-                if stratum.new_times
-            }
-        )
+        self.failures.add(strata)
+        self.times.add(strata, self.log.engines())
 
     def failure_evidence(self) -> float:
         """Return the evidence that the new version fails more often."""
-        before = _bounded_exp(
-            [
-                _failure_log(stratum, ODDS[-1][0])
-                for stratum in self.log.before.values()
-            ],
-            MAX_BEFORE_EVIDENCE,
-        )
-        return self.failures.value(self.log.route_count) * before
+        before = _evidence(self.log.before, ODDS[-1][0], MAX_BEFORE_EVIDENCE)
+        return before * self.failures.value(self.log.route_count)
 
-    def time_evidence(self) -> float:
-        """Return the evidence that the new version's answers take longer."""
-        before = _bounded_exp(
-            [_time_log(stratum, TILTS[0][0]) for stratum in self.log.before.values()],
-            MAX_BEFORE_EVIDENCE,
-        )
-        return self.times.value(self.log.route_count) * before
+    def time_score(self) -> float:
+        """Return the score of the new version's answers taking longer."""
+        score = self.times.score(self.log.before)
+        return max(score, self.times.route_score() - ROUTE_SCORE)
 
     def _fault(self) -> str:
         """Return what is wrong with the new version; empty if nothing is known."""
-        failures = self.failure_evidence()
-        if failures >= BAD_EVIDENCE:
+        failures, times = self.failure_evidence(), self.time_score()
+        if failures >= (FINAL_EVIDENCE if self.share_ended else BAD_EVIDENCE):
             return "failures"
-        if self.time_evidence() >= BAD_EVIDENCE:
+        if times >= (FINAL_SCORE if self.share_ended else BAD_SCORE):
             return "answer times"
-        if self.share_ended and failures >= FINAL_EVIDENCE:
-            return "failures"
-        if self.share_ended and self._failures_dominate():
+        if not self.share_ended:
+            return ""
+        if self._failures_dominate():
             return "most answers failed"
-        if self._fails_under_full_traffic(failures):
+        # The full traffic is not compared with answers of the same seconds, so it
+        # counts only for a version that is suspicious already, or if most answers fail.
+        full = self._full_failure_evidence()
+        confirmed = failures * full >= CONFIRMED_EVIDENCE
+        if failures >= SUSPICIOUS_EVIDENCE and confirmed:
             return "failures under full traffic"
+        if full >= OVERWHELMING_EVIDENCE / 2 and self._full_failures_dominate():
+            return "failures under full traffic"
+        full_times = self.times.full_score(self.log.full)
+        if min(times, full_times) >= SUSPICIOUS_SCORE:
+            if times + full_times >= CONFIRMED_SCORES:
+                return "answer times under full traffic"
         return ""
 
     def _failures_dominate(self) -> bool:
         old, new = self.log.old_total, self.log.new_total
-        if new.failures < MIN_DOMINANT or new.failures < DOMINANT_SHARE * new.requests:
+        if new.failures < max(MIN_DOMINANT, DOMINANT_SHARE * new.requests):
             return False
         return old.failures < DOMINANT_SHARE / 2 * max(1, old.requests)
 
-    def _fails_under_full_traffic(self, suspicion: float) -> bool:
-        """Compare the full traffic with the old version's answers before it.
-
-        These are not of the same seconds, so that this counts only for a version that
-        is suspicious already, or if most answers fail.
-        """
-        evidence = _bounded_exp(
-            [_failure_log(stratum, ODDS[-1][0]) for stratum in self.log.full.values()],
-            OVERWHELMING_EVIDENCE,
+    def _full_failure_evidence(self) -> float:
+        """Compare the full traffic with the old version's answers before it."""
+        return sum(
+            weight * _evidence(self.log.full, odds, OVERWHELMING_EVIDENCE)
+            for odds, weight in ODDS
         )
-        if suspicion >= SUSPICIOUS_EVIDENCE and evidence >= CONFIRMING_EVIDENCE:
-            return True
-        requests = sum(stratum.new_requests for stratum in self.log.full.values())
-        failures = sum(stratum.new_failures for stratum in self.log.full.values())
-        dominate = failures >= max(MIN_DOMINANT_FULL, DOMINANT_SHARE * requests)
-        return dominate and evidence >= OVERWHELMING_EVIDENCE
+
+    def _full_failures_dominate(self) -> bool:
+        strata = self.log.full.values()
+        requests = sum(stratum.new_requests for stratum in strata)
+        failures = sum(stratum.new_failures for stratum in strata)
+        return failures >= max(MIN_DOMINANT_FULL, DOMINANT_SHARE * requests)
 
     def _is_good(self) -> bool:
         new = self.log.new_total
-        if self.failure_evidence() >= SUSPICIOUS_EVIDENCE or not new.requests:
+        if not new.requests or self.failure_evidence() >= SUSPICIOUS_EVIDENCE:
+            return False
+        if self.time_score() >= SUSPICIOUS_SCORE:
             return False
         return _at_most(new.failures, new.requests, LEAST_BAD_SHARE) <= GOOD_ERROR
 
 
-class _Evidence:
-    """Evidence over all alternatives: the routes, the strengths and the begin."""
+class _FailureEvidence:
+    """Evidence over all alternatives: the routes, the odds and the begin."""
 
-    def __init__(self, steps: int, strengths: tuple[tuple[float, float], ...]) -> None:
+    def __init__(self, steps: int) -> None:
         self.steps = steps
-        self.weights = [weight for _, weight in strengths]
-        self.all_routes = [ChangeMixture(steps) for _ in strengths]
+        self.all_routes = self._mixtures()
         self.by_route: dict[str, list[ChangeMixture]] = {}
         self.slices = 0
 
-    def add(self, logs: dict[str, list[float]]) -> None:
-        """Take the evidence of a second by route and strength."""
-        for index, mixture in enumerate(self.all_routes):
-            mixture.multiply(
-                _bounded_exp([by[index] for by in logs.values()], MAX_SLICE_EVIDENCE)
-            )
-        for route in logs:
+    def _mixtures(self) -> list[ChangeMixture]:
+        return [ChangeMixture(self.steps) for _ in ODDS]
+
+    def add(self, strata: dict[str, Stratum]) -> None:
+        """Take the answers of a second."""
+        failed = {
+            route: stratum
+            for route, stratum in strata.items()
+            if stratum.old_failures or stratum.new_failures
+        }
+        for route in failed:
             if route not in self.by_route:
-                self.by_route[route] = [self._mixture() for _ in self.weights]
+                self.by_route[route] = self._mixtures()
+                for mixture in self.by_route[route]:
+                    mixture.skip(self.slices)
+        _multiply(self.all_routes, failed)
         for route, mixtures in self.by_route.items():
-            for index, mixture in enumerate(mixtures):
-                log = logs[route][index] if route in logs else 0.0
-                mixture.multiply(_bounded_exp([log], MAX_SLICE_EVIDENCE))
+            of_route = {route: failed[route]} if route in failed else {}
+            _multiply(mixtures, of_route)
         self.slices += 1
 
-    def _mixture(self) -> ChangeMixture:
-        """Return the mixture of a route that had no evidence in the slices so far."""
-        mixture = ChangeMixture(self.steps)
-        for _ in range(min(self.slices, self.steps)):
-            mixture.multiply(1.0)
-        return mixture
-
     def value(self, routes: int) -> float:
         """Return the evidence, of which each of the routes has an equal weight."""
         weight = (1.0 - ALL_ROUTES_WEIGHT) / max(routes, len(self.by_route))
-        total = 1.0 - weight * len(self.by_route) - ALL_ROUTES_WEIGHT
-        total += ALL_ROUTES_WEIGHT * self._mean(self.all_routes)
-        for mixtures in self.by_route.values():
-            total += weight * self._mean(mixtures)
-        return total
+        total = 1.0 - ALL_ROUTES_WEIGHT - weight * len(self.by_route)
+        total += ALL_ROUTES_WEIGHT * _mean(self.all_routes)
+        return total + weight * sum(map(_mean, self.by_route.values()))
 
-    def _mean(self, mixtures: list[ChangeMixture]) -> float:
-        return sum(
-            weight * mixture.value
-            for weight, mixture in zip(self.weights, mixtures, strict=True)
-        )
 
-
-def _failure_log(stratum: Stratum, odds: float) -> float:
-    return log_failure_evidence(
-        stratum.old_requests,
-        stratum.old_failures,
-        stratum.new_requests,
-        stratum.new_failures,
-        odds,
-    )
+def _multiply(mixtures: list[ChangeMixture], strata: dict[str, Stratum]) -> None:
+    for mixture, (odds, _) in zip(mixtures, ODDS, strict=True):
+        mixture.multiply(_evidence(strata, odds, MAX_SLICE_EVIDENCE))
 
 
-def _time_log(stratum: Stratum, tilt: float) -> float:
-    return log_time_evidence(stratum.old_times, stratum.new_times, tilt)
+def _mean(mixtures: list[ChangeMixture]) -> float:
+    return sum(
+        weight * mixture.value
+        for mixture, (_, weight) in zip(mixtures, ODDS, strict=True)
+    )
 
 
-def _bounded_exp(logs: list[float], most: float) -> float:
-    return math.exp(min(sum(logs), math.log(most)))
+def _evidence(strata: dict[str, Stratum], odds: float, most: float) -> float:
+    """Return the evidence of failures over routes, up to a bound."""
+    total = 0.0
+    for stratum in strata.values():
+        total += log_failure_evidence(
+            stratum.old_requests,
+            stratum.old_failures,
+            stratum.new_requests,
+            stratum.new_failures,
+            odds,
+        )
+    return math.exp(min(total, math.log(most)))
 
 
 def _at_most(failures: int, requests: int, share: float) -> float:
     """Return the probability of at most as many failures as were seen."""
-    total = 0.0
-    for count in range(failures + 1):
-        log = (
-            math.lgamma(requests + 1)
-            - math.lgamma(count + 1)
-            - math.lgamma(requests - count + 1)
-            + count * math.log(share)
-            + (requests - count) * math.log1p(-share)
-        )
-        total += math.exp(log)
+    odds = share / (1.0 - share)
+    term = (1.0 - share) ** requests
+    total = term
+    for count in range(failures):
+        term *= odds * (requests - count) / (count + 1)
+        total += term
     return total
--- a/src/acaciarelay/coordination/rollout/coordinator.py
+++ b/src/acaciarelay/coordination/rollout/coordinator.py
@@ -66,7 +66,8 @@
     """State machine by which an entry coordinates an order, or stands by for that.
 
     Each entry has one for each order that has not ended. ``holder`` names this lifetime
-    of the entry; ``ended`` is the end state if it is known (``EndedOrders``).
+    of the entry; ``ended`` is the end state if it is known (``EndedOrders``). After
+    ``EndConfirmed`` or ``OrderReplaced`` there are no more actions.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         # The rows hold the end, or the order was replaced.
         self.done = False
         self._acting = False
+        self._age_error_s = math.inf
         self._read_asked_at = -math.inf
         self._sent: tuple[int, Phase] | None = None
         self._sent_at = -math.inf
@@ -111,8 +113,8 @@
                 pass
             case RowsRead():
                 fresh = self.lease.read(event, now)
-                if fresh:
-                    self._follow_age(event)
+                if fresh and not self._acting:
+                    self._follow_age(event, now)
             case WriteEnded():
                 self.lease.write_ended(event, now)
             case CountsReceived(counts):
@@ -124,9 +126,7 @@
                 self.plan.entries = entries
             case EpochHeard(epoch):
                 self.lease.max_epoch = max(self.lease.max_epoch, epoch)
-                if self.lease.epoch and epoch > self.lease.epoch:
-                    self.lease.release()
-        if self._is_over(actions):
+        if self._is_over(actions, now):
             return actions
         self._update_term(actions, now)
         if self.is_coordinator:
@@ -136,14 +136,23 @@
         self._read_if_due(actions, now)
         return actions
 
-    def _follow_age(self, rows: RowsRead) -> None:
-        """Take the time at which the order was first seen from the row."""
+    def _follow_age(self, rows: RowsRead, now: float) -> None:
+        """Take the time at which the order was first seen from the row.
+
+        The store's time in an answer is known up to the time that the read took, so the
+        fastest read counts.
+        """
         row = self.lease.own_row
-        if row is not None and 0 < row.since_ms <= rows.now_ms:
+        error_s = now - rows.read_at
+        if row is None or not 0 < row.since_ms <= rows.now_ms:
+            return
+        if error_s < self._age_error_s:
+            self._age_error_s = error_s
             age_s = (rows.now_ms - row.since_ms) / 1000.0
-            self.plan.began_at = min(self.plan.began_at, rows.read_at - age_s)
+            began_at = rows.read_at + error_s / 2 - age_s
+            self.plan.began_at = min(self.first_seen, began_at)
 
-    def _is_over(self, actions: list[Action]) -> bool:
+    def _is_over(self, actions: list[Action], now: float) -> bool:
         """Stop when the rows hold the end of this order, or are of a later one."""
         state = self.lease.ended
         rows = self.lease.rows
@@ -151,7 +160,7 @@
             self.done = True
             actions.append(EndConfirmed(state))
             if self._acting:
-                actions.append(self._permission(Phase.ENDED, state, self.first_seen))
+                actions.append(self._permission(Phase.ENDED, state, now))
             return True
         row = rows.coordinator if rows is not None else None
         if row is not None and row.order > self.order.revision:
@@ -162,7 +171,8 @@
     def _update_term(self, actions: list[Action], now: float) -> None:
         """Begin or end the term as coordinator with the lease."""
         lease = self.lease
-        if lease.epoch and not lease.is_valid(now):
+        fenced = lease.epoch < lease.max_epoch
+        if lease.epoch and (fenced or not lease.is_valid(now)):
             lease.release()
         holds = lease.epoch > 0
         if holds and not self._acting:
@@ -201,7 +211,7 @@
             # Decided in an earlier term; it is judged anew in the next one.
             state = RolloutState.RUNNING
         if state.is_end:
-            actions.append(Remark(f"rollout_{state}", self._end_reason()))
+            actions.append(Remark("rollout_decided", f"{state}: {self._end_reason()}"))
         age_ms = int(self.plan.age_s(now) * 1000.0)
         write = lease.claim(now, state, Phase.NONE, rows.now_ms - age_ms)
         actions.append(write)
@@ -219,7 +229,7 @@
         before = plan.end
         plan.advance(now, lease.epoch)
         if plan.end is not before:
-            actions.append(Remark(f"rollout_{plan.end}", plan.reason))
+            actions.append(Remark("rollout_decided", f"{plan.end}: {plan.reason}"))
         sent = (lease.epoch, plan.phase)
         if sent != self._sent or now - self._sent_at >= PERMISSION_INTERVAL_S:
             self._sent, self._sent_at = sent, now
--- a/src/acaciarelay/coordination/rollout/evidence.py
+++ b/src/acaciarelay/coordination/rollout/evidence.py
@@ -1,4 +1,4 @@
-"""Evidence that one version is worse than another, as e-values.
+"""Evidence that one version fails more often than another, as e-values.
 
 An e-value is a statistic whose mean is at most 1 while both versions answer alike. The
 product of those of successive seconds exceeds 1 / error at any time with at most the
@@ -6,17 +6,13 @@
 
 All are conditional on what both versions together have answered: given that, each split
 of these answers between the versions is equally likely while they answer alike. A rise
-of failures or times at both is thus no evidence, however large it is.
+of failures at both is thus no evidence, however large it is.
 """
 
 import math
-from collections.abc import Mapping
 
-__all__ = ["ChangeMixture", "log_failure_evidence", "log_time_evidence"]
+__all__ = ["ChangeMixture", "log_failure_evidence"]
 
-# Up to this number of answers of the new version, the mean of the tilted statistic is
-# exact. Beyond, it is that of a normal variable of the same variance.
-MAX_EXACT = 16
 # Values above this bound say no more than the bound.
 MAX_VALUE = 1e15
 
@@ -60,48 +56,6 @@
     return new_failures * log_odds - (log_sum - total)
 
 
-def log_time_evidence(
-    old: Mapping[int, int], new: Mapping[int, int], tilt: float
-) -> float:
-    """Return the logarithm of the evidence that the new version's times are longer.
-
-    ``old`` and ``new`` hold numbers of answers by bucket. The statistic is the sum of
-    the ranks of the new version's answers among those of both, scaled to -1 to 1 and
-    multiplied by ``tilt``.
-    """
-    old_total, new_total = sum(old.values()), sum(new.values())
-    if not old_total or not new_total:
-        return 0.0
-    total = old_total + new_total
-    ranks: list[tuple[float, int]] = []
-    statistic = 0.0
-    below = 0
-    for bucket in sorted(old.keys() | new.keys()):
-        count = old.get(bucket, 0) + new.get(bucket, 0)
-        rank = tilt * ((2 * below + count) / total - 1.0)
-        ranks.append((rank, count))
-        statistic += rank * new.get(bucket, 0)
-        below += count
-    if new_total > MAX_EXACT:
-        # The ranks' mean is 0; the answers of one version are drawn without return.
-        variance = sum(count * rank * rank for rank, count in ranks) / max(1, total - 1)
-        return statistic - new_total * variance * (old_total / total) / 2.0
-    # Coefficients of the product of (1 + exp(rank) x) over all answers.
-    sums = [1.0] + [0.0] * new_total
-    for rank, count in ranks:
-        weight = math.exp(rank)
-        factors = [
-            math.comb(count, chosen) * weight**chosen
-            for chosen in range(min(count, new_total) + 1)
-        ]
-        for chosen in range(new_total, -1, -1):
-            sums[chosen] = sum(
-                factor * sums[chosen - index]
-                for index, factor in enumerate(factors[: chosen + 1])
-            )
-    return statistic - math.log(sums[new_total]) + _log_choose(total, new_total)
-
-
 class ChangeMixture:
     """Evidence that a version has turned bad at one of several seconds.
 
@@ -118,6 +72,12 @@
     def value(self) -> float:
         return self.begun + self.to_come
 
+    def skip(self, steps: int) -> None:
+        """Take seconds that hold no evidence."""
+        begun = min(self.step_weight * steps, self.to_come)
+        self.to_come -= begun
+        self.begun += begun
+
     def multiply(self, evidence: float) -> None:
         """Take the evidence of the next second."""
         begins = min(self.step_weight, self.to_come)
--- a/src/acaciarelay/coordination/rollout/lease.py
+++ b/src/acaciarelay/coordination/rollout/lease.py
@@ -96,9 +96,6 @@
         if self.pending is not None or rows.read_at < self.usable_from:
             return False
         known = self.rows
-        if known is not None and known.era == rows.era:
-            if rows.coordinator_version < known.coordinator_version:
-                return False
         if known is not None and known.era != rows.era:
             self.release()
             self.uncertain.clear()
@@ -120,7 +117,9 @@
         """Find out from the rows whether this entry holds the lease."""
         row = rows.coordinator
         for pending in self.uncertain:
-            if row == pending.write.coordinator:
+            # Successive renewals may write the same, so the version has to change too.
+            changed = rows.coordinator_version != pending.write.coordinator_version
+            if changed and row == pending.write.coordinator:
                 self._take_effect(pending)
                 self.uncertain.clear()
                 return
--- a/src/acaciarelay/coordination/rollout/plan.py
+++ b/src/acaciarelay/coordination/rollout/plan.py
@@ -130,10 +130,11 @@
 
     def _old_are_idle(self, epoch: int) -> bool:
         """Return whether all entries report that they use no old engine any more."""
-        idle = set()
-        busy = set()
-        for counts in self.comparison.log.reports():
-            follows = counts.phase is Phase.FULL and counts.epoch == epoch
-            (idle if follows and not counts.old_running else busy).add(counts.entry)
-        # A former lifetime of an entry never reports again.
-        return bool(self.entries) and idle.issuperset(self.entries)
+        reports = self.comparison.log.last_reports
+        for entry in self.entries:
+            counts = reports.get(entry)
+            if counts is None or counts.phase is not Phase.FULL:
+                return False
+            if counts.epoch != epoch or counts.old_running:
+                return False
+        return bool(self.entries)
--- a/src/acaciarelay/coordination/rollout/selection.py
+++ b/src/acaciarelay/coordination/rollout/selection.py
@@ -14,7 +14,7 @@
 # The engines on trial change after this time, so that a version is not judged by the
 # speed of one or two engines, which differ by a factor of up to 3. Each of them has
 # enough time to be loaded like the old ones.
-TRIAL_S = 3.0
+TRIAL_S = 1.5
 # Registrations of old engines that were stopped may stay listed for this long.
 STOPPED_LISTED_S = 10.0
 
--- a/src/acaciarelay/coordination/rollout/steps.py
+++ b/src/acaciarelay/coordination/rollout/steps.py
@@ -128,7 +128,10 @@
 
 @attrs.frozen
 class ReadRows:
-    """Read both rows; answered by ``RowsRead``, or by nothing if that fails."""
+    """Read both rows, unless a read is under way.
+
+    Answered by ``RowsRead``, or by nothing if that fails.
+    """
 
 
 @attrs.frozen(kw_only=True)
--- a/src/acaciarelay/coordination/rollout/strata.py
+++ b/src/acaciarelay/coordination/rollout/strata.py
@@ -13,7 +13,10 @@
 
 @attrs.define(eq=False)
 class Stratum:
-    """Answers of one route over the same time."""
+    """Answers of one route over the same time.
+
+    ``late_from`` is the bucket from which on they are late, where that is counted.
+    """
 
     old_requests: int = 0
     old_failures: int = 0
@@ -21,6 +24,7 @@
     new_failures: int = 0
     old_times: dict[int, int] = attrs.Factory(_buckets)
     new_times: dict[int, int] = attrs.Factory(_buckets)
+    late_from: int | None = None
 
     def add(self, new: bool, requests: int, failures: int) -> None:
         if new:
@@ -30,6 +34,13 @@
             self.old_requests += requests
             self.old_failures += failures
 
+    def late(self, new: bool) -> int:
+        """Return the number of late answers."""
+        if self.late_from is None:
+            return 0
+        times = self.times(new)
+        return sum(count for bucket, count in times.items() if bucket >= self.late_from)
+
     def times(self, new: bool) -> dict[int, int]:
         return self.new_times if new else self.old_times
 
--- a/src/acaciarelay/state/rollout.py
+++ b/src/acaciarelay/state/rollout.py
@@ -15,6 +15,7 @@
     "TIME_BUCKETS",
     "BucketCounts",
     "CoordinatorRow",
+    "EngineTimes",
     "EntryCounts",
     "LifetimeCounts",
     "Phase",
@@ -127,6 +128,21 @@
 EMPTY_COUNTS: VersionCounts = {}
 
 
+@attrs.frozen(kw_only=True)
+class EngineTimes:
+    """Requests sent to one engine, and its whole answers, cumulative.
+
+    ``excess`` is the sum over the answers of the number of the bucket of their time,
+    above the mean of the old engines' answers of their route at the same entry.
+    """
+
+    engine: str
+    new: bool
+    requests: int
+    answers: int
+    excess: float
+
+
 @attrs.frozen(kw_only=True)
 class EntryCounts:
     """Counts of one lifetime of an entry since it learned of an order.
@@ -145,6 +161,7 @@
     old_running: int
     old: VersionCounts = EMPTY_COUNTS
     new: VersionCounts = EMPTY_COUNTS
+    engines: tuple[EngineTimes, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
