--- a/src/acaciarelay/coordination/rollout/coordinator.py
+++ b/src/acaciarelay/coordination/rollout/coordinator.py
@@ -82,7 +82,8 @@
         self.entry = entry
         self.first_seen = now
         self.lease = RowLease(order=order, holder=f"{entry}/{lifetime}")
-        self.plan = RolloutPlan(order, now, VersionComparison(order.duration_s))
+        duration_s = order.duration_s if order.has_duration else 0.0
+        self.plan = RolloutPlan(order, now, VersionComparison(duration_s))
         self.known_end = ended
         # The rows hold the end, or the order was replaced.
         self.done = False
