--- a/src/acaciarelay/coordination/rollout/answer_counts.py
+++ b/src/acaciarelay/coordination/rollout/answer_counts.py
@@ -22,6 +22,9 @@
 MAX_ROUTES = 16
 # Engines whose times are reported.
 MAX_ENGINES = 256
+# Their times are brought up to date with each fourth report, since they take most of
+# its cost and are compared once a second.
+REPORTS_PER_ENGINE_TIMES = 4
 
 
 @attrs.define(eq=False)
@@ -63,6 +66,7 @@
         # By engine and version, and then by route.
         self.engines: dict[tuple[str, bool], dict[str, _Times]] = {}
         self.sent: dict[tuple[str, bool], int] = {}
+        self.engine_times: tuple[EngineTimes, ...] = ()
 
     def begin(
         self,
@@ -118,6 +122,8 @@
 
     def report(self, epoch: int, phase: Phase, now: float) -> EntryCounts:
         """Return the counts so far."""
+        if self.number % REPORTS_PER_ENGINE_TIMES == 0:
+            self.engine_times = self._engine_times()
         self.number += 1
         ages: dict[bool, dict[str, dict[int, int]]] = {False: {}, True: {}}
         old_running = 0
@@ -136,7 +142,7 @@
             old_running=old_running,
             old=_version_counts(self.routes[False], ages[False]),
             new=_version_counts(self.routes[True], ages[True]),
-            engines=self._engine_times(),
+            engines=self.engine_times,
         )
 
     def _engine_times(self) -> tuple[EngineTimes, ...]:
--- a/src/acaciarelay/coordination/rollout/answer_log.py
+++ b/src/acaciarelay/coordination/rollout/answer_log.py
@@ -123,6 +123,8 @@
             last_routes = _routes(last, new)
             for route, now in _routes(counts, new).items():
                 before = last_routes.get(route, RouteCounts())
+                if now == before:
+                    continue
                 self._add_route(lifetime, last, route, new, before, now)
         lifetime.counts = counts
         self.last_reports[counts.entry] = counts
--- a/src/acaciarelay/coordination/rollout/comparison.py
+++ b/src/acaciarelay/coordination/rollout/comparison.py
@@ -18,13 +18,13 @@
 # Evidence of failures at which a version is bad. By Ville's inequality, 1 / 4,000
 # bounds the probability for a good version, at whatever time.
 BAD_EVIDENCE = 4000.0
-# Evidence at which it is bad once the share has ended. The bound of 1 / 200 is not
+# Evidence at which it is bad once the share has ended. The bound of 1 / 100 is not
 # attained, since the evidence comes in steps of about 9 for each failure:
 # tools/measure_rollout.py gives the error of all rules together.
-FINAL_EVIDENCE = 200.0
+FINAL_EVIDENCE = 100.0
 # Evidence of the share that the full traffic has to confirm, and the product of both.
-SUSPICIOUS_EVIDENCE = 3.0
-CONFIRMED_EVIDENCE = 10_000.0
+SUSPICIOUS_EVIDENCE = 2.0
+CONFIRMED_EVIDENCE = 200.0
 # Evidence of the failures of the full traffic at which any version is bad.
 OVERWHELMING_EVIDENCE = 1e8
 # Scores of the times at which a version is bad: at each second, where 1 / 30,000 is the
@@ -47,7 +47,7 @@
 # loss of an engine. Two such seconds alone condemn no version.
 MAX_SLICE_EVIDENCE = 45.0
 # Bound for what was answered before this process began to take counts.
-MAX_BEFORE_EVIDENCE = 400.0
+MAX_BEFORE_EVIDENCE = 150.0
 # A failure share of 1 / 20 is excluded when as few failures as were seen have at most
 # this probability under it.
 GOOD_ERROR = 0.05
