--- a/src/acaciarelay/programs/order_run.py
+++ b/src/acaciarelay/programs/order_run.py
@@ -292,7 +292,7 @@
             new_requests=new.requests,
             new_failures=new.failures,
             failure_evidence=round(plan.comparison.failure_evidence(), 3),
-            time_evidence=round(plan.comparison.time_evidence(), 3),
+            time_score=round(plan.comparison.time_score(), 3),
             old_engines=plan.old_engines,
             new_engines=plan.new_engines,
             entries=len(plan.entries),
--- a/src/acaciarelay/programs/rollouts.py
+++ b/src/acaciarelay/programs/rollouts.py
@@ -263,7 +263,14 @@
         if run is not None and run.open:
             is_new = attempt.version == run.order.version
             run.share.record_sent(is_new)
-            run.counts.begin(attempt.key, attempt.route, is_new, now, work=attempt.work)
+            run.counts.begin(
+                attempt.key,
+                attempt.route,
+                attempt.engine,
+                is_new,
+                now,
+                work=attempt.work,
+            )
             self.count("rollout_requests_total", attempt)
         return attempt
 
--- a/src/acaciarelay/programs/running_attempts.py
+++ b/src/acaciarelay/programs/running_attempts.py
@@ -29,6 +29,7 @@
     key: int
     service: str
     version: str
+    engine: str
     route: str
     sent_at: float
     work: float
@@ -61,6 +62,7 @@
             key=next(self._keys),
             service=endpoint.service,
             version=endpoint.version,
+            engine=endpoint.endpoint_id,
             route=relayed.route.name,
             sent_at=now,
             work=self._work(relayed),
--- a/src/acaciarelay/protocol/rollout_messages.py
+++ b/src/acaciarelay/protocol/rollout_messages.py
@@ -7,6 +7,7 @@
 from acaciarelay.state.rollout import (
     TIME_BUCKETS,
     BucketCounts,
+    EngineTimes,
     EntryCounts,
     Phase,
     RolloutState,
@@ -28,6 +29,8 @@
 # Routes of one message, more than an entry counts apart.
 MAX_ROUTES = 256
 MAX_ROUTE_NAME = 256
+MAX_ENGINES = 1_024
+MAX_ENGINE_NAME = 256
 MAX_AGE_S = 10 * 86_400.0
 
 
@@ -37,6 +40,7 @@
 
     ``era`` and ``order`` are the version of the order's row. ``old`` and ``new`` hold
     by route the requests, the failures, and both lists of buckets with their counts.
+    ``engines`` holds lists of the values of ``EngineTimes``.
     """
 
     service: str
@@ -48,6 +52,7 @@
     old_running: int
     old: Any
     new: Any
+    engines: Any = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -79,6 +84,7 @@
         old_running=counts.old_running,
         old=_encode_version(counts.old),
         new=_encode_version(counts.new),
+        engines=[_encode_engine(engine) for engine in counts.engines],
     )
 
 
@@ -97,6 +103,7 @@
             old_running=_count(message.old_running),
             old=_decode_version(message.old),
             new=_decode_version(message.new),
+            engines=_decode_engines(message.engines),
         )
     except (ValueError, TypeError, AttributeError):
         return None
@@ -152,6 +159,40 @@
     return tuple(pairs)
 
 
+def _encode_engine(engine: EngineTimes) -> list[object]:
+    return [
+        engine.engine,
+        int(engine.new),
+        engine.requests,
+        engine.answers,
+        engine.excess,
+    ]
+
+
+def _decode_engines(value: Any) -> tuple[EngineTimes, ...]:
+    """Decode the times of engines; raises ``ValueError`` and ``TypeError``."""
+    if len(value) > MAX_ENGINES:
+        raise ValueError("too many engines")
+    engines = []
+    for engine, new, requests, answers, excess in value:
+        if not isinstance(engine, str) or len(engine) > MAX_ENGINE_NAME:
+            raise ValueError("the name of an engine is no short text")
+        if _count(answers) > _count(requests):
+            raise ValueError("more answers than requests")
+        if not abs(excess) <= TIME_BUCKETS * answers:
+            raise ValueError("an excess is out of bounds")
+        engines.append(
+            EngineTimes(
+                engine=engine,
+                new=bool(_count(new)),
+                requests=requests,
+                answers=answers,
+                excess=float(excess),
+            )
+        )
+    return tuple(engines)
+
+
 def _count(value: Any) -> int:
     """Return a whole number within bounds; raises ``ValueError``."""
     if type(value) is not int or not 0 <= value <= MAX_COUNT:
--- a/tests/unit/platform_path/test_rollout_messages.py
+++ b/tests/unit/platform_path/test_rollout_messages.py
@@ -11,6 +11,7 @@
     decode_permission,
 )
 from acaciarelay.state.rollout import (
+    EngineTimes,
     EntryCounts,
     Phase,
     RolloutState,
@@ -31,6 +32,10 @@
         "order": RouteCounts(requests=9, running=((3, 2), (63, 1))),
     },
     new={"read": RouteCounts(requests=11)},
+    engines=(
+        EngineTimes(engine="i-1", new=False, requests=120, answers=110, excess=-7.5),
+        EngineTimes(engine="i-5", new=True, requests=11, answers=0, excess=0.0),
+    ),
 )
 PERMISSION = RolloutPermission(
     service="orders", era=1, order=7, epoch=2, phase=1, state="running", age_s=1.5
@@ -90,6 +95,31 @@
     assert decode_counts(message, "10.1.0.2:7601", "aa") is None
 
 
+@pytest.mark.parametrize(
+    "engines",
+    [
+        7,
+        None,
+        [7],
+        [["i-1", 0, 1, 1]],
+        [[1, 0, 1, 1, 0.0]],
+        [["i" * 1000, 0, 1, 1, 0.0]],
+        [["i-1", None, 1, 1, 0.0]],
+        [["i-1", 0, 1, 2, 0.0]],
+        [["i-1", 0, -1, 0, 0.0]],
+        [["i-1", 0, 1, 1, "3"]],
+        [["i-1", 0, 1, 1, 1e9]],
+        [["i-1", 0, 1, 1, None]],
+        [["i-1", 0, 1, 1, 0.0]] * 2000,
+    ],
+)
+def test_times_of_engines_out_of_bounds_are_left_out(engines):
+    """Guards against odd figures of engines in the coordinator's comparison."""
+    message = attrs.evolve(counts_message("orders", COUNTS), engines=engines)
+    decoded = decode_message(encode_message(message))
+    assert decode_counts(decoded, "10.1.0.2:7601", "aa") is None
+
+
 def test_a_permission_names_its_phase_and_state():
     """Guards against a permission that is taken for another one."""
     decoded = decode_message(encode_message(PERMISSION))
