Wait for the coordinator in the plays that end it

Cause: until the entries know an order, the new engines get requests as any others, so that a play looked for the coordinator's row before it was there (1 of 6 tests failed once). Tested: test_rollouts.py (6) and test_platform_path.py (9) pass, make check is clean.

--- a/tests/integration/test_rollouts.py
+++ b/tests/integration/test_rollouts.py
@@ -195,9 +195,16 @@
     raise AssertionError(f"no entry is {holder}")
 
 
-async def until_shared(fleet: PlatformFleet, since: float) -> None:
-    """Wait until the new version gets requests."""
-    deadline = time.monotonic() + 4.0
+async def until_shared(fleet: PlatformFleet) -> None:
+    """Wait until an entry coordinates and the new version gets its share.
+
+    Until the entries know the order, the new engines get requests as any others.
+    """
+    deadline = time.monotonic() + 5.0
+    while not fleet.store.rows("rollouts", "", fleet.store.version):
+        assert time.monotonic() < deadline, "no entry coordinates"
+        await asyncio.sleep(0.05)
+    since = time.monotonic()
     while not runs(fleet, NEW_RUNNERS, since):
         assert time.monotonic() < deadline, "the new version gets no requests"
         await asyncio.sleep(0.05)
@@ -268,7 +275,7 @@
     async with rollout_fleet(tmp_path) as (fleet, load):
         await start_new(fleet)
         ordered_at = order(fleet, durationS=14)
-        await until_shared(fleet, ordered_at)
+        await until_shared(fleet)
         first = coordinator(fleet)
         load.down.add(first)
         await fleet.programs[first].stop(signal.SIGKILL)
@@ -288,7 +295,7 @@
     async with rollout_fleet(tmp_path) as (fleet, load):
         await start_new(fleet)
         ordered_at = order(fleet, durationS=14)
-        await until_shared(fleet, ordered_at)
+        await until_shared(fleet)
         first = coordinator(fleet)
         load.down.add(first)
         stopped_at = time.monotonic()
