Move the registration of the runner's stand-in to a module of its own

Change: the module runner_registration.py, and a list as the default of the engines. Tested: test_link_messages.py, test_rollout_messages.py and test_runner_standin.py pass.

--- a/src/acaciarelay/protocol/rollout_messages.py
+++ b/src/acaciarelay/protocol/rollout_messages.py
@@ -52,7 +52,7 @@
     old_running: int
     old: Any
     new: Any
-    engines: Any = ()
+    engines: Any = attrs.Factory(list)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -16,7 +16,6 @@
 import orjson
 
 from acaciarelay.protocol.http_message import InboundRequest
-from acaciarelay.transport.endpoint_call import connect
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
@@ -29,6 +28,7 @@
     BadVersion,
     RunnerFaults,
 )
+from acaciarelay_standins.runner_registration import register
 
 __all__ = ["PlatformRunner", "Run", "main"]
 
@@ -341,42 +341,6 @@
     return tuple(part.partition(":")[0] for part in prefix.split(",") if part)
 
 
-async def _register(
-    store: str, runner: PlatformRunner, address: str, service: str, zone: str
-) -> None:
-    """Renew the registration in the store every second, as a runner does."""
-    sequence = 0
-    born = int(time.time() * 1000)
-    while True:
-        sequence += 1
-        value = {
-            "service": service,
-            "address": address,
-            "zone": zone,
-            "version": runner.version,
-            "slots": runner.slots,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seq": sequence,
-            "born": born,
-        }
-        row = {"table": "servers", "key": runner.endpoint_id, "value": value}
-        await _post(store, "/put", orjson.dumps(row))
-        await asyncio.sleep(1.0)
-
-
-async def _post(address: str, path: str, body: bytes) -> None:
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(2.0):
-            connection = (await connect(address, 1.0)).ok()
-            if connection is None:
-                return
-            headers = [("Host", address), ("Content-Length", str(len(body)))]
-            connection.send("POST", path, headers, body)
-            await connection.next_event()
-            connection.close()
-
-
 async def _run(options: argparse.Namespace) -> None:
     runner = PlatformRunner(
         options.id,
@@ -393,7 +357,7 @@
     server, bound = await listen(runner.handle, options.listen)
     announce(bound)
     task = asyncio.create_task(
-        _register(options.store, runner, bound, options.service, options.zone)
+        register(options.store, bound, options.service, options.zone, runner)
     )
     await wait_for_stop()
     task.cancel()
