Compare full traffic with the old version's last seconds

A trouble of both versions that began 1.2 s before full traffic rolled back 1 of 25 good versions, since the old version's answers of the whole order were the comparison. Only those of the last seconds and, for failures, those that end later are now. Two slow fleets of 6 engines rolled back 1 of 120 good versions; the prior spread of engines and the sum of scores are higher now.

--- a/src/acaciarelay/coordination/rollout/answer_log.py
+++ b/src/acaciarelay/coordination/rollout/answer_log.py
@@ -52,8 +52,9 @@
     """Group cumulative counts by second and route.
 
     What an entry has counted before its first report here is in ``before``, since it is
-    unknown in which seconds; what it has answered while all its requests went to the
-    new version is in ``full``, beside the old version's answers before.
+    unknown in which seconds. ``full`` holds the new version's answers under full
+    traffic, beside the last ones of the old version: those of the second or two before,
+    and, for failures, those that ended later.
     """
 
     def __init__(self) -> None:
@@ -64,6 +65,7 @@
         self.old_total = Totals()
         self.new_total = Totals()
         self._slice: dict[str, Stratum] = {}
+        self._last_slice: dict[str, Stratum] = {}
         self._lifetimes: dict[tuple[str, str], _Lifetime] = {}
         self._slow_from: dict[str, int] = {}
         self._names: set[str] = set()
@@ -149,11 +151,14 @@
         (self.new_total if new else self.old_total).add(requests, failures)
         name = self._name(route)
         under_full = last is not None and last.phase is Phase.FULL
-        if new == under_full:
-            # The full traffic is compared with the old version's answers before it.
+        if under_full and not self.full:
+            self._begin_full()
+        if self.full:
             full = self.full.setdefault(name, Stratum())
-            full.add(new, requests, failures)
-            self._add_full_times(lifetime, full, name, route, new, before, now)
+            if under_full or not new:
+                full.add(new, requests, failures)
+            if under_full and new:
+                self._add_full_times(lifetime, full, name, route, before, now)
         if under_full:
             return
         group = self.before if last is None else self._slice
@@ -194,29 +199,38 @@
             times[slow_from] += added
             lifetime.slow[key] = slow
 
+    def _begin_full(self) -> None:
+        """Compare the full traffic with the old version's answers just before it.
+
+        A trouble of both versions that began before is then in both.
+        """
+        for strata in (self._last_slice, self._slice):
+            for name, stratum in strata.items():
+                full = self.full.setdefault(name, Stratum())
+                full.add(False, stratum.old_requests, stratum.old_failures)
+                for bucket, count in stratum.old_times.items():
+                    full.old_times[bucket] += count
+
     def _add_full_times(
         self,
         lifetime: _Lifetime,
         full: Stratum,
         name: str,
         route: str,
-        new: bool,
         before: RouteCounts,
         now: RouteCounts,
     ) -> None:
-        """Add the times of answers, and the new version's late requests at once."""
-        late_from = TIME_BUCKETS
-        if name in self._slow_from:
-            late_from = self._slow_from[name] - SLOW_BUCKETS + LATE_BUCKETS
-        times = full.times(new)
+        """Add the new version's answers, and its late requests as soon as they are."""
+        if name not in self._slow_from:
+            return
+        late_from = self._slow_from[name] - SLOW_BUCKETS + LATE_BUCKETS
+        full.late_from = late_from
+        times = full.new_times
         earlier = dict(before.times)
         for bucket, count in now.times:
             added = count - earlier.get(bucket, 0)
-            if added > 0 and (not new or bucket < late_from):
+            if added > 0 and bucket < late_from:
                 times[bucket] += added
-        if not new or late_from == TIME_BUCKETS:
-            return
-        full.late_from = late_from
         if route not in lifetime.late:
             lifetime.late[route] = _count_from(before.times, late_from)
             lifetime.late[route] += _count_from(before.running, late_from)
@@ -259,6 +273,7 @@
         for name, stratum in taken.items():
             if name not in self._slow_from:
                 self._find_median(name, stratum)
+        self._last_slice = taken
         return taken
 
     def _find_median(self, name: str, stratum: Stratum) -> None:
--- a/src/acaciarelay/coordination/rollout/comparison.py
+++ b/src/acaciarelay/coordination/rollout/comparison.py
@@ -35,9 +35,10 @@
 # Additional score of a single route, for the number of routes that are looked at.
 ROUTE_SCORE = 0.3
 # Least score of the share and of the full traffic by which they confirm each other, and
-# their sum.
+# their sum. Both depend on the speeds of the same engines: with 6 engines of 0.6 to 1.7
+# in each version, 4.2 rolled back 1 of 120 good versions.
 SUSPICIOUS_SCORE = 1.5
-CONFIRMED_SCORES = 4.2
+CONFIRMED_SCORES = 4.6
 # Failures of any version at which those of the full traffic count, and their share.
 MIN_DOMINANT_FULL = 20
 DOMINANT_SHARE = 0.5
@@ -46,8 +47,9 @@
 # Evidence of one second is bounded, since its failures may have one cause, such as the
 # loss of an engine. Two such seconds alone condemn no version.
 MAX_SLICE_EVIDENCE = 45.0
-# Bound for what was answered before this process began to take counts.
-MAX_BEFORE_EVIDENCE = 150.0
+# Bound for what was answered before this process began to take counts, so that this
+# alone condemns no version either.
+MAX_BEFORE_EVIDENCE = 90.0
 # A failure share of 1 / 20 is excluded when as few failures as were seen have at most
 # this probability under it.
 GOOD_ERROR = 0.05
@@ -154,7 +156,7 @@
         return old.failures < DOMINANT_SHARE / 2 * max(1, old.requests)
 
     def _full_failure_evidence(self) -> float:
-        """Compare the full traffic with the old version's answers before it."""
+        """Compare the full traffic with the old version's last answers."""
         return sum(
             weight * _evidence(self.log.full, odds, OVERWHELMING_EVIDENCE)
             for odds, weight in ODDS
--- a/src/acaciarelay/coordination/rollout/engine_spread.py
+++ b/src/acaciarelay/coordination/rollout/engine_spread.py
@@ -7,9 +7,9 @@
 __all__ = ["EngineSum", "EngineSpread", "unequal_share"]
 
 # The spread of the engines is not known well from few of them. It is estimated as if
-# this many more engines with a deviation of 2 buckets, a factor of 1.41, were known.
+# this many more were known, with the variance of speeds of 0.6, 1 and 1.7.
 PRIOR_ENGINES = 4
-PRIOR_VARIANCE = 4.0
+PRIOR_VARIANCE = 6.0
 
 
 @attrs.define
--- a/src/acaciarelay/state/rollout.py
+++ b/src/acaciarelay/state/rollout.py
@@ -196,7 +196,7 @@
 
 def time_bucket(taken_s: float) -> int:
     """Return the bucket of a time in seconds."""
-    taken_ms = taken_s * 1000.0
+    taken_ms = min(taken_s, 1e6) * 1000.0
     if not taken_ms > 1.0:
         return 0
     return min(TIME_BUCKETS - 1, int(math.log2(taken_ms) * BUCKETS_PER_OCTAVE))
