Ask for more evidence of failures under full traffic

Trouble of both versions from 9 of 12 s on rolled back 2 of 150 good versions whose evidence was just above 2.

--- a/src/acaciarelay/coordination/rollout/comparison.py
+++ b/src/acaciarelay/coordination/rollout/comparison.py
@@ -23,8 +23,10 @@
 # tools/measure_rollout.py gives the error of all rules together.
 FINAL_EVIDENCE = 100.0
 # Evidence of the share that the full traffic has to confirm, and the product of both.
-SUSPICIOUS_EVIDENCE = 2.0
-CONFIRMED_EVIDENCE = 200.0
+# With 2 and 200, trouble of both versions from 9 of 12 s on rolled back 2 of 150 good
+# versions. One failure at the new version alone gives about 4.
+SUSPICIOUS_EVIDENCE = 3.0
+CONFIRMED_EVIDENCE = 400.0
 # Evidence of the failures of the full traffic at which any version is bad.
 OVERWHELMING_EVIDENCE = 1e8
 # Scores of the times at which a version is bad: at each second, where 1 / 30,000 is the
