Extract the granter of slots from the agent

Cause: an entry is to grant the slots of an engine without a reachable agent with the same code. Change: programs/slot_granter.py holds the queue, the engine model, the count of untracked runs, refusals and the publication of states; the agent keeps its links, crash reports and life cycle. No behaviour changes; the test of agent states names the granter where it named the agent. Tested: test_agent_states, test_crash_guard, test_platform_path and test_fatal_prompts pass.

--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -7,12 +7,7 @@
 import time
 from collections.abc import Iterable
 
-import attrs
-
 from acaciarelay.coordination.crash_suspicion import Crash
-from acaciarelay.coordination.engine_model import SPEED_STEP_RATIO, EngineModel
-from acaciarelay.coordination.rounding import round_to_power
-from acaciarelay.coordination.slot_queue import SlotQueue, SlotRequestState
 from acaciarelay.programs.crash_detector import CrashDetector, crash_record
 from acaciarelay.programs.decision_log import configure_decision_log
 from acaciarelay.programs.engine_reports import EngineReports
@@ -25,15 +20,13 @@
     load_settings,
     settings_path,
 )
+from acaciarelay.programs.slot_granter import SlotGranter
 from acaciarelay.protocol.link_messages import (
     BrokenRun,
     CrashReport,
-    EngineState,
     EntryList,
     Hello,
     LinkMessage,
-    SlotGrant,
-    SlotRefusal,
     SlotRelease,
     SlotRequest,
     encode_message,
@@ -43,38 +36,7 @@
 __all__ = ["RelayAgent", "main"]
 
 EXIT_SETTINGS = 2
-# Delay after which queued requests are re-evaluated and a changed state is published.
-CHECK_DELAY_S = 0.05
-# Least time between two states sent to an entry in the same region, and in another one.
-# Both grow with the number of entries there, so that what an agent sends does not, up
-# to a bound that keeps the states of use.
-STATE_INTERVAL_S = 0.1
-FAR_STATE_INTERVAL_S = 0.5
-MAX_STATE_INTERVAL_S = 1.0
-NEAR_ENTRIES = 12
-FAR_ENTRIES = 48
-# Published waits are rounded to powers of this ratio. Shorter ones than the least are
-# published as it or as none.
-WAIT_STEP_RATIO = 1.25
-MIN_WAIT_S = 0.02
-# Requests granted beyond the engine's slots, so that the next one is already at the
-# engine when a run ends.
-EXTRA_SLOTS = 1
-# Ranks for which waits are published.
-PUBLISHED_RANKS = 16
 REPORT_INTERVAL_S = 0.25
-# How long the engine's report is checked for untracked runs after a start or a lost
-# link.
-UNTRACKED_RUNS_WINDOW_S = 6.0
-
-
-@attrs.define(eq=False)
-class _SentState:
-    """The state that was last sent to an entry, and whether it is in this region."""
-
-    near: bool
-    state: EngineState | None = None
-    sent_at: float = 0.0
 
 
 class RelayAgent:
@@ -84,9 +46,12 @@
         self.settings = settings
         self.loop = asyncio.get_running_loop()
         self.metrics = Metrics()
-        self.queue = SlotQueue()
-        self.model = EngineModel()
-        self.reports = EngineReports(settings.engine_address)
+        self.granter = SlotGranter(
+            EngineReports(settings.engine_address),
+            settings.zone,
+            settings.zones,
+            self.metrics,
+        )
         self.hello = Hello(
             name=settings.name,
             lifetime=secrets.token_hex(6),
@@ -100,13 +65,9 @@
                 on_open=self.opened, on_message=self.receive, on_close=self.closed
             ),
         )
-        self.links: dict[MessageLink, _SentState] = {}
+        self.links: set[MessageLink] = set()
         self.crashes = CrashDetector(self.report_crash)
         self.stopping = asyncio.Event()
-        self.publish_timer: asyncio.TimerHandle | None = None
-        # Runs at the engine that hold no granted slot.
-        self.untracked_runs = 0
-        self.untracked_until = time.monotonic() + UNTRACKED_RUNS_WINDOW_S
 
     async def run(self) -> int:
         """Serve entries until a stop is requested."""
@@ -120,73 +81,38 @@
         log_event("started", engine=self.settings.engine_address, always=True)
         while not self.stopping.is_set():
             with log_errors():
-                await self.check_untracked_runs()
+                await self.granter.check_untracked_runs()
             try:
                 async with asyncio.timeout(REPORT_INTERVAL_S):
                     await self.stopping.wait()
             except TimeoutError:
                 continue
-        log_event("stopped", places=len(self.queue.granted), always=True)
+        log_event("stopped", places=len(self.granter.queue.granted), always=True)
         self.crashes.close()
         self.server.close()
         metrics.close()
         return 0
 
-    async def check_untracked_runs(self) -> None:
-        """Count the untracked runs within the window, and forget them after it."""
-        if time.monotonic() < self.untracked_until:
-            await self.update_untracked_runs()
-        else:
-            self.forget_untracked_runs()
-
-    async def update_untracked_runs(self) -> None:
-        """Count the engine's runs that hold no granted slot."""
-        report = await self.reports.read()
-        if report is None:
-            return
-        runs = report.running + report.waiting
-        untracked_runs = max(0, runs - len(self.queue.granted))
-        if untracked_runs != self.untracked_runs:
-            log_event("unknown_runs", runs=runs, places=len(self.queue.granted))
-        self.untracked_runs = untracked_runs
-        self.grant()
-
-    def forget_untracked_runs(self) -> None:
-        """Drop the count at the end of the window: no further report corrects it."""
-        if self.untracked_runs:
-            self.untracked_runs = 0
-            self.grant()
-
     def opened(self, link: MessageLink) -> None:
         assert link.peer is not None
-        self.links[link] = _SentState(self.is_near(link))
+        self.links.add(link)
         log_event("entry_regained", entry=link.peer.name, lifetime=link.peer.lifetime)
         self.send_entry_list()
-        self.schedule_publish()
+        self.granter.add_link(link)
         self.send_crashes([link], list(self.crashes.crashes.values()))
 
     def closed(self, link: MessageLink) -> None:
         assert link.peer is not None
-        self.links.pop(link, None)
-        slots = self.queue.release_link(link)
+        self.links.discard(link)
+        slots = self.granter.remove_link(link)
         log_event("entry_lost", entry=link.peer.name, places=slots)
-        if slots:
-            # The entry may still be alive, with its requests running at the engine.
-            self.untracked_runs += slots
-            self.untracked_until = time.monotonic() + UNTRACKED_RUNS_WINDOW_S
-        self.grant()
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
-        now = time.monotonic()
         match message:
             case SlotRequest():
-                self.queue.slot_limit = message.slots + EXTRA_SLOTS
-                self.queue.enqueue(link, message, now, self.untracked_runs)
-                self.grant()
-                self.refuse_if_infeasible(link, message, now)
+                self.granter.request_slot(link, message)
             case SlotRelease():
-                self.release(link, message, now)
-                self.grant()
+                self.granter.release_slot(link, message)
             case BrokenRun():
                 self.crashes.record(message, self.settings.engine_address)
             case _:
@@ -207,119 +133,6 @@
             if link.peer is not None and link.peer.digests_parts:
                 link.send_line(line)
 
-    def refuse_if_infeasible(
-        self, link: MessageLink, message: SlotRequest, now: float
-    ) -> None:
-        """Refuse a new request at once that is not expected to get a slot in time."""
-        state = self.queue.pop_if_infeasible(
-            link, message.request, now, self.untracked_runs
-        )
-        if state is not None:
-            self.refuse(state)
-
-    def release(self, link: MessageLink, message: SlotRelease, now: float) -> None:
-        """Release a slot, and update the engine model with the reported timings."""
-        state = self.queue.release(link, message.request, now)
-        if state is None or message.first_s <= 0:
-            return
-        prompt_tokens = state.slot_request.prompt_tokens
-        predicted_s = self.model.speed().first_event_s(prompt_tokens)
-        self.metrics.observe(
-            "first_event_error_seconds", abs(message.first_s - predicted_s)
-        )
-        self.model.observe(
-            prompt_tokens,
-            state.slot_request.output_tokens,
-            message.first_s,
-            message.stream_s,
-            now,
-        )
-
-    def grant(self) -> None:
-        """Grant free slots."""
-        now = time.monotonic()
-        for state in self.queue.next_grants(now, self.untracked_runs):
-            self.answer(state, SlotGrant(request=state.slot_request.request))
-            self.metrics.count("places_granted_total", tier=state.slot_request.rank)
-            waited_s = now - state.queued_at
-            self.metrics.observe(
-                "place_wait_seconds", waited_s, tier=state.slot_request.rank
-            )
-            self.metrics.observe(
-                "place_wait_error_seconds",
-                abs(waited_s - state.predicted_wait_s),
-                tier=state.slot_request.rank,
-            )
-        self.schedule_publish()
-
-    def refuse(self, state: SlotRequestState) -> None:
-        self.answer(state, SlotRefusal(request=state.slot_request.request))
-        self.metrics.count("places_refused_total", tier=state.slot_request.rank)
-
-    def answer(self, state: SlotRequestState, message: LinkMessage) -> None:
-        assert isinstance(state.owner, MessageLink)
-        state.owner.send(message)
-
-    def schedule_publish(self) -> None:
-        if self.publish_timer is None:
-            self.publish_timer = self.loop.call_later(CHECK_DELAY_S, self.publish)
-
-    def publish(self) -> None:
-        """Update the gauges, and send entries the waits and the speed if changed."""
-        self.publish_timer = None
-        now = time.monotonic()
-        if self.queue.waiting:
-            # As time passes, and as others come and go, a queued request may become due
-            # for refusal, or a slot may no longer be kept from its rank.
-            self.grant()
-            for infeasible in self.queue.pop_infeasible(now, self.untracked_runs):
-                self.refuse(infeasible)
-        self.metrics.set("places_used", len(self.queue.granted) + self.untracked_runs)
-        self.metrics.set("places_waiting", len(self.queue.waiting))
-        for rank in self.queue.ranks():
-            self.metrics.set("places_kept", self.queue.reserved_slots(rank), tier=rank)
-        speed = self.model.speed()
-        waits_s = self.queue.predicted_waits_s(
-            PUBLISHED_RANKS, now, self.untracked_runs
-        )
-        state = EngineState(
-            waits_s=coarse_waits(waits_s),
-            first_s=speed.first_s,
-            token_s=speed.token_s,
-            slowdown=round_to_power(self.reports.slowdown.mean, SPEED_STEP_RATIO),
-        )
-        line = encode_message(state)
-        near_interval_s, far_interval_s = self.state_intervals_s()
-        for link, last in self.links.items():
-            if last.state == state:
-                continue
-            interval_s = near_interval_s if last.near else far_interval_s
-            if now - last.sent_at < interval_s:
-                self.schedule_publish()
-                continue
-            last.state, last.sent_at = state, now
-            link.send_line(line)
-
-    def is_near(self, link: MessageLink) -> bool:
-        """Return whether an entry is in this region."""
-        assert link.peer is not None
-        zones = self.settings.zones
-        return zones.get(link.peer.zone) == zones.get(self.settings.zone)
-
-    def state_intervals_s(self) -> tuple[float, float]:
-        """Return the least seconds between two states sent to near and far entries.
-
-        Entries in other regions seldom request slots here, so they get fewer.
-        """
-        near = sum(1 for last in self.links.values() if last.near)
-        far = len(self.links) - near
-        return (
-            min(MAX_STATE_INTERVAL_S, STATE_INTERVAL_S * max(1.0, near / NEAR_ENTRIES)),
-            min(
-                MAX_STATE_INTERVAL_S, FAR_STATE_INTERVAL_S * max(1.0, far / FAR_ENTRIES)
-            ),
-        )
-
     def send_entry_list(self) -> None:
         """Send all entries the addresses of those that are connected."""
         entries = EntryList(
@@ -329,21 +142,6 @@
             link.send(entries)
 
 
-def coarse_waits(waits_s: list[float]) -> list[float]:
-    """Round waits, and drop trailing ones that repeat the wait before them."""
-    coarse = [coarse_wait(wait_s) for wait_s in waits_s]
-    while len(coarse) > 1 and coarse[-1] == coarse[-2]:
-        coarse.pop()
-    return coarse
-
-
-def coarse_wait(wait_s: float) -> float:
-    """Round a wait, so that a small change of a long one is not sent to all entries."""
-    if wait_s < MIN_WAIT_S / 2:
-        return 0.0
-    return round(max(MIN_WAIT_S, round_to_power(wait_s, WAIT_STEP_RATIO)), 3)
-
-
 def main() -> int:
     """Run an agent and return the exit code of the process."""
     try:
--- a/tests/unit/platform_path/test_agent_states.py
+++ b/tests/unit/platform_path/test_agent_states.py
@@ -6,9 +6,10 @@
 import attrs
 import pytest
 
-from acaciarelay.programs import relay_agent
-from acaciarelay.programs.relay_agent import RelayAgent, coarse_waits
+from acaciarelay.programs import relay_agent, slot_granter
+from acaciarelay.programs.relay_agent import RelayAgent
 from acaciarelay.programs.relay_settings import RelaySettings
+from acaciarelay.programs.slot_granter import coarse_waits
 from acaciarelay.protocol.link_messages import EngineState, Hello, decode_message
 from acaciarelay_standins.ports import free_port
 
@@ -44,6 +45,7 @@
 def states_in_10_s(agent, clock, count, monkeypatch):
     """Return the states that near and far entries get from a busy engine in 10 s."""
     agent.links.clear()
+    agent.granter.links.clear()
     links = []
     for number in range(count):
         link = FakeEntryLink(number, f"zone-{'abc'[number % 3]}")
@@ -53,8 +55,10 @@
         clock.now += 0.05
         # Each step is a change beyond the rounding.
         waits = [0.05 * 2 ** (step % 5)]
-        monkeypatch.setattr(agent.queue, "predicted_waits_s", lambda *_, w=waits: w)
-        agent.publish()
+        monkeypatch.setattr(
+            agent.granter.queue, "predicted_waits_s", lambda *_, w=waits: w
+        )
+        agent.granter.publish()
     near = [len(link.states) for link in links if link.peer.zone == "zone-a"]
     far = [len(link.states) for link in links if link.peer.zone != "zone-a"]
     return near, far
@@ -91,8 +95,8 @@
 async def test_what_an_agent_sends_is_bounded_as_entries_are_added(agent, monkeypatch):
     """Guards against an agent that tells hundreds of entries each change."""
     clock = Clock()
-    monkeypatch.setattr(relay_agent, "time", clock)
-    monkeypatch.setattr(agent, "schedule_publish", lambda: None)
+    monkeypatch.setattr(slot_granter, "time", clock)
+    monkeypatch.setattr(agent.granter, "schedule_publish", lambda: None)
     sums = {}
     for count in (6, 36, 72, 144, 288):
         near, far = states_in_10_s(agent, clock, count, monkeypatch)
@@ -107,15 +111,17 @@
 async def test_small_changes_of_long_waits_are_not_sent(agent, monkeypatch):
     """Guards against messages to all entries that say hardly anything new."""
     clock = Clock()
-    monkeypatch.setattr(relay_agent, "time", clock)
-    monkeypatch.setattr(agent, "schedule_publish", lambda: None)
+    monkeypatch.setattr(slot_granter, "time", clock)
+    monkeypatch.setattr(agent.granter, "schedule_publish", lambda: None)
     link = FakeEntryLink(0, "zone-a")
     agent.opened(link)
     for step in range(200):
         clock.now += 0.05
         waits = [0.0, 0.5 + 0.04 * (step % 2), 1.5 + 0.1 * (step % 2)]
-        monkeypatch.setattr(agent.queue, "predicted_waits_s", lambda *_, w=waits: w)
-        agent.publish()
+        monkeypatch.setattr(
+            agent.granter.queue, "predicted_waits_s", lambda *_, w=waits: w
+        )
+        agent.granter.publish()
     assert len(link.states) == 1
 
 
@@ -138,14 +144,14 @@
 
 async def test_untracked_runs_are_forgotten_when_no_report_comes(agent, monkeypatch):
     """Guards against slots that stay taken because a window's last report failed."""
-    monkeypatch.setattr(relay_agent, "UNTRACKED_RUNS_WINDOW_S", 0.2)
-    agent.reports.address = "127.0.0.1:1"
-    agent.untracked_runs = 4
-    agent.untracked_until = time.monotonic() + 0.2
+    monkeypatch.setattr(slot_granter, "UNTRACKED_RUNS_WINDOW_S", 0.2)
+    agent.granter.reports.address = "127.0.0.1:1"
+    agent.granter.untracked_runs = 4
+    agent.granter.untracked_until = time.monotonic() + 0.2
     choose_ports(agent)
     running = asyncio.create_task(agent.run())
     await asyncio.sleep(1.0)
-    assert agent.untracked_runs == 0
+    assert agent.granter.untracked_runs == 0
     agent.stopping.set()
     assert await running == 0
 
@@ -157,7 +163,7 @@
         raise RuntimeError("unexpected")
 
     choose_ports(agent)
-    monkeypatch.setattr(agent.reports, "read", fail)
+    monkeypatch.setattr(agent.granter.reports, "read", fail)
     running = asyncio.create_task(agent.run())
     await asyncio.sleep(3 * relay_agent.REPORT_INTERVAL_S)
     assert not running.done()
