Grant slots only within the engine's memory

Cause: when an engine's KV cache runs out it preempts its newest request in the middle of its stream, and it rejects a request that never fits. Change: the configuration's engine.kvTokens reaches the granter with each SlotRequest; SlotQueue grants only while the prompt and expected output tokens of all granted requests fit. A request that waits for memory is overtaken only by requests of its rank and by as many tokens as it needs itself. A request beyond the whole memory is refused finally (413) by the entry and at once by the granter. Unusable capacities count as unknown, and reports with figures out of bounds are not decoded. The messages about slots get the trailing fields that granters in entries need. Counter memory_waits_total.

The test of surplus fields names a value beyond the new last field of SlotGrant, since the second value is now the engine.

--- a/src/acaciarelay/coordination/slot_queue.py
+++ b/src/acaciarelay/coordination/slot_queue.py
@@ -22,6 +22,8 @@
     """A request that waits for a slot or has one; ``owner`` is the link it came over.
 
     ``predicted_wait_s`` is the wait that was predicted when the request was queued.
+    ``overtaken_tokens`` counts the tokens of the requests that were granted before it
+    while it waited for memory, which ``waited_for_memory`` records.
     """
 
     slot_request: SlotRequest
@@ -29,6 +31,13 @@
     queued_at: float
     predicted_wait_s: float
     granted_at: float | None = None
+    overtaken_tokens: int = 0
+    waited_for_memory: bool = False
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the memory that the request may need at the engine, in tokens."""
+        return _memory_tokens(self.slot_request)
 
     @property
     def weight(self) -> float:
@@ -44,15 +53,29 @@
         return wait_s > left_s * EARLY_REFUSAL_FACTOR
 
 
+def _memory_tokens(slot_request: SlotRequest) -> int:
+    return slot_request.prompt_tokens + slot_request.output_tokens
+
+
 class SlotQueue:
     """Decide which waiting request gets the next free slot.
 
     The order is by rank, then requests within their service level objective before
     those past it, then by the organisation's virtual time, then by arrival.
+
+    The tokens of all granted requests fit into the engine's memory, ``memory_limit``,
+    if that is known (not 0). While the first request in this order does not fit,
+    requests of its rank that do fit may overtake it, by as many tokens as it needs
+    itself and no more; then nothing is granted until it fits.
     """
 
     def __init__(self) -> None:
         self.slot_limit = 0
+        self.memory_limit = 0
+        # Ranks of the requests that had to wait for memory since this was last read.
+        self.memory_waits: list[int] = []
+        self._granted_tokens = 0
+        self._head_waits_for_memory = False
         self.waiting: dict[tuple[int, str], SlotRequestState] = {}
         self.granted: dict[tuple[int, str], SlotRequestState] = {}
         self.forecast = SlotForecast()
@@ -92,7 +115,7 @@
         if self.waiting.pop(key, None) is not None:
             return None
         self.forecast.record_occupancy(self._granted_by_rank(), now)
-        state = self.granted.pop(key, None)
+        state = self._forget_grant(key)
         if state is not None and state.granted_at is not None:
             self.forecast.record_release(
                 state.slot_request.rank, now - state.granted_at
@@ -105,32 +128,82 @@
             del self.waiting[key]
         released = [key for key in self.granted if key[0] == id(owner)]
         for key in released:
-            del self.granted[key]
+            self._forget_grant(key)
         return len(released)
 
+    def _forget_grant(self, key: tuple[int, str]) -> SlotRequestState | None:
+        state = self.granted.pop(key, None)
+        if state is not None:
+            self._granted_tokens -= state.memory_tokens
+        return state
+
     def next_grants(
         self, now: float, untracked_runs: int = 0
     ) -> list[SlotRequestState]:
         """Grant free slots and return the requests that got one."""
         grants = []
+        self._head_waits_for_memory = False
         while self.waiting and len(self.granted) + untracked_runs < self.slot_limit:
-            key = min(self.waiting, key=self._order)
-            state = self.waiting[key]
-            if now - state.queued_at > state.slot_request.time_left_s:
-                del self.waiting[key]
+            head = min(self.waiting, key=self._order)
+            if self._is_over(head, now):
+                del self.waiting[head]
                 continue
             granted = self._granted_by_rank()
             self.forecast.record_occupancy(granted, now)
-            if self._available(state.slot_request.rank, granted, untracked_runs) < 1:
+            rank = self.waiting[head].slot_request.rank
+            if self._available(rank, granted, untracked_runs) < 1:
                 break
-            del self.waiting[key]
-            self._charge(state.slot_request)
-            self.forecast.record_grant(state.slot_request.rank, now)
-            state.granted_at = now
-            self.granted[key] = state
-            grants.append(state)
+            key = self._fitting(head, now)
+            if key is None:
+                break
+            grants.append(self._grant(key, now))
         return grants
 
+    def _is_over(self, key: tuple[int, str], now: float) -> bool:
+        state = self.waiting[key]
+        return now - state.queued_at > state.slot_request.time_left_s
+
+    def _grant(self, key: tuple[int, str], now: float) -> SlotRequestState:
+        state = self.waiting.pop(key)
+        self._charge(state.slot_request)
+        self.forecast.record_grant(state.slot_request.rank, now)
+        state.granted_at = now
+        self.granted[key] = state
+        self._granted_tokens += state.memory_tokens
+        return state
+
+    def _fits(self, state: SlotRequestState) -> bool:
+        if not self.memory_limit:
+            return True
+        return self._granted_tokens + state.memory_tokens <= self.memory_limit
+
+    def _fitting(self, head: tuple[int, str], now: float) -> tuple[int, str] | None:
+        """Return the request to grant next: the first one, or one to overtake it."""
+        first = self.waiting[head]
+        if self._fits(first):
+            return head
+        self._head_waits_for_memory = True
+        if not first.waited_for_memory:
+            first.waited_for_memory = True
+            self.memory_waits.append(first.slot_request.rank)
+        left = first.memory_tokens - first.overtaken_tokens
+        rank = first.slot_request.rank
+        fitting = []
+        for key, state in self.waiting.items():
+            if state.slot_request.rank != rank or state.memory_tokens > left:
+                continue
+            if key != head and self._fits(state) and not self._is_over(key, now):
+                fitting.append(key)
+        if not fitting:
+            return None
+        key = min(fitting, key=self._order)
+        first.overtaken_tokens += self.waiting[key].memory_tokens
+        return key
+
+    def never_fits(self, slot_request: SlotRequest) -> bool:
+        """Return whether a request needs more memory than the engine has."""
+        return 0 < self.memory_limit < _memory_tokens(slot_request)
+
     def _order(self, key: tuple[int, str]) -> tuple[int, bool, float, float]:
         state = self.waiting[key]
         slot_request = state.slot_request
@@ -199,10 +272,13 @@
 
     def _prediction(self, now: float, untracked_runs: int) -> "_Prediction":
         granted = self._granted_by_rank()
-        return _Prediction(
-            self.forecast.release_rates(granted, now),
-            lambda rank: self._available(rank, granted, untracked_runs),
-        )
+
+        def available(rank: int) -> int:
+            slots = self._available(rank, granted, untracked_runs)
+            # Free slots are of no use while the memory is full.
+            return min(0, slots) if self._head_waits_for_memory else slots
+
+        return _Prediction(self.forecast.release_rates(granted, now), available)
 
     def _predicted_wait_s(
         self, key: tuple[int, str], now: float, untracked_runs: int
@@ -225,7 +301,9 @@
         if state is None or self.slot_limit == 0:
             return None
         wait_s = self._predicted_wait_s(key, now, untracked_runs)
-        if not state.is_infeasible(wait_s, now):
+        if not self.never_fits(state.slot_request) and not state.is_infeasible(
+            wait_s, now
+        ):
             return None
         return self.waiting.pop(key)
 
@@ -241,7 +319,7 @@
         for key in sorted(self.waiting, key=self._order):
             state = self.waiting[key]
             wait_s = prediction.wait_s(state.slot_request.rank, ahead)
-            if state.is_infeasible(wait_s, now):
+            if self.never_fits(state.slot_request) or state.is_infeasible(wait_s, now):
                 del self.waiting[key]
                 refused.append(state)
                 continue
--- a/src/acaciarelay/platform/configuration.py
+++ b/src/acaciarelay/platform/configuration.py
@@ -30,6 +30,8 @@
 ENDPOINT_TABLE = "servers"
 # Value of an organisation's ``unit`` whose rate and burst are in tokens.
 TOKEN_UNIT = "token_stream"
+# A larger capacity of a KV cache is not believed.
+MAX_MEMORY_TOKENS = 10**12
 # Callers abandon a stream after the longest of these gaps: a time, and multiples of the
 # route's objective and of the gap for which its events are still on time.
 MIN_ABANDONED_GAP_S = 2.0
@@ -128,7 +130,10 @@
 def _service(raw: dict[str, Any]) -> Service:
     engine = None
     if raw.get("engine"):
-        engine = EngineCapacity(slots=int(raw["engine"]["slots"]))
+        engine = EngineCapacity(
+            slots=int(raw["engine"]["slots"]),
+            memory_tokens=_memory_tokens(raw["engine"].get("kvTokens")),
+        )
     return Service(
         name=raw["name"],
         max_connections=int(raw.get("maxConns") or 100),
@@ -136,6 +141,13 @@
     )
 
 
+def _memory_tokens(value: Any) -> int:
+    """Return the capacity of a KV cache, 0 for a missing or unusable one."""
+    if type(value) is not int or not 0 < value <= MAX_MEMORY_TOKENS:
+        return 0
+    return value
+
+
 def _organisation(raw: dict[str, Any]) -> Organisation:
     rank = raw.get("priority")
     return Organisation(
--- a/src/acaciarelay/platform/endpoints.py
+++ b/src/acaciarelay/platform/endpoints.py
@@ -14,6 +14,8 @@
 
 MAX_PORT = 65_535
 MAX_SLOTS = 65_536
+# Most requests that an engine may report in either state.
+MAX_REPORTED_REQUESTS = 1_000_000
 # A larger number is not exact in all JSON libraries.
 MAX_EXACT_NUMBER = 2**53
 DRAINING_BY_STATE = {"ready": False, "draining": True}
@@ -101,10 +103,10 @@
         raw = orjson.loads(data)
         return EngineReport(
             # Despite its name, inFlight excludes waiting requests.
-            running=int(raw["inFlight"]),
-            waiting=int(raw["waiting"]),
-            memory_used=int(raw["kvUsed"]),
-            memory_total=int(raw["kvTotal"]),
+            running=_whole(raw["inFlight"], 0, MAX_REPORTED_REQUESTS),
+            waiting=_whole(raw["waiting"], 0, MAX_REPORTED_REQUESTS),
+            memory_used=_whole(raw["kvUsed"], 0, MAX_EXACT_NUMBER),
+            memory_total=_whole(raw["kvTotal"], 0, MAX_EXACT_NUMBER),
         )
-    except (ValueError, KeyError, TypeError, OverflowError) as error:
+    except (ValueError, KeyError, TypeError) as error:
         raise FormatError(f"unreadable report: {error!r}") from error
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -147,6 +147,12 @@
         ("tier",),
         "Difference between the predicted and the real wait for a place, in seconds.",
     ),
+    Metric(
+        "acaciarelay_memory_waits_total",
+        "counter",
+        ("tier",),
+        "Requests that were next for a place and had to wait for the engine's memory.",
+    ),
     Metric(
         "acaciarelay_first_event_error_seconds",
         "histogram",
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -23,6 +23,7 @@
 from acaciarelay.protocol.link_messages import SlotRequest
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.relayed_request import RelayedRequest
+from acaciarelay.state.routing import EngineCapacity
 
 __all__ = ["Placement", "Placer", "slot_wait_end"]
 
@@ -214,8 +215,7 @@
         self, relayed: RelayedRequest, asked: int, wait_s: float
     ) -> SlotRequest:
         loop = asyncio.get_running_loop()
-        service = relayed.routing.services.get(relayed.service)
-        engine = service.engine if service is not None else None
+        engine = _engine_capacity(relayed)
         return SlotRequest(
             request=relayed.traits.request_id,
             organisation=relayed.organisation.name if relayed.organisation else "",
@@ -227,8 +227,17 @@
             output_tokens=_output_tokens(relayed),
             slots=engine.slots if engine is not None else 1,
             asked=asked,
+            memory_tokens=engine.memory_tokens if engine is not None else 0,
         )
 
+    def never_fits(self, relayed: RelayedRequest) -> bool:
+        """Return whether a request needs more memory than any engine has."""
+        engine = _engine_capacity(relayed)
+        if engine is None or not engine.memory_tokens:
+            return False
+        tokens = (relayed.traits.prompt_tokens or 0) + _output_tokens(relayed)
+        return tokens > engine.memory_tokens
+
     def predicted_answer_s(
         self, relayed: RelayedRequest, endpoint: Endpoint | None
     ) -> float | None:
@@ -268,5 +277,10 @@
     return relayed.arrived_at + MAX_WAIT_FRACTION * relayed.route.objective_s
 
 
+def _engine_capacity(relayed: RelayedRequest) -> EngineCapacity | None:
+    service = relayed.routing.services.get(relayed.service)
+    return service.engine if service is not None else None
+
+
 def _output_tokens(relayed: RelayedRequest) -> int:
     return relayed.traits.expected_output or relayed.traits.output_tokens or 0
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -150,6 +150,8 @@
         """Try endpoints until the request is answered or no attempt is left."""
         if not self.drain.can_finish(relayed, None):
             return self.give_up(relayed, "entry_stopping")
+        if self.placer.never_fits(relayed):
+            return refuse("exceeds_engine_memory")
         self.retry_budget.record_first_attempt(relayed.service, time.monotonic())
         # A retry was spent that has reached no endpoint yet.
         is_prepaid = False
--- a/src/acaciarelay/programs/slot_granter.py
+++ b/src/acaciarelay/programs/slot_granter.py
@@ -140,6 +140,10 @@
         """Queue a request, and refuse it if no slot is expected in time."""
         now = time.monotonic()
         self.queue.slot_limit = message.slots + EXTRA_SLOTS
+        self.queue.memory_limit = message.memory_tokens
+        if self.queue.never_fits(message):
+            self.refuse(SlotRequestState(message, link, now, 0.0))
+            return
         self.queue.enqueue(link, message, now, self.untracked_runs)
         self.grant()
         self.refuse_if_infeasible(link, message, now)
@@ -192,6 +196,9 @@
                 abs(waited_s - state.predicted_wait_s),
                 tier=state.slot_request.rank,
             )
+        for rank in self.queue.memory_waits:
+            self.metrics.count("memory_waits_total", tier=rank)
+        self.queue.memory_waits.clear()
         self.schedule_publish()
 
     def refuse(self, state: SlotRequestState) -> None:
--- a/src/acaciarelay/protocol/codes.py
+++ b/src/acaciarelay/protocol/codes.py
@@ -63,6 +63,14 @@
     (107, "method_not_allowed", 405, _N, "Use a method that the path allows.", False),
     (108, "length_required", 411, _N, "Send Content-Length.", False),
     (109, "head_too_slow", 408, _N, "Send the request head without pauses.", False),
+    (
+        110,
+        "exceeds_engine_memory",
+        413,
+        _N,
+        "Send a shorter prompt or ask for a shorter answer.",
+        False,
+    ),
     # 2xx: identity and policy.
     (200, "unknown_key", 401, _N, "Send the bearer key of an organisation.", False),
     (201, "unknown_model", 404, _N, "Name a model that a pool serves.", False),
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -60,7 +60,8 @@
     ``TableVersions``, ``orders_eras`` when it understands the store's eras, and
     ``digests_parts`` when it understands ``BrokenRun`` and ``CrashReport``.
     ``reports_crashes`` is true when it understands an earlier form of these, which no
-    current process sends.
+    current process sends. ``grants_slots`` is true when the sender is an entry that
+    grants the slots of engines without an agent, and names the engine in messages.
     """
 
     name: str
@@ -71,6 +72,7 @@
     reports_crashes: bool = False
     orders_eras: bool = False
     digests_parts: bool = False
+    grants_slots: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -94,11 +96,16 @@
 
 @attrs.frozen(kw_only=True)
 class SlotRequest:
-    """Asks an agent to admit a request to a slot of its engine; times in seconds.
-
-    ``wait_s`` is how long the request may wait for a slot. ``late`` is true when the
-    request has passed its service level objective. ``slots`` is the configured capacity
-    of the engine, and ``asked`` the number of agents asked for this request.
+    """Asks a granter to admit a request to a slot of its engine; times in seconds.
+
+    The granter is the agent beside the engine, or an entry. ``wait_s`` is how long the
+    request may wait for a slot. ``late`` is true when the request has passed its
+    service level objective. ``slots`` is the configured capacity of the engine, and
+    ``asked`` the number of granters asked for this request. ``below_floor`` is true
+    when its kind is served less than its floor. ``engine`` is the host of the engine,
+    here and in the other messages about slots; it is empty on a link to an agent.
+    ``memory_tokens`` is the capacity of the engine's KV cache, 0 while unknown.
+    ``held`` is true for a request that already runs, with a slot of an earlier granter.
     """
 
     request: str
@@ -111,6 +118,10 @@
     output_tokens: int
     slots: int
     asked: int
+    below_floor: bool = False
+    engine: str = ""
+    memory_tokens: int = 0
+    held: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -118,13 +129,20 @@
     """Grants a slot to a request."""
 
     request: str
+    engine: str = ""
 
 
 @attrs.frozen(kw_only=True)
 class SlotRefusal:
-    """Refuses a request that is not expected to get a slot in time."""
+    """Refuses a request that is not expected to get a slot in time.
+
+    ``not_granting`` is true when the sender grants no slots of this engine, so that the
+    refusal says nothing about the engine's load.
+    """
 
     request: str
+    engine: str = ""
+    not_granting: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -134,11 +152,14 @@
     ``first_s`` is the time in seconds from sending the request to the first event of
     its answer, ``stream_s`` the time from then to the end of the answer; both are 0
     when the answer is not complete or an earlier attempt may have run the request.
+    ``declined`` is true when the engine did not take the request.
     """
 
     request: str
     first_s: float = 0.0
     stream_s: float = 0.0
+    engine: str = ""
+    declined: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -156,6 +177,7 @@
     first_s: float = 0.0
     token_s: float = 0.0
     slowdown: float = 1.0
+    engine: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/acaciarelay/state/routing.py
+++ b/src/acaciarelay/state/routing.py
@@ -63,9 +63,13 @@
 
 @attrs.frozen(kw_only=True)
 class EngineCapacity:
-    """Capacity of each engine of a service; it runs ``slots`` requests at once."""
+    """Capacity of each engine of a service; it runs ``slots`` requests at once.
+
+    ``memory_tokens`` is the capacity of its KV cache in tokens, 0 while unknown.
+    """
 
     slots: int
+    memory_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/unit/platform_path/test_link_messages.py
+++ b/tests/unit/platform_path/test_link_messages.py
@@ -104,7 +104,7 @@
 
 def test_fields_that_a_newer_process_adds_are_ignored():
     """Guards against links that break while two versions run side by side."""
-    assert decode_message(b'["grant","a.1","later"]') == SlotGrant(request="a.1")
+    assert decode_message(b'["grant","a.1","","later"]') == SlotGrant(request="a.1")
 
 
 def test_messages_of_each_request_are_small():
