Grant the slots of engines without an agent in entries

Cause: an engine whose agent is missing or out of reach got requests by each entry's own estimate, without order across entries and without a bound on its queue. Change: one live entry grants its slots, chosen by rendezvous hashing, entries of the engine's zone first. Slot requests travel over the links between entries to peers whose Hello.grants_slots is set; an entry that is itself the granter needs no socket. A granter that reaches the agent refuses. An agent that is reached again learns of the held slots as well.

--- a/src/acaciarelay/coordination/slot_queue.py
+++ b/src/acaciarelay/coordination/slot_queue.py
@@ -104,6 +104,16 @@
         if self.slot_limit:
             state.predicted_wait_s = self._predicted_wait_s(key, now, untracked_runs)
 
+    def adopt(self, owner: object, slot_request: SlotRequest, now: float) -> None:
+        """Count a request that runs with a slot of an earlier granter."""
+        key = (id(owner), slot_request.request)
+        if key in self.granted:
+            return
+        self.waiting.pop(key, None)
+        state = SlotRequestState(slot_request, owner, now, 0.0, granted_at=now)
+        self.granted[key] = state
+        self._granted_tokens += state.memory_tokens
+
     def release(
         self, owner: object, request: str, now: float
     ) -> SlotRequestState | None:
--- a/src/acaciarelay/programs/agent_links.py
+++ b/src/acaciarelay/programs/agent_links.py
@@ -1,9 +1,11 @@
 """Links of an entry to the agents beside the engines."""
 
+import time
 from collections.abc import Iterable
 
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.programs.crash_guard import CrashGuard
+from acaciarelay.programs.entry_granters import EntryGranters
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.relay_peers import Peers
 from acaciarelay.protocol.link_messages import (
@@ -21,7 +23,7 @@
     MessageLink,
 )
 
-__all__ = ["AgentLinks", "engine_hosts"]
+__all__ = ["AgentLinks", "engines_by_host"]
 
 
 class AgentLinks:
@@ -34,19 +36,22 @@
         crashes: CrashGuard,
         peers: Peers,
         ticker: LinkTicker,
+        granters: EntryGranters,
     ) -> None:
         self.hello = hello
         self.slot_client = slot_client
         self.crashes = crashes
         self.peers = peers
         self.ticker = ticker
+        self.granters = granters
         self.dialers: dict[str, Dialer] = {}
         self.handlers = LinkHandlers(
             on_open=self.opened, on_message=self.receive, on_close=self.closed
         )
 
-    def reconcile(self, hosts: set[str], port: int) -> None:
-        """Link to the agents at these hosts, and to no others."""
+    def reconcile(self, engines: dict[str, Endpoint], port: int) -> None:
+        """Link to the agents beside these engines by host, and to no others."""
+        hosts = engines.keys()
         for host in hosts - self.dialers.keys():
             self.dialers[host] = Dialer(
                 f"{host}:{port}",
@@ -58,14 +63,17 @@
         for host in self.dialers.keys() - hosts:
             self.dialers.pop(host).close()
             self.slot_client.forget(host)
+        self.granters.update_engines(engines, time.monotonic())
 
     def opened(self, link: MessageLink) -> None:
         log_event("agent_regained", host=link.peer_host)
         self.slot_client.link_opened(link.peer_host, link)
+        self.granters.agent_reached(link.peer_host)
 
     def closed(self, link: MessageLink) -> None:
         log_event("agent_lost", host=link.peer_host)
         self.slot_client.link_closed(link.peer_host, link)
+        self.granters.agent_lost(link.peer_host)
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
         match message:
@@ -81,11 +89,16 @@
             dialer.close()
 
 
-def engine_hosts(endpoints: Iterable[Endpoint], routing: RoutingTable) -> set[str]:
-    """Return the hosts of the endpoints that are model engines."""
-    hosts = set()
+def engines_by_host(
+    endpoints: Iterable[Endpoint], routing: RoutingTable
+) -> dict[str, Endpoint]:
+    """Return the endpoints that are model engines; of several at a host, the newest."""
+    engines: dict[str, Endpoint] = {}
     for endpoint in endpoints:
         service = routing.services.get(endpoint.service)
-        if service is not None and service.engine is not None:
-            hosts.add(endpoint.host)
-    return hosts
+        if service is None or service.engine is None:
+            continue
+        known = engines.get(endpoint.host)
+        if known is None or known.started_ms <= endpoint.started_ms:
+            engines[endpoint.host] = endpoint
+    return engines
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -147,6 +147,26 @@
         ("tier",),
         "Difference between the predicted and the real wait for a place, in seconds.",
     ),
+    Metric(
+        "acaciarelay_engines_granted",
+        "gauge",
+        ("granter",),
+        "Engines without an agent in reach, by who grants their places to this entry: "
+        "self, peer or none.",
+    ),
+    Metric(
+        "acaciarelay_granter_changes_total",
+        "counter",
+        ("reason",),
+        "Changes of the granter of an engine without an agent, by reason: absent, "
+        "closed, silent, refused, order.",
+    ),
+    Metric(
+        "acaciarelay_places_declined_total",
+        "counter",
+        (),
+        "Requests with a place from this entry that the engine did not take.",
+    ),
     Metric(
         "acaciarelay_memory_waits_total",
         "counter",
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -58,6 +58,7 @@
             address=f"{settings.host}:{settings.agent_port}",
             zone=settings.zone,
             digests_parts=True,
+            grants_slots=True,
         )
         self.server = LinkServer(
             self.hello,
@@ -109,6 +110,8 @@
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
         match message:
+            case SlotRequest(held=True):
+                self.granter.adopt_slot(link, message)
             case SlotRequest():
                 self.granter.request_slot(link, message)
             case SlotRelease():
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -38,7 +38,7 @@
 )
 from acaciarelay.transport.inbound_server import InboundConnection
 
-__all__ = ["Attempts"]
+__all__ = ["Attempts", "is_declined"]
 
 CONNECT_TIMEOUT_S = 0.6
 # Time without progress after which an attempt is stalled: a fraction of the route's
@@ -270,3 +270,10 @@
         self.health.record_load(
             endpoint_id, load.running + load.waiting, load.slowdown, time.monotonic()
         )
+
+
+def is_declined(outcome: AttemptOutcome) -> bool:
+    """Return whether the intended endpoint did not take the request."""
+    if not isinstance(outcome, NotRun):
+        return False
+    return outcome.received and outcome.reason != WRONG_ENDPOINT
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -17,10 +17,11 @@
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.coordination.usage_ledger import UsageLedger, UsageTolerance
 from acaciarelay.platform.headers import READY_PATH
-from acaciarelay.programs.agent_links import AgentLinks, engine_hosts
+from acaciarelay.programs.agent_links import AgentLinks, engines_by_host
 from acaciarelay.programs.caller_server import CallerServer
 from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.decision_log import configure_decision_log
+from acaciarelay.programs.entry_granters import EntryGranters
 from acaciarelay.programs.entry_stop import EntryStop
 from acaciarelay.programs.logs import log_event, run_steps
 from acaciarelay.programs.metrics import Metrics
@@ -117,6 +118,7 @@
             gathers_usage=True,
             digests_parts=True,
             orders_eras=True,
+            grants_slots=True,
         )
         self.ticker = LinkTicker(self.loop_budget)
         self.peers = Peers(
@@ -138,8 +140,16 @@
         self.peers.on_era = self.follower.probe_era
         self.connections: set[InboundConnection] = set()
         self.callers = CallerServer(self.build_inbound, self.connections)
+        self.granters = EntryGranters(
+            self.hello, settings.zones, self.slot_client, self.peers, self.metrics
+        )
         self.agents = AgentLinks(
-            self.hello, self.slot_client, self.crashes, self.peers, self.ticker
+            self.hello,
+            self.slot_client,
+            self.crashes,
+            self.peers,
+            self.ticker,
+            self.granters,
         )
         self.servers: list[asyncio.Server] = []
         self.stopping = asyncio.Event()
@@ -181,6 +191,7 @@
             (
                 self.run_clock.check,
                 self.tick_peers,
+                self.granters.tick,
                 self.cache.expire_endpoints,
                 self.cache.release_holds,
                 self.update_gauges,
@@ -247,8 +258,8 @@
     def reconcile_agents(self) -> None:
         """Link to the agents of the engines that are registered now."""
         if self.cache.routing is not None:
-            hosts = engine_hosts(self.cache.endpoints.all(), self.cache.routing)
-            self.agents.reconcile(hosts, self.settings.agent_port)
+            engines = engines_by_host(self.cache.endpoints.all(), self.cache.routing)
+            self.agents.reconcile(engines, self.settings.agent_port)
 
     def build_inbound(self) -> InboundConnection:
         return InboundConnection(
@@ -332,6 +343,7 @@
                 self.peers.close,
                 self.crashes.close,
                 self.agents.close,
+                self.granters.close,
             )
         )
 
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -20,6 +20,7 @@
     LinkMessage,
     PeerRows,
     PeerStatus,
+    SlotMessage,
     TableVersions,
     ZoneUsage,
     encode_message,
@@ -86,6 +87,12 @@
         self.peers: dict[str, _Peer] = {}
         # Called with the newest era of the store that a peer knows.
         self.on_era: Callable[[int], None] = lambda era: None
+        # Called with a link that is used from now on, with one that has closed, and
+        # with each message about the slots of an engine.
+        self.on_link_used: Callable[[MessageLink], None] = lambda link: None
+        self.on_link_closed: Callable[[MessageLink], None] = lambda link: None
+        self.on_slot_message: Callable[[MessageLink, SlotMessage], None]
+        self.on_slot_message = lambda link, message: None
         self.sent = _StatusFields()
         self.sent_at = -math.inf
         self.started_at = time.monotonic()
@@ -132,6 +139,10 @@
             address for address, peer in self.peers.items() if peer.link is not None
         ]
 
+    def links(self) -> list[MessageLink]:
+        """Return the links to peers that are reachable."""
+        return [peer.link for peer in self.peers.values() if peer.link is not None]
+
     def opened(self, link: MessageLink) -> None:
         """Use a link that a peer dialled if it is the one to keep, or the only one.
 
@@ -163,6 +174,7 @@
         peer.reachable_at = time.monotonic()
         log_event("peer_regained", peer=link.peer.address, lifetime=link.peer.lifetime)
         link.send(self.status(_StatusFields()))
+        self.on_link_used(link)
         if not link.peer.digests_parts:
             return
         report = self.crashes.report_to_new_peer(link.peer.address, peer.reachable_at)
@@ -170,6 +182,11 @@
             link.send(report)
 
     def closed(self, link: MessageLink) -> None:
+        self.lose(link)
+        self.on_link_closed(link)
+
+    def lose(self, link: MessageLink) -> None:
+        """Dial a peer again if this was the link to it."""
         assert link.peer is not None
         self.tables.forget(link)
         address = link.peer.address
@@ -331,6 +348,8 @@
                 known = self.tables.decode(link, message)
                 self.cache.apply_peer_rows(link.peer.name, rows, known.tables)
                 self.tables.note_held(known)
+            case _ if isinstance(message, SlotMessage):
+                self.on_slot_message(link, message)
 
     def receive_status(
         self, link: MessageLink, peer: Hello, status: PeerStatus
--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -1,4 +1,4 @@
-"""Choice of an endpoint: with a slot granted by an agent, or by local load data."""
+"""Choice of an endpoint: with a granted slot, or by local load data."""
 
 import asyncio
 import time
@@ -49,6 +49,11 @@
     endpoint: Endpoint
     slot: EngineSlot | None
 
+    def release_declined(self) -> None:
+        """Release the slot of a request that the endpoint did not take."""
+        if self.slot is not None:
+            self.slot.release(declined=True)
+
     def release(self, relayed: RelayedRequest | None = None) -> None:
         """Release the slot, reporting the timings of ``relayed`` if it succeeded."""
         if self.slot is None:
@@ -104,7 +109,7 @@
                         return placement
                     case SlotDenied(refused=True):
                         return None
-            else:
+            elif not self._is_undecided(candidates):
                 process_count = self.retry_budget.process_count
                 endpoint = self.health.choose(
                     candidates, relayed.tried, process_count, now
@@ -115,6 +120,11 @@
                 return None
             await asyncio.sleep(min(0.02, max(0.0, wait_until - loop.time())))
 
+    def _is_undecided(self, candidates: list[Endpoint]) -> bool:
+        """Return whether an engine is about to have a granter, for which to wait."""
+        undecided = self.slot_client.undecided
+        return bool(undecided) and any(e.host in undecided for e in candidates)
+
     def _candidates(self, relayed: RelayedRequest, now: float) -> list[Endpoint]:
         """Return the endpoints to choose from, preferring untried and healthy ones."""
         endpoints = [
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -16,7 +16,7 @@
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_admission import Admission
-from acaciarelay.programs.relay_attempt import Attempts
+from acaciarelay.programs.relay_attempt import Attempts, is_declined
 from acaciarelay.programs.relay_drain import RequestDrain
 from acaciarelay.programs.relay_placement import Placement, Placer, slot_wait_end
 from acaciarelay.programs.relay_refusal import respond_refusal
@@ -194,6 +194,8 @@
                 # the release below has no further effect.
                 if isinstance(outcome, Delivered) and relayed.run_count == 1:
                     placement.release(relayed)
+                elif is_declined(outcome):
+                    placement.release_declined()
             finally:
                 placement.release()
             relayed.steps.append(_describe(outcome, placement))
--- a/src/acaciarelay/programs/slot_granter.py
+++ b/src/acaciarelay/programs/slot_granter.py
@@ -8,6 +8,7 @@
 
 from acaciarelay.coordination.engine_model import SPEED_STEP_RATIO, EngineModel
 from acaciarelay.coordination.rounding import round_to_power
+from acaciarelay.coordination.slot_limit import EXTRA_SLOTS, SlotLimit
 from acaciarelay.coordination.slot_queue import SlotQueue, SlotRequestState
 from acaciarelay.programs.engine_reports import EngineReports
 from acaciarelay.programs.logs import log_event
@@ -39,9 +40,6 @@
 # published as it or as none.
 WAIT_STEP_RATIO = 1.25
 MIN_WAIT_S = 0.02
-# Requests granted beyond the engine's slots, so that the next one is already at the
-# engine when a run ends.
-EXTRA_SLOTS = 1
 # Ranks for which waits are published.
 PUBLISHED_RANKS = 16
 # How long the engine's report is checked for untracked runs after a start or a lost
@@ -72,17 +70,31 @@
 class SlotGranter:
     """Queue the requests for one engine and grant its slots to entries.
 
-    ``zones`` maps zones to regions, and ``zone`` is that of this process.
+    ``zones`` maps zones to regions, and ``zone`` is that of this process. ``engine`` is
+    named in messages; an agent leaves it empty. ``learned`` limits the slots of an
+    engine beside which there is no agent. Nothing is granted or refused while
+    ``is_held`` is true.
     """
 
     def __init__(
-        self, reports: EngineReports, zone: str, zones: dict[str, str], metrics: Metrics
+        self,
+        reports: EngineReports,
+        zone: str,
+        zones: dict[str, str],
+        metrics: Metrics,
+        engine: str = "",
+        learned: SlotLimit | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.reports = reports
         self.zone = zone
         self.zones = zones
         self.metrics = metrics
+        self.engine = engine
+        self.learned = learned
+        self.is_held = False
+        # The configured slots of the engine, unknown until the first request.
+        self.slots = 0
         self.queue = SlotQueue()
         self.model = EngineModel()
         self.links: dict[EntryLink, _SentState] = {}
@@ -91,6 +103,18 @@
         self.untracked_runs = 0
         self.untracked_until = time.monotonic() + UNTRACKED_RUNS_WINDOW_S
 
+    def begin(self) -> None:
+        """Grant from now on."""
+        if self.is_held:
+            self.is_held = False
+            self.grant()
+
+    def close(self) -> None:
+        """Publish nothing from now on."""
+        if self.publish_timer is not None:
+            self.publish_timer.cancel()
+        self.links.clear()
+
     # Runs that hold no granted slot.
 
     async def check_untracked_runs(self) -> None:
@@ -139,7 +163,8 @@
     def request_slot(self, link: EntryLink, message: SlotRequest) -> None:
         """Queue a request, and refuse it if no slot is expected in time."""
         now = time.monotonic()
-        self.queue.slot_limit = message.slots + EXTRA_SLOTS
+        self.slots = message.slots
+        self.update_slot_limit(now)
         self.queue.memory_limit = message.memory_tokens
         if self.queue.never_fits(message):
             self.refuse(SlotRequestState(message, link, now, 0.0))
@@ -148,15 +173,40 @@
         self.grant()
         self.refuse_if_infeasible(link, message, now)
 
+    def adopt_slot(self, link: EntryLink, message: SlotRequest) -> None:
+        """Count the slot of a request that already runs."""
+        now = time.monotonic()
+        self.slots = message.slots
+        self.queue.memory_limit = message.memory_tokens
+        self.update_slot_limit(now)
+        self.queue.adopt(link, message, now)
+        # It was counted as a run without a slot if the engine has reported it.
+        self.untracked_runs = max(0, self.untracked_runs - 1)
+        self.schedule_publish()
+
+    def update_slot_limit(self, now: float) -> None:
+        if not self.slots:
+            return
+        if self.learned is None:
+            self.queue.slot_limit = self.slots + EXTRA_SLOTS
+        else:
+            self.queue.slot_limit = self.learned.limit(self.slots, now)
+
     def release_slot(self, link: EntryLink, message: SlotRelease) -> None:
         """Withdraw a request or release its slot, and grant what became free."""
-        self.release(link, message, time.monotonic())
+        now = time.monotonic()
+        if message.declined and self.learned is not None:
+            self.learned.record_decline(now)
+            self.update_slot_limit(now)
+        self.release(link, message, now)
         self.grant()
 
     def refuse_if_infeasible(
         self, link: EntryLink, message: SlotRequest, now: float
     ) -> None:
         """Refuse a new request at once that is not expected to get a slot in time."""
+        if self.is_held:
+            return
         state = self.queue.pop_if_infeasible(
             link, message.request, now, self.untracked_runs
         )
@@ -183,9 +233,12 @@
 
     def grant(self) -> None:
         """Grant free slots."""
+        if self.is_held:
+            return
         now = time.monotonic()
         for state in self.queue.next_grants(now, self.untracked_runs):
-            self.answer(state, SlotGrant(request=state.slot_request.request))
+            request = state.slot_request.request
+            self.answer(state, SlotGrant(request=request, engine=self.engine))
             self.metrics.count("places_granted_total", tier=state.slot_request.rank)
             waited_s = now - state.queued_at
             self.metrics.observe(
@@ -202,7 +255,8 @@
         self.schedule_publish()
 
     def refuse(self, state: SlotRequestState) -> None:
-        self.answer(state, SlotRefusal(request=state.slot_request.request))
+        request = state.slot_request.request
+        self.answer(state, SlotRefusal(request=request, engine=self.engine))
         self.metrics.count("places_refused_total", tier=state.slot_request.rank)
 
     def answer(self, state: SlotRequestState, message: LinkMessage) -> None:
@@ -218,14 +272,19 @@
     def publish(self) -> None:
         """Update the gauges, and send entries the waits and the speed if changed."""
         self.publish_timer = None
+        if self.is_held:
+            return
         now = time.monotonic()
+        if self.learned is not None:
+            self.update_slot_limit(now)
         if self.queue.waiting:
             # As time passes, and as others come and go, a queued request may become due
             # for refusal, or a slot may no longer be kept from its rank.
             self.grant()
             for infeasible in self.queue.pop_infeasible(now, self.untracked_runs):
                 self.refuse(infeasible)
-        self.update_gauges()
+        if not self.engine:
+            self.update_gauges()
         state = self.state(now)
         line = encode_message(state)
         near_interval_s, far_interval_s = self.state_intervals_s()
@@ -256,6 +315,7 @@
             first_s=speed.first_s,
             token_s=speed.token_s,
             slowdown=round_to_power(self.reports.slowdown.mean, SPEED_STEP_RATIO),
+            engine=self.engine,
         )
 
     def is_near(self, link: EntryLink) -> bool:
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -39,6 +39,7 @@
     "Ping",
     "ZoneUsage",
     "SlotGrant",
+    "SlotMessage",
     "SlotRefusal",
     "SlotRelease",
     "SlotRequest",
@@ -60,8 +61,9 @@
     ``TableVersions``, ``orders_eras`` when it understands the store's eras, and
     ``digests_parts`` when it understands ``BrokenRun`` and ``CrashReport``.
     ``reports_crashes`` is true when it understands an earlier form of these, which no
-    current process sends. ``grants_slots`` is true when the sender is an entry that
-    grants the slots of engines without an agent, and names the engine in messages.
+    current process sends. ``grants_slots`` is true for an entry that grants the slots
+    of engines without an agent and names the engine in messages, and for an agent that
+    counts the slots which entries hold when they reach it.
     """
 
     name: str
@@ -324,15 +326,12 @@
     benign_s: dict[int, float]
 
 
+SlotMessage = SlotRequest | SlotGrant | SlotRefusal | SlotRelease | EngineState
 LinkMessage = (
     Hello
     | Heartbeat
     | Ping
-    | SlotRequest
-    | SlotGrant
-    | SlotRefusal
-    | SlotRelease
-    | EngineState
+    | SlotMessage
     | EntryList
     | PeerStatus
     | PeerRows
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -165,12 +165,21 @@
             self.close()
             return
         if self.sends_pings and now - self.ping_sent_at >= PING_INTERVAL_S:
-            self.last_ping_number += 1
-            self.ping_sent_at = now
-            self.send(Ping(number=self.last_ping_number))
+            self.ping()
         elif now - self.last_sent_at >= self.heartbeat_interval_s:
             self.send_heartbeat()
 
+    @property
+    def is_reading_paused(self) -> bool:
+        """Return whether this side does not read what the peer may have sent."""
+        return self.gate is not None and bool(self.gate.reasons)
+
+    def ping(self) -> None:
+        """Send a ping; the answer gives the round-trip time."""
+        self.last_ping_number += 1
+        self.ping_sent_at = self.loop.time()
+        self.send(Ping(number=self.last_ping_number))
+
     @property
     def heartbeat_interval_s(self) -> float:
         return QUIET_HEARTBEAT_INTERVAL_S if self.quiet else self.heartbeat_s
--- a/src/acaciarelay_standins/platform_runner.py
+++ b/src/acaciarelay_standins/platform_runner.py
@@ -143,7 +143,9 @@
     follows that many seconds after the first. ``padding_bytes`` lengthen each event and
     each other body. ``slowdown`` returns the factor by which
     work takes longer on the VM at a time; if set, answers report it with the load.
-    ``on_crash`` is called after a crash, which breaks all connections.
+    ``on_crash`` is called after a crash, which breaks all connections. A request that
+    finds ``max_waiting`` others waiting is declined; ``longest_queue`` is the most that
+    have waited. ``ended_at`` holds when each run ended, monotonic, by its attempt.
     """
 
     endpoint_id: str
@@ -164,6 +166,9 @@
     connections: set[InboundConnection] = attrs.Factory(set)
     on_crash: Callable[[], None] | None = None
     silent_until: float = 0.0
+    max_waiting: int | None = None
+    longest_queue: int = 0
+    ended_at: dict[str, float] = attrs.Factory(dict)
     _queue: collections.deque[asyncio.Future] = attrs.Factory(collections.deque)
 
     async def handle(
@@ -221,6 +226,12 @@
         fields: dict[str, str],
     ) -> None:
         if self.running >= self.slots:
+            waiting = sum(1 for waiter in self._queue if not waiter.done())
+            if self.max_waiting is not None and waiting >= self.max_waiting:
+                self.refusals += 1
+                named = [("Attempt-Id", fields.get("attempt-id", ""))]
+                return connection.respond(503, [*named, ("Not-Executed", "1")], b"")
+            self.longest_queue = max(self.longest_queue, waiting + 1)
             waiter = asyncio.get_running_loop().create_future()
             self._queue.append(waiter)
             await waiter
@@ -246,6 +257,7 @@
             raise
         finally:
             self.running -= 1
+            self.ended_at[attempt] = time.monotonic()
             while self._queue:
                 waiter = self._queue.popleft()
                 if not waiter.done():
