Close a run's connection at once when its caller leaves or its time ends

Cause: in an entry with little processor time a turn of the event loop takes 0.2 s and more, and from the deadline, or from the caller's leaving, to the close of the connection to the engine there were three to five turns: the request ran on for 0.6 to 0.8 s. A caller that left with a part of its answer unread was noticed only once it had read that part, so that the run went on until its deadline. Change: the deadline and the end of the caller's data close the connection in the turn in which they are noticed, and the socket is shut down there. A request whose deadline has passed before it is sent is not sent.

--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -115,7 +115,10 @@
                 return NotRun(f"connect: {fault.detail}", False)
             case Ok(endpoint_connection):
                 pass
+        ends = self.end_with_caller(caller_connection, relayed, endpoint_connection)
         try:
+            if self.loop.time() >= relayed.deadline:
+                raise TimeoutError
             headers = endpoint_headers(
                 relayed.traits,
                 host=request.header("host") or "",
@@ -151,10 +154,26 @@
                     else evidence_before
                 )
         finally:
+            ends.cancel()
+            caller_connection.on_caller_gone = None
             endpoint_connection.close()
         self.record_outcome(relayed, outcome)
         return outcome
 
+    def end_with_caller(
+        self,
+        caller_connection: InboundConnection,
+        relayed: RelayedRequest,
+        endpoint_connection: EndpointConnection,
+    ) -> asyncio.TimerHandle:
+        """Close the connection at the deadline, or when the caller leaves.
+
+        This task is cancelled then, too, but takes further turns of the event loop to
+        get to close it, while the request runs on at the endpoint.
+        """
+        caller_connection.on_caller_gone = endpoint_connection.close
+        return self.loop.call_at(relayed.deadline, endpoint_connection.close)
+
     def record_connect_failure(
         self, endpoint: Endpoint, fault: ConnectionFault, called_at: float
     ) -> None:
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -16,7 +16,10 @@
 from acaciarelay.protocol.answer_head import HeadGate, HeadTooLargeError
 from acaciarelay.protocol.http_message import Header, encode_headers
 from acaciarelay.transport.bounded_reads import BoundedReads
-from acaciarelay.transport.sockets import enable_dead_peer_detection
+from acaciarelay.transport.sockets import (
+    enable_dead_peer_detection,
+    end_transmission,
+)
 
 __all__ = ["ConnectionFault", "EndpointConnection", "FaultKind", "connect"]
 
@@ -345,6 +348,9 @@
             self.fault = ConnectionFault(FaultKind.CLOSED, "closed locally")
         if self.transport is not None:
             self.transport.abort()
+            # The transport closes its socket in a later turn of the event loop, which
+            # may take hundreds of milliseconds in an overloaded process.
+            end_transmission(self.transport)
 
 
 async def connect(
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -71,6 +71,9 @@
         self.idle_since = self.loop.time()
         self.task: asyncio.Task | None = None
         self.last_request = False
+        # Called as soon as the caller is known to leave while a request is handled. The
+        # task that handles it learns of it some turns of the event loop later.
+        self.on_caller_gone: Callable[[], None] | None = None
         # Present once the connection ends.
         self.closed_by: ClosedBy | None = None
         self.response_started = False
@@ -98,6 +101,8 @@
             self.gate.close()
         if self.parse_handle is not None:
             self.parse_handle.cancel()
+        if self.on_caller_gone is not None:
+            self.on_caller_gone()
         if self.task is not None:
             self.task.cancel()
         self.body_memory.release()
@@ -109,6 +114,17 @@
             self.closed_by = closed_by
 
     def eof_received(self) -> bool:
+        """End the request of a caller that leaves.
+
+        The transport closes only once the caller has read what was written, which it
+        may never do.
+        """
+        if self.task is not None:
+            self.phase = Phase.CLOSING
+            self.record_end(ClosedBy.CALLER)
+            if self.on_caller_gone is not None:
+                self.on_caller_gone()
+            self.task.cancel()
         return False
 
     def pause_writing(self) -> None:
--- a/src/acaciarelay/transport/sockets.py
+++ b/src/acaciarelay/transport/sockets.py
@@ -1,6 +1,7 @@
 """Listening sockets, and socket options that detect a dead peer."""
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import struct
@@ -11,6 +12,7 @@
 __all__ = [
     "accept_completed",
     "enable_dead_peer_detection",
+    "end_transmission",
     "listen",
     "reset_at_close",
     "unacknowledged_bytes",
@@ -50,6 +52,16 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
 
 
+def end_transmission(transport: asyncio.BaseTransport) -> None:
+    """Tell the peer at once that a connection ends."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return
+    # The peer may have ended it before.
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return the number of written bytes that the peer's host hasn't acknowledged.
 
