--- a/src/acaciarelay/programs/granted_engines.py
+++ b/src/acaciarelay/programs/granted_engines.py
@@ -21,8 +21,10 @@
 
 __all__ = ["GrantedEngines"]
 
-# A new granter grants nothing until it has read the engine's report, or for this time.
-# Meanwhile other entries tell it the slots that they hold.
+# A new granter grants nothing for the first time, in which other entries tell it the
+# slots that they hold, and until it has read the engine's report, for the second time
+# at most.
+MIN_SETTLE_S = 0.05
 SETTLE_S = 0.15
 # The report is read once more after this time, to correct the first count. What it says
 # is forgotten after a further time.
@@ -102,8 +104,10 @@
             granted.recount = asyncio.create_task(self._recount(granted.granter))
 
     async def _recount(self, granter: SlotGranter) -> None:
+        settled_at = granter.loop.time() + MIN_SETTLE_S
         with log_errors():
             await granter.update_untracked_runs()
+        await asyncio.sleep(max(0.0, settled_at - granter.loop.time()))
         granter.begin()
         await asyncio.sleep(RECOUNT_S)
         with log_errors():
--- a/tests/slot_fleet_model.py
+++ b/tests/slot_fleet_model.py
@@ -22,12 +22,14 @@
 from acaciarelay.coordination.slot_queue import SlotQueue, SlotRequestState
 from acaciarelay.protocol.link_messages import SlotRequest
 
-__all__ = ["Load", "RankResult", "SlotFleetModel"]
+__all__ = ["Load", "MovingFleetModel", "RankResult", "SlotFleetModel"]
 
 MESSAGE_S = 0.005
 PUBLISH_S = 0.1
 CHECK_S = 0.05
 EXTRA_SLOTS = 1
+# How long a new granter grants nothing, see ``programs/granted_engines.py``.
+SETTLE_S = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -193,3 +195,51 @@
         queue = self.queues[index]
         self.published[index] = queue.predicted_waits_s(self.ranks, self.now)
         self.at(PUBLISH_S, lambda: self.publish(index))
+
+
+class MovingFleetModel(SlotFleetModel):
+    """The same with granters that move: a new one begins with an empty queue.
+
+    Entries ask it again for what waits, and tell it what they hold, a message delay
+    after they have learned of the move. It grants nothing for ``SETTLE_S``.
+    ``most_running`` is the most requests that ran or waited at an engine at once.
+    """
+
+    def __init__(self, engines: int, slots: int, ranks: int, seed: int) -> None:
+        super().__init__(engines, slots, ranks, seed)
+        self.running: list[set[str]] = [set() for _ in range(engines)]
+        self.most_running = 0
+
+    def move(self, adopt: bool = True) -> None:
+        """Replace the granters of all engines."""
+        for index, old in enumerate(self.queues):
+            new = self.queues[index] = SlotQueue()
+            self.at(SETTLE_S, lambda i=index, queue=new: self.begin(i, queue))
+            for state in [*old.granted.values(), *old.waiting.values()]:
+                delay_s = MESSAGE_S * (1 + self.rng.random())
+                self.at(delay_s, lambda i=index, s=state: self.tell(i, s, adopt))
+
+    def begin(self, index: int, queue: SlotQueue) -> None:
+        """Let a new granter grant from now on."""
+        queue.slot_limit = self.slots + EXTRA_SLOTS
+        self.grant(index)
+
+    def tell(self, index: int, state: SlotRequestState, adopt: bool) -> None:
+        """Tell a new granter of a request that runs or waits."""
+        name = state.slot_request.request
+        if name in self.running[index]:
+            if adopt:
+                self.queues[index].adopt(self, state.slot_request, self.now)
+        elif not self.requests[name].granted and not self.requests[name].ended:
+            self.queues[index].enqueue(self, state.slot_request, self.now)
+            self.grant(index)
+
+    def receive_grant(self, index: int, request: _Request) -> None:
+        if not request.granted and not request.ended:
+            self.running[index].add(request.name)
+            self.most_running = max(self.most_running, len(self.running[index]))
+        super().receive_grant(index, request)
+
+    def release(self, index: int, request: _Request) -> None:
+        self.running[index].discard(request.name)
+        super().release(index, request)
