--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -40,7 +40,7 @@
 )
 from acaciarelay.transport.inbound_server import InboundConnection
 
-__all__ = ["Attempts"]
+__all__ = ["Attempts", "is_declined"]
 
 CONNECT_TIMEOUT_S = 0.6
 # Time without progress after which an attempt is stalled: a fraction of the route's
@@ -121,7 +121,10 @@
                 pass
         outcome: AttemptOutcome | None = None
         running: RunningAttempt | None = None
+        ends = self.end_with_caller(caller_connection, relayed, endpoint_connection)
         try:
+            if self.loop.time() >= relayed.deadline:
+                raise TimeoutError
             headers = endpoint_headers(
                 relayed.traits,
                 host=request.header("host") or "",
@@ -159,12 +162,28 @@
                     else evidence_before
                 )
         finally:
+            ends.cancel()
+            caller_connection.on_caller_gone = None
             endpoint_connection.close()
             if self.rollouts is not None and running is not None:
                 self.rollouts.ended(running, outcome)
         self.record_outcome(relayed, outcome)
         return outcome
 
+    def end_with_caller(
+        self,
+        caller_connection: InboundConnection,
+        relayed: RelayedRequest,
+        endpoint_connection: EndpointConnection,
+    ) -> asyncio.TimerHandle:
+        """Close the connection at the deadline, or when the caller leaves.
+
+        This task is cancelled then, too, but takes further turns of the event loop to
+        get to close it, while the request runs on at the endpoint.
+        """
+        caller_connection.on_caller_gone = endpoint_connection.close
+        return self.loop.call_at(relayed.deadline, endpoint_connection.close)
+
     def record_connect_failure(
         self, endpoint: Endpoint, fault: ConnectionFault, called_at: float
     ) -> None:
@@ -280,3 +299,10 @@
         self.health.record_load(
             endpoint_id, load.running + load.waiting, load.slowdown, time.monotonic()
         )
+
+
+def is_declined(outcome: AttemptOutcome) -> bool:
+    """Return whether the intended endpoint did not take the request."""
+    if not isinstance(outcome, NotRun):
+        return False
+    return outcome.received and outcome.reason != WRONG_ENDPOINT
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -16,7 +16,7 @@
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_admission import Admission
-from acaciarelay.programs.relay_attempt import Attempts
+from acaciarelay.programs.relay_attempt import Attempts, is_declined
 from acaciarelay.programs.relay_drain import RequestDrain
 from acaciarelay.programs.relay_placement import Placement, Placer, slot_wait_end
 from acaciarelay.programs.relay_refusal import respond_refusal
@@ -156,6 +156,8 @@
         """Try endpoints until the request is answered or no attempt is left."""
         if not self.drain.can_finish(relayed, None):
             return self.give_up(relayed, "entry_stopping")
+        if self.placer.never_fits(relayed):
+            return refuse("exceeds_engine_memory")
         now = time.monotonic()
         self.retry_budget.record_first_attempt(relayed.service, now)
         self.placer.floor.record_arrival(relayed.service, relayed.rank, now)
@@ -207,6 +209,8 @@
                 # the release below has no further effect.
                 if isinstance(outcome, Delivered) and relayed.run_count == 1:
                     placement.release(relayed)
+                elif is_declined(outcome):
+                    placement.release_declined()
             finally:
                 placement.release()
             relayed.steps.append(_describe(outcome, placement))
