Turn on slow_peers by the contracts of a deployment

Cause: entries can't know whether callers and endpoints may read slowly. Change: the setting slow_peers, false by default, and the list contracts, which the template fills; platform/contracts.py translates pressure to slow_peers and ignores unknown names and lists of another form. Nothing uses the setting yet. Tested: test_contracts, 12 passed.

--- a/src/acaciarelay/programs/relay_settings.py
+++ b/src/acaciarelay/programs/relay_settings.py
@@ -7,6 +7,8 @@
 import cattrs
 import orjson
 
+from acaciarelay.platform.contracts import decode_contracts, enabled_features
+
 __all__ = ["RelaySettings", "SettingsError", "load_settings", "settings_path"]
 
 PATH_VARIABLE = "ACACIARELAY_CONFIG"
@@ -31,6 +33,8 @@
     milliseconds. ``memory_mb`` is the memory that the process may use, in megabytes.
     ``registration_interval_ms`` is how often endpoints renew their registrations.
     ``first_start`` is true when the entire system starts for the first time.
+    ``slow_peers`` is true where callers or endpoints may read slowly. ``contracts``
+    names the deployment's contracts, which turn on the features that they need.
     """
 
     name: str
@@ -55,6 +59,8 @@
     memory_mb: float
     first_start: bool
     registration_interval_ms: float = 1200.0
+    contracts: list[str] = attrs.Factory(list)
+    slow_peers: bool = False
 
     @property
     def agent_port(self) -> int:
@@ -80,6 +86,9 @@
             raw: Any = orjson.loads(file.read())
     except (OSError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from error
+    if isinstance(raw, dict):
+        contracts = decode_contracts(raw.get("contracts"))
+        raw = enabled_features(contracts) | raw | {"contracts": contracts}
     try:
         settings = cattrs.structure(raw, RelaySettings)
     except cattrs.BaseValidationError as error:
