Add the sending of a request as fast as its endpoint reads it

Cause: a long body to an endpoint that reads slowly is held twice, in the request and in the output, and is counted once; and long bodies may use the whole budget.

--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -16,6 +16,7 @@
 from acaciarelay.protocol.answer_head import HeadGate, HeadTooLargeError
 from acaciarelay.protocol.http_message import Header, encode_headers
 from acaciarelay.transport.bounded_reads import BoundedReads
+from acaciarelay.transport.request_sender import RequestSender
 from acaciarelay.transport.sockets import enable_dead_peer_detection
 
 __all__ = ["ConnectionFault", "EndpointConnection", "FaultKind", "connect"]
@@ -88,6 +89,8 @@
         self.interim_responses = 0
         self.progress_at = 0.0
         self.stall_timer: asyncio.TimerHandle | None = None
+        # Present once a request is sent as fast as the endpoint reads it.
+        self.sender: RequestSender | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -284,6 +287,22 @@
         if tail:
             self.transport.write(tail)
 
+    def send_as_read(
+        self, method: str, target: str, headers: Sequence[Header], body: bytes
+    ) -> None:
+        """Send a request like ``send``, as fast as the endpoint reads it."""
+        assert self.transport is not None
+        self.sender = RequestSender(self.http, self.transport, self.record_progress)
+        self.sender.send(method, target, headers, body)
+
+    def pause_writing(self) -> None:
+        if self.sender is not None:
+            self.sender.pause()
+
+    def resume_writing(self) -> None:
+        if self.sender is not None:
+            self.sender.resume()
+
     async def next_event(self) -> h11.Event | ConnectionFault:
         """Return the next event of the response, or the fault that ended it.
 
--- a/tests/unit/platform_path/test_memory_budget.py
+++ b/tests/unit/platform_path/test_memory_budget.py
@@ -6,7 +6,11 @@
 from hypothesis import given, strategies as st
 from relay_rig import HOST, KEY, RawAnswer, RelayRig, configuration, read_raw_answer
 
-from acaciarelay.coordination.memory_budget import BodyMemory, MemoryBudget
+from acaciarelay.coordination.memory_budget import (
+    SMALL_BODY_BYTES,
+    BodyMemory,
+    MemoryBudget,
+)
 from acaciarelay_standins.platform_runner import RunnerFaults
 
 BUDGET_BYTES = 1_000_000
@@ -42,6 +46,17 @@
         assert budget.used_bytes == sum(sizes) <= 200
 
 
+@given(st.lists(st.integers(1, 200_000), max_size=80))
+def test_long_bodies_leave_the_reserve_to_small_ones(sizes):
+    """Guards against long bodies of slow endpoints that keep ordinary requests out."""
+    budget = MemoryBudget(2_000_000, small_reserve_bytes=500_000)
+    for size in sizes:
+        before = budget.used_bytes
+        limit = 2_000_000 if size <= SMALL_BODY_BYTES else 1_500_000
+        assert BodyMemory(budget).grow_to(size) == (before + size <= limit)
+    assert budget.used_bytes <= 2_000_000
+
+
 def head(attempt: str, framing: str) -> bytes:
     """Return the head of an order with the given framing."""
     lines = [
