Read answers from endpoints whatever their callers do

Cause: an answer is read only as fast as its caller reads it, so a caller that reads nothing holds the engine's slot, and whole bodies wait in the budget of request bodies. Change: with slow_peers, the connection of a caller keeps a backlog within a common budget; the attempt ends, and its slot is released, with the answer of the endpoint. Bodies are sent as endpoints read them. Without the setting the output, the sender and the budgets are those of before.

--- a/src/acaciarelay/programs/caller_server.py
+++ b/src/acaciarelay/programs/caller_server.py
@@ -139,7 +139,7 @@
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
         for connection in list(self.connections):
             with log_errors():
-                connection.close()
+                connection.close_at_exit()
         await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
 
     @property
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -215,6 +215,31 @@
         (),
         "Bytes that the bodies under way occupy.",
     ),
+    Metric(
+        "acaciarelay_answer_bytes",
+        "gauge",
+        (),
+        "Bytes that answers occupy which their callers have not read yet.",
+    ),
+    Metric(
+        "acaciarelay_paused_answers",
+        "gauge",
+        (),
+        "Answers that are not read from their endpoints for lack of memory.",
+    ),
+    Metric(
+        "acaciarelay_answer_pauses_total",
+        "counter",
+        (),
+        "Times that the reading of an answer was paused for lack of memory.",
+    ),
+    Metric(
+        "acaciarelay_cut_callers_total",
+        "counter",
+        ("answer",),
+        "Callers cut that read nothing while others needed memory, by whether their "
+        "answer was whole or a part.",
+    ),
     Metric(
         "acaciarelay_reading_seconds",
         "gauge",
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -37,6 +37,7 @@
     connect,
 )
 from acaciarelay.transport.inbound_server import InboundConnection
+from acaciarelay.transport.sockets import limit_unread_bytes
 
 __all__ = ["Attempts"]
 
@@ -63,7 +64,8 @@
     collected before they are passed on share ``memory``, and reading all answers takes
     its time from ``loop_budget``. ``crashes`` learns which
     prompts endpoints answer and which runs they broke off, and ``endpoints`` which of
-    them leave.
+    them leave. With ``slow_peers``, bodies are sent as fast as endpoints read them, and
+    answers share the memory of the callers' connections.
     """
 
     def __init__(
@@ -74,13 +76,15 @@
         loop_budget: LoopBudget,
         crashes: CrashGuard,
         endpoints: EndpointList,
+        slow_peers: bool,
     ) -> None:
+        self.slow_peers = slow_peers
         self.endpoints = endpoints
         self.crashes = crashes
         self.health = health
         self.loop_budget = loop_budget
         self.on_stall = on_stall
-        self.forwarder = AnswerForwarder(memory, crashes)
+        self.forwarder = AnswerForwarder(None if slow_peers else memory, crashes)
         self.loop = asyncio.get_running_loop()
 
     async def attempt(
@@ -133,9 +137,11 @@
             relayed.evidence = Evidence.MAY_HAVE_RUN
             relayed.sent_at = self.loop.time()
             relayed.first_sent_at = relayed.first_sent_at or relayed.sent_at
-            endpoint_connection.send(
-                request.method, request.target, headers, request.body
-            )
+            send = endpoint_connection.send
+            if self.slow_peers and endpoint_connection.transport is not None:
+                limit_unread_bytes(endpoint_connection.transport)
+                send = endpoint_connection.send_as_read
+            send(request.method, request.target, headers, request.body)
             endpoint_connection.watch_progress(
                 min(MAX_STALL_S, STALL_FRACTION * relayed.route.timeout_s),
                 lambda: self.stalled(relayed, endpoint, endpoint_connection),
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -35,6 +35,7 @@
     settings_path,
 )
 from acaciarelay.programs.relay_state_cache import TABLES, StateCache
+from acaciarelay.programs.slow_callers import SlowCallers
 from acaciarelay.programs.store_follower import StoreFollower
 from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import InboundRequest
@@ -57,6 +58,8 @@
 # a body is passed on there are up to three copies of it.
 BODY_MEMORY_SHARE = 0.2
 BYTES_PER_MB = 1_000_000
+# Part of that which long bodies leave to small ones where endpoints may read slowly.
+SMALL_BODY_RESERVE = 0.25
 # Bodies on the address for readiness, where none are expected.
 READY_BODY_BYTES = 65_536
 
@@ -90,9 +93,16 @@
         )
         self.health = EndpointHealth(settings.zone, settings.zones, self.rng)
         self.slot_client = SlotClient()
-        self.body_memory = MemoryBudget(
-            int(settings.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE)
-        )
+        body_bytes = int(settings.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE)
+        small_reserve = SMALL_BODY_RESERVE if settings.slow_peers else 0.0
+        self.body_memory = MemoryBudget(body_bytes, int(body_bytes * small_reserve))
+        self.connections: set[InboundConnection] = set()
+        # Present where callers may read slowly.
+        self.slow_callers: SlowCallers | None = None
+        if settings.slow_peers:
+            self.slow_callers = SlowCallers(
+                settings.memory_mb, self.connections, self.metrics
+            )
         self.loop_budget = LoopBudget(self.record_long_step)
         own_address = f"{settings.host}:{settings.peer_port}"
         self.crashes = CrashGuard(own_address, self.slot_client, self.metrics)
@@ -108,6 +118,7 @@
             self.crashes,
             self.metrics,
             self.rng,
+            settings.slow_peers,
         )
         self.hello = Hello(
             name=settings.name,
@@ -136,7 +147,6 @@
             self.loop_budget,
         )
         self.peers.on_era = self.follower.probe_era
-        self.connections: set[InboundConnection] = set()
         self.callers = CallerServer(self.build_inbound, self.connections)
         self.agents = AgentLinks(
             self.hello, self.slot_client, self.crashes, self.peers, self.ticker
@@ -211,6 +221,8 @@
         self.metrics.set("store_era", self.cache.era)
         self.metrics.set("peers_reached", len(self.peers.addresses()))
         self.metrics.set("body_bytes", self.body_memory.used_bytes)
+        if self.slow_callers is not None:
+            self.slow_callers.update_metrics()
         for reader, seconds in self.loop_budget.seconds.items():
             self.metrics.set("reading_seconds", seconds, reader=reader)
 
@@ -258,6 +270,7 @@
             self.connections,
             self.body_memory,
             self.loop_budget,
+            self.slow_callers.outputs if self.slow_callers is not None else None,
         )
 
     def build_ready(self) -> InboundConnection:
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -75,6 +75,7 @@
         crashes: CrashGuard,
         metrics: Metrics,
         rng: random.Random,
+        slow_peers: bool = False,
     ) -> None:
         self.cache = cache
         self.run_clock = run_clock
@@ -96,6 +97,7 @@
             loop_budget,
             crashes,
             cache.endpoints,
+            slow_peers,
         )
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
@@ -188,9 +190,10 @@
                     connection, request, relayed, placement.endpoint
                 )
                 # Timings are reported only for a single run; after a second one, the
-                # first event may be that of the first. The slot is released once, so
-                # the release below has no further effect.
-                if isinstance(outcome, Delivered) and relayed.run_count == 1:
+                # first event may be that of the first. Those of a paused answer are
+                # its caller's. The slot is released once, so the release below has no
+                # further effect.
+                if isinstance(outcome, Delivered) and relayed.has_own_timings:
                     placement.release(relayed)
             finally:
                 placement.release()
--- a/src/acaciarelay/programs/stream_forwarder.py
+++ b/src/acaciarelay/programs/stream_forwarder.py
@@ -27,6 +27,8 @@
 # Each event of an answer holds a token at least, but for a few around the answer.
 MAX_EVENTS_PER_TOKEN = 2
 MORE_EVENTS = 64
+# Framing of a piece of an answer: the line of its chunk, and the head for the first.
+FRAMING_BYTES = 512
 
 
 class StreamForwarder:
@@ -85,11 +87,15 @@
             self.count_events(len(events))
             if self.has_too_many_events:
                 return Broken("foreign data: more events than tokens")
+            size = sum(len(event.data) for event in events)
+            if events and not self.caller_connection.try_reserve(size + FRAMING_BYTES):
+                self.relayed.reading_paused = True
+                await self.caller_connection.wait_for_room(size + FRAMING_BYTES)
+                began = self.loop.time()
             unsent = self.unsent_events(events)
             if unsent is None:
                 return Broken("events out of order")
             flush = self.write(unsent)
-            size = sum(len(event.data) for event in events)
             self.endpoint_connection.loop_time.spend(began, self.loop.time(), size)
             if unsent and flush:
                 await self.caller_connection.drain()
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -83,6 +83,7 @@
     ``error_response`` is the last error response, passed on when no further attempt is
     allowed. ``events_received`` counts the events of the current attempt's answer, and
     ``answer_received`` is true once the end of an answer has come.
+    ``reading_paused`` is true once the answer was not read on for lack of memory.
     ``retries_ended`` is true once the caller leaves too soon for another attempt.
     ``on_trial`` is true once it may run despite a suspicion, in one attempt. ``steps``
     describes the attempts for the log.
@@ -115,6 +116,7 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     answer_received: bool = False
+    reading_paused: bool = False
     steps: list[str] = attrs.Factory(list)
 
     @property
@@ -141,6 +143,11 @@
             return False
         return self.repeatable and self.run_count < self.route.max_attempts
 
+    @property
+    def has_own_timings(self) -> bool:
+        """Whether the times of the answer are those of its endpoint alone."""
+        return self.run_count == 1 and not self.reading_paused
+
     @property
     def certainly_not_run(self) -> bool:
         """Whether the request can safely be reported as not run."""
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -11,6 +11,7 @@
 from acaciarelay.protocol.http_message import Header, InboundRequest, encode_headers
 from acaciarelay.protocol.request_head import count_blank_bytes
 from acaciarelay.state.routing import CallerLimits
+from acaciarelay.transport.buffered_output import AnswerOutputs
 from acaciarelay.transport.connection_phase import ClosedBy, Phase
 from acaciarelay.transport.read_gate import ReadGate
 from acaciarelay.transport.request_reader import RequestReader
@@ -37,6 +38,8 @@
 # Time in which a refused caller may finish sending, so that closing does not reset the
 # connection before it has read the response.
 LINGER_S = 1.0
+# Bytes of a complete body that are framed and buffered at once.
+BODY_PIECE_BYTES = 65_536
 InboundHandler = Callable[["InboundConnection", InboundRequest], Awaitable[None]]
 RefusalHandler = Callable[["InboundConnection", Refusal], None]
 
@@ -47,7 +50,8 @@
     ``handler`` is awaited with each complete request and responds through this object;
     ``on_refusal`` is called for input that is no valid request. ``registry`` contains
     the connection while it is open. The bodies of all connections with the same
-    ``memory`` share it, and reading takes its time from ``loop_budget``.
+    ``memory`` share it, and reading takes its time from ``loop_budget``. With
+    ``answers``, answers are buffered in their common budget until callers read them.
     """
 
     def __init__(
@@ -58,8 +62,10 @@
         registry: set["InboundConnection"],
         memory: MemoryBudget,
         loop_budget: LoopBudget,
+        answers: AnswerOutputs | None = None,
     ) -> None:
         super().__init__(limits, memory)
+        self.answers = answers
         self.handler = handler
         self.on_refusal = on_refusal
         self.registry = registry
@@ -84,7 +90,10 @@
         name = transport.get_extra_info("peername")
         loop_time = self.loop_budget.open(Reader.CALLER, name[0] if name else "")
         self.gate = ReadGate(transport, loop_time)
-        self.output = ResponseOutput(transport)
+        if self.answers is None:
+            self.output = ResponseOutput(transport)
+        else:
+            self.output = self.answers.open(transport)
         enable_dead_peer_detection(transport, TCP_USER_TIMEOUT_S)
         self.set_timer(self.limits().idle_timeout_s)
 
@@ -101,7 +110,8 @@
         if self.task is not None:
             self.task.cancel()
         self.body_memory.release()
-        self.resume_writing()
+        if self.output is not None:
+            self.output.close()
 
     def record_end(self, closed_by: ClosedBy) -> None:
         """Record who ends the connection, unless it was ended before."""
@@ -141,8 +151,13 @@
             self.finish_request()
 
     def finish_request(self) -> None:
+        """Go on after a response, once it has no backlog."""
         if self.phase is not Phase.RESPONSE:
             return
+        if self.output is not None and self.output.call_when_flushed(
+            self.finish_request
+        ):
+            return
         if self.http.our_state is h11.MUST_CLOSE:
             self.phase = Phase.CLOSING
             self.close_after_response()
@@ -193,16 +208,29 @@
         """End the response."""
         self.write_event(h11.EndOfMessage())
 
-    def respond(self, status: int, headers: Sequence[Header], body: bytes) -> None:
+    def respond(
+        self, status: int, headers: Sequence[Header], body: bytes | bytearray
+    ) -> None:
         """Write a complete response."""
         length = ("Content-Length", str(len(body)))
         self.start(status, [*headers, length], flush=False)
         if body and (self.head is None or self.head.method != b"HEAD"):
-            self.write(body, flush=False)
+            self.write_body(body)
         self.finish()
         if self.phase is Phase.CLOSING:
             self.close_after_response()
 
+    def write_body(self, body: bytes | bytearray) -> None:
+        """Write a complete body, in pieces where it is buffered outside the transport.
+
+        A single piece would be copied several times.
+        """
+        if self.answers is None:
+            self.write(bytes(body), flush=False)
+            return
+        for start in range(0, len(body), BODY_PIECE_BYTES):
+            self.write(bytes(body[start : start + BODY_PIECE_BYTES]))
+
     def write_event(self, event: h11.Event, flush: bool = True) -> None:
         if self.output is None or not self.output.is_open:
             return
@@ -223,6 +251,24 @@
             raise CallerDisconnectedError
         await self.output.drain()
 
+    def try_reserve(self, size: int) -> bool:
+        """Reserve room for a piece of an answer; return false without room."""
+        return self.output is None or self.output.try_reserve(size)
+
+    async def wait_for_room(self, size: int) -> None:
+        """Wait until there is room for a piece of an answer.
+
+        Raises ``CallerDisconnectedError`` when the connection is closed.
+        """
+        if self.output is None:
+            raise CallerDisconnectedError
+        await self.output.wait_for_room(size)
+
+    def drop_reserved(self, size: int | None = None) -> None:
+        """Give back room that no piece needs, by default all that is reserved."""
+        if self.output is not None:
+            self.output.drop_reserved(size)
+
     def collect(self, size: int) -> None:
         """Accept up to ``size`` bytes of the answer before the caller reads them."""
         if self.output is not None and self.output.collect_bytes < size:
@@ -238,7 +284,9 @@
     @property
     def unacknowledged_bytes(self) -> int:
         """Return the number of written bytes that the caller's host may not have."""
-        return unacknowledged_bytes(self.transport) if self.transport else 0
+        if self.transport is None or self.output is None:
+            return 0
+        return unacknowledged_bytes(self.transport) + self.output.backlog_bytes
 
     @property
     def unanswered(self) -> bool:
@@ -269,8 +317,8 @@
         self.pending.clear()
         if self.gate is not None:
             self.gate.resume_all()
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
+        if self.output is not None and self.transport.can_write_eof():
+            self.output.write_eof()
         self.set_timer(LINGER_S)
 
     @property
@@ -302,3 +350,18 @@
         if self.would_end_response:
             reset_at_close(self.transport)
         self.transport.abort()
+
+    def reset(self) -> None:
+        """Reset the connection; what the caller has not read yet is lost."""
+        self.record_end(ClosedBy.ENTRY)
+        self.phase = Phase.CLOSING
+        if self.transport is not None:
+            reset_at_close(self.transport)
+            self.transport.abort()
+
+    def close_at_exit(self) -> None:
+        """Close before the process ends, by a reset if a buffered answer is cut."""
+        if self.answers is not None and self.unsent_bytes:
+            self.reset()
+        else:
+            self.close()
--- a/src/acaciarelay/transport/response_output.py
+++ b/src/acaciarelay/transport/response_output.py
@@ -1,6 +1,7 @@
 """Output of a caller's connection, with backpressure."""
 
 import asyncio
+from collections.abc import Callable
 
 __all__ = ["CallerDisconnectedError", "ResponseOutput"]
 
@@ -29,6 +30,11 @@
         """Return the number of written bytes that the kernel hasn't accepted yet."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def backlog_bytes(self) -> int:
+        """Return the number of written bytes that the transport doesn't have yet."""
+        return 0
+
     def write(self, data: bytes, flush: bool) -> None:
         """Write data, or keep it without ``flush``."""
         self.buffer += data
@@ -36,6 +42,27 @@
             self.transport.write(bytes(self.buffer))
             self.buffer.clear()
 
+    def write_eof(self) -> None:
+        """Half-close the connection once all data has been sent."""
+        self.transport.write_eof()
+
+    def call_when_flushed(self, on_flushed: Callable[[], None]) -> bool:
+        """Call ``on_flushed`` once there is no backlog; return false without one."""
+        return False
+
+    def try_reserve(self, size: int) -> bool:
+        """Reserve room for data from an endpoint; return false without room."""
+        return True
+
+    async def wait_for_room(self, size: int) -> None:
+        """Wait until room for data from an endpoint is reserved.
+
+        Raises ``CallerDisconnectedError`` when the connection is closed.
+        """
+
+    def drop_reserved(self, size: int | None = None) -> None:
+        """Give back reserved room that is not needed, by default all."""
+
     async def drain(self) -> None:
         """Wait until the caller accepts more data.
 
@@ -63,3 +90,7 @@
         if self.resumed is not None and not self.resumed.done():
             self.resumed.set_result(None)
         self.resumed = None
+
+    def close(self) -> None:
+        """End the output of a closed connection."""
+        self.resume()
--- a/src/acaciarelay/transport/sockets.py
+++ b/src/acaciarelay/transport/sockets.py
@@ -11,6 +11,7 @@
 __all__ = [
     "accept_completed",
     "enable_dead_peer_detection",
+    "limit_unread_bytes",
     "listen",
     "reset_at_close",
     "unacknowledged_bytes",
@@ -19,6 +20,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+# Receive buffer of a connection whose peer may send much while nothing is read from it.
+# The kernel doubles it; the default grows to megabytes.
+UNREAD_BYTES = 65_536
 # Linger for 0 s: the kernel drops unsent data and sends a reset.
 RESET_LINGER = struct.pack("ii", 1, 0)
 
@@ -43,6 +47,13 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, int(user_timeout_s * 1000))
 
 
+def limit_unread_bytes(transport: asyncio.BaseTransport) -> None:
+    """Bound what the kernel keeps of data that was received and not read yet."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+
+
 def reset_at_close(transport: asyncio.BaseTransport) -> None:
     """Let the close of a connection reach the peer as a reset."""
     sock = transport.get_extra_info("socket")
