Count nothing that is written to a closed connection

Cause: room that a handler reserves between the close of its connection and its own end would never be given back. Change: a closed output reserves nothing. Tested: test_buffered_output, 9 passed.

--- a/src/acaciarelay/transport/buffered_output.py
+++ b/src/acaciarelay/transport/buffered_output.py
@@ -89,7 +89,8 @@
     # Room.
 
     def try_reserve(self, size: int) -> bool:
-        if self.answer.reserve(size, self.loop.time()):
+        # What is written to a closed connection is dropped, and must not be counted.
+        if not self.is_open or self.answer.reserve(size, self.loop.time()):
             return True
         self.outputs.watch()
         return False
--- a/tests/unit/platform_path/test_buffered_output.py
+++ b/tests/unit/platform_path/test_buffered_output.py
@@ -221,3 +221,16 @@
         assert received.count(b"x") == STREAM_PIECES * len(PIECE)
         sock.close()
         await closing
+
+
+async def test_a_closed_connection_reserves_nothing():
+    """Guards against room that is lost with each caller that disconnects."""
+    async with start() as (server, listener):
+        sock = await ask(listener, "/stream")
+        await until(lambda: server.ended)
+        connection = next(iter(server.connections))
+        sock.close()
+        connection.abort()
+        await until(lambda: not server.connections)
+        assert connection.try_reserve(1_000)
+        assert server.buffers.used_bytes == 0
