--- a/tests/integration/test_entry_stop.py
+++ b/tests/integration/test_entry_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from typing import Any
 
 from integration.platform_fleet import (
     PlatformFleet,
@@ -22,10 +23,11 @@
 LIMIT_MS = 10_000
 
 
-async def start_fleet(fleet: PlatformFleet) -> Program:
+async def start_fleet(fleet: PlatformFleet, **fields: Any) -> Program:
     """Start an entry, an engine with its agent and a plain service, with long limits.
 
     No endpoint of the service ``spare`` is registered, so requests for it are queued.
+    ``fields`` replace values of the entry's settings.
     """
     limits = {"timeoutMs": LIMIT_MS, "sloMs": 400}
     value = configuration(
@@ -50,7 +52,7 @@
     await fleet.add_runner("engine", 1)
     await fleet.add_runner("orders", 3)
     await fleet.add_agent(1)
-    entry = await fleet.add_entry(1)
+    entry = await fleet.add_entry(1, **fields)
     await asyncio.sleep(1.0)
     return entry
 
