--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -39,6 +39,7 @@
     connect,
 )
 from acaciarelay.transport.inbound_server import InboundConnection
+from acaciarelay.transport.sockets import limit_unread_bytes
 
 __all__ = ["Attempts", "is_declined"]
 
@@ -65,7 +66,9 @@
     collected before they are passed on share ``memory``, and reading all answers takes
     its time from ``loop_budget``. ``crashes`` learns which
     prompts endpoints answer and which runs they broke off, ``endpoints`` which of them
-    leave, and ``rollouts`` how the versions on trial answer.
+    leave, and ``rollouts`` how the versions on trial answer. With ``slow_peers``,
+    bodies are sent as fast as endpoints read them, and answers share the memory of the
+    callers' connections.
     """
 
     def __init__(
@@ -76,15 +79,17 @@
         loop_budget: LoopBudget,
         crashes: CrashGuard,
         endpoints: EndpointList,
+        slow_peers: bool,
         rollouts: Rollouts | None = None,
     ) -> None:
+        self.slow_peers = slow_peers
         self.rollouts = rollouts
         self.endpoints = endpoints
         self.crashes = crashes
         self.health = health
         self.loop_budget = loop_budget
         self.on_stall = on_stall
-        self.forwarder = AnswerForwarder(memory, crashes)
+        self.forwarder = AnswerForwarder(None if slow_peers else memory, crashes)
         self.loop = asyncio.get_running_loop()
 
     async def attempt(
@@ -142,9 +147,11 @@
             relayed.evidence = Evidence.MAY_HAVE_RUN
             relayed.sent_at = self.loop.time()
             relayed.first_sent_at = relayed.first_sent_at or relayed.sent_at
-            endpoint_connection.send(
-                request.method, request.target, headers, request.body
-            )
+            send = endpoint_connection.send
+            if self.slow_peers and endpoint_connection.transport is not None:
+                limit_unread_bytes(endpoint_connection.transport)
+                send = endpoint_connection.send_as_read
+            send(request.method, request.target, headers, request.body)
             if self.rollouts is not None:
                 running = self.rollouts.sent(relayed, endpoint)
             endpoint_connection.watch_progress(
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -77,6 +77,7 @@
         metrics: Metrics,
         rng: random.Random,
         rollouts: Rollouts | None = None,
+        slow_peers: bool = False,
     ) -> None:
         self.rollouts = rollouts
         self.cache = cache
@@ -99,6 +100,7 @@
             loop_budget,
             crashes,
             cache.endpoints,
+            slow_peers,
             rollouts,
         )
         self.loop = asyncio.get_running_loop()
@@ -205,9 +207,10 @@
                     connection, request, relayed, placement.endpoint
                 )
                 # Timings are reported only for a single run; after a second one, the
-                # first event may be that of the first. The slot is released once, so
-                # the release below has no further effect.
-                if isinstance(outcome, Delivered) and relayed.run_count == 1:
+                # first event may be that of the first. Those of a paused answer are
+                # its caller's. The slot is released once, so the release below has no
+                # further effect.
+                if isinstance(outcome, Delivered) and relayed.has_own_timings:
                     placement.release(relayed)
                 elif is_declined(outcome):
                     placement.release_declined()
