Keep the shares of unreachable entries of a usage limit

Cause: an entry removed each peer that was silent for 30 s, and the number of processes that share the limits fell with it. Three entries that can't reach each other then took themselves for the only one and granted the whole limit each. Before that each side of a partition also used the whole level and burst of the bucket; only the refill was divided.

Change: a lost peer is removed 30 s after it announced its end (new trailing field `leaving` of `PeerStatus`) or after a reload takes it out of `seeds`, and any other one after 4 h. A partition has its share of the bucket's level and burst too, and compares demands within itself. A process that is heard for the first time brings its part of the level at the start, so that nothing changes while the links are fine.

--- a/src/acaciarelay/coordination/usage_ledger.py
+++ b/src/acaciarelay/coordination/usage_ledger.py
@@ -3,8 +3,8 @@
 Each process counts the tokens that it admitted and receives the counts of its peers, so
 it knows the level of the one shared bucket as of the last message. Between two messages
 a process uses no more than its share of that level. While peers are unreachable, a
-process refills the bucket only at its partition's share of the rate, since the other
-side of a network partition does the same.
+process has only its partition's share of the level, the burst and the rate, since the
+other side of a network partition uses the rest.
 """
 
 import collections
@@ -25,9 +25,9 @@
 # Demand below this fraction of an equal share of the rate is sent as none: a process's
 # share of a limit is never below an equal one.
 MIN_DEMAND_SHARE = 0.25
-# Least time for which other processes leave a lost peer's share of the rate unused. The
-# peer may still run on the other side of a network partition, and the tokens that it
-# admitted count against the limit until the usage window has passed.
+# Least time for which other processes leave the share of a lost peer unused once it is
+# not among the known ones any more. The tokens that it admitted count against the limit
+# until the usage window has passed.
 LOST_PEER_RESERVE_S = 20.0
 # Share of the tolerated excess that is used; the rest covers what several processes
 # admit at the same moment.
@@ -57,16 +57,21 @@
 START_EXCESS_SHARE = 0.1
 # Usage reports that are kept for an organisation without a bucket in this process.
 MAX_PENDING_USAGE = 200
+# Tolerated rounding error, so that a full bucket admits a request larger than it.
+ROUNDING_TOKENS = 1e-3
 # Default burst of an organisation, as the time in which its rate refills it.
 DEFAULT_SHARED_BURST_S = 1.0
 
 
 @attrs.define(eq=False)
 class _Bucket:
-    """The shared bucket of one organisation as known in this process.
+    """A partition's share of the bucket of one organisation, as known in this process.
 
     Amounts are in tokens, ``rate`` and demands in tokens per second, times in monotonic
-    seconds.
+    seconds. ``rate`` and ``burst`` are those of the whole bucket; ``capacity`` is the
+    highest level that the partition's share can have. ``withheld`` is the part of
+    ``start_level`` that is left to processes without a message so far. ``linked`` is
+    the part of the other ones that was reachable at the last refill.
     ``admitted`` is the total that this process admitted since its start. The current
     round started at ``round_at``. ``round_level`` is the level at that time plus later
     refills, ``round_demand`` the demand at that time, which is close to the value last
@@ -77,7 +82,12 @@
 
     level: float
     updated_at: float
+    start_level: float
     rate: float = 0.0
+    burst: float = 0.0
+    capacity: float = 0.0
+    withheld: float = 0.0
+    linked: float = 1.0
     admitted: float = 0.0
     used: float = 0.0
     round_level: float = 0.0
@@ -217,26 +227,29 @@
         burst += self.tolerance.tokens(rate, burst) * USED_EXCESS_SHARE
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            level = self._initial_level(organisation.name, rate, burst, now)
-            bucket = _Bucket(level, now, round_level=level)
+            start_level = self._start_level(rate, burst)
+            level = self._level_since_start(
+                organisation.name, start_level, rate, burst, now
+            )
+            bucket = _Bucket(level, now, start_level, round_level=level)
             self._buckets[organisation.name] = bucket
         bucket.rate = rate
+        bucket.burst = burst
         bucket.demand = _decayed_demand(bucket, now) + cost / DEMAND_WINDOW_S
         bucket.demand_at = now
-        self._refill(organisation.name, bucket, rate, burst, now)
-        missing = min(cost, burst) - bucket.level
-        high = bucket.level >= burst * HIGH_LEVEL_SHARE
+        self._refill(organisation.name, bucket, now)
+        missing = min(cost, bucket.capacity) - bucket.level
+        high = bucket.level >= bucket.capacity * HIGH_LEVEL_SHARE
         known_for_a_window = now - self.started_at >= self.tolerance.window_s
         margin = HIGH_LEVEL_MARGIN if high and known_for_a_window else SHARE_MARGIN
-        if missing <= 0 and not self._within_share(
-            organisation.name, bucket, cost, margin
-        ):
+        fits = missing <= ROUNDING_TOKENS
+        if fits and not self._within_share(organisation.name, bucket, cost, margin):
             if not high and bucket.credit < cost:
                 missing = cost - bucket.credit
                 bucket.credit_target = max(bucket.credit_target, cost)
             elif bucket.used > 0:
                 missing = cost
-        if missing > 0:
+        if missing > ROUNDING_TOKENS:
             return missing / rate
         bucket.level -= cost
         bucket.used += cost
@@ -244,12 +257,18 @@
         bucket.credit = max(0.0, bucket.credit - cost)
         return 0.0
 
-    def _initial_level(self, name: str, rate: float, burst: float, now: float) -> float:
+    def _start_level(self, rate: float, burst: float) -> float:
+        """Return the level of the whole bucket when this process started."""
+        if self.first_start:
+            return burst
+        tolerated = self.tolerance.tokens(rate, burst)
+        return min(burst, START_REFILL_S * rate + START_EXCESS_SHARE * tolerated)
+
+    def _level_since_start(
+        self, name: str, start_level: float, rate: float, burst: float, now: float
+    ) -> float:
         """Return the level of a new bucket, less what peers used since the start."""
-        level = burst
-        if not self.first_start:
-            tolerated = self.tolerance.tokens(rate, burst)
-            level = min(burst, START_REFILL_S * rate + START_EXCESS_SHARE * tolerated)
+        level = start_level
         at = self.started_at
         for received_at, tokens in self._pending_usage.pop(name, ()):
             level = min(burst, level + rate * (received_at - at)) - tokens
@@ -281,12 +300,14 @@
             bucket.credit = 0.0
             bucket.updated_at = now
 
-    def _refill(
-        self, name: str, bucket: _Bucket, rate: float, burst: float, now: float
-    ) -> None:
-        added = max(0.0, now - bucket.updated_at) * rate * self.reachable_share(now)
+    def _refill(self, name: str, bucket: _Bucket, now: float) -> None:
+        reachable = self._reachable_count(now)
+        self._leave_to_unreachable(bucket, reachable)
+        group_share = reachable / self.process_count
+        bucket.capacity = bucket.burst * group_share
+        added = max(0.0, now - bucket.updated_at) * bucket.rate * group_share
         bucket.round_level += added
-        bucket.level = min(burst, bucket.level + added)
+        bucket.level = min(bucket.capacity, bucket.level + added)
         bucket.updated_at = now
         share = min(1.0, self._share(name, bucket) * SHARE_MARGIN)
         bucket.credit = min(bucket.credit_target, bucket.credit + added * share)
@@ -296,33 +317,57 @@
             bucket.round_level = bucket.level
             bucket.round_demand = bucket.demand
 
+    def _leave_to_unreachable(self, bucket: _Bucket, reachable: int) -> None:
+        """Take the shares of unreachable processes from a bucket's level.
+
+        A process that sends its first message brings its part of the start level. One
+        that was lost and returns brings nothing, since it may have used its share.
+        """
+        heard = 1 + len(self._peers)
+        withheld = bucket.start_level * (1.0 - heard / self.process_count)
+        returned = bucket.withheld - withheld
+        bucket.withheld = withheld
+        bucket.level += returned
+        bucket.round_level += returned
+        linked = reachable / heard
+        if linked < bucket.linked:
+            kept = linked / bucket.linked
+            bucket.level = min(bucket.level, bucket.level * kept)
+            bucket.round_level = min(bucket.round_level, bucket.round_level * kept)
+        bucket.linked = linked
+
     def _share(self, name: str, bucket: _Bucket) -> float:
-        """Return this process's share of the total demand, at least an equal share.
+        """Return this process's share of the partition's level, at least an equal one.
 
         It compares demands as of the last messages: when demand rises everywhere at
         once, the current demand of this process would seem to rise alone.
         """
-        others = sum(peer.demand.get(name, 0.0) for peer in self._peers.values())
+        reachable = [peer for peer in self._peers.values() if peer.lost_at is None]
+        others = sum(peer.demand.get(name, 0.0) for peer in reachable)
         total = bucket.round_demand + others
         by_demand = bucket.round_demand / total if total > 0 else 0.0
-        # Processes that have not sent their demand yet are assumed to have the mean
-        # demand of the known ones.
-        by_demand *= (1 + len(self._peers)) / self.process_count
-        return max(by_demand, 1.0 / self.process_count)
+        return max(by_demand, 1.0 / (1 + len(reachable)))
 
-    def reachable_share(self, now: float) -> float:
-        """Return the share of all processes that are reachable, this one included.
+    def _reachable_count(self, now: float) -> int:
+        """Return the number of reachable processes, this one included.
 
-        Removes the peers that were lost more than ``LOST_PEER_RESERVE_S`` ago.
+        Removes peers that were lost more than ``LOST_PEER_RESERVE_S`` ago and are not
+        among the known ones any more. Others may run behind a network partition.
         """
-        reachable = 0
+        reachable = 1
         for name, peer in list(self._peers.items()):
             if peer.lost_at is None:
                 reachable += 1
-            elif now - peer.lost_at > LOST_PEER_RESERVE_S:
+                continue
+            surplus = len(self._peers) > self.known_peer_count
+            if surplus and now - peer.lost_at > LOST_PEER_RESERVE_S:
                 del self._peers[name]
                 self._removed_incarnations[name] = peer.incarnation
-        return (1 + reachable) / self.process_count
+        return reachable
+
+    def reachable_share(self, now: float) -> float:
+        """Return the share of all processes that are reachable, this one included."""
+        return self._reachable_count(now) / self.process_count
 
     @property
     def process_count(self) -> int:
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -237,8 +237,11 @@
         self.add_seeds()
 
     def add_seeds(self) -> None:
+        self.peers.add(self.seed_addresses())
+
+    def seed_addresses(self) -> list[str]:
         port = self.settings.peer_port
-        self.peers.add([f"{_split(seed)[0]}:{port}" for seed in self.settings.seeds])
+        return [f"{_split(seed)[0]}:{port}" for seed in self.settings.seeds]
 
     def limits(self) -> CallerLimits:
         routing = self.cache.routing
@@ -313,12 +316,16 @@
         except SettingsError as error:
             log_event("reload_failed", detail=str(error), always=True)
             return
+        removed = set(self.seed_addresses())
         self.settings = settings
         self.add_seeds()
+        removed -= set(self.seed_addresses())
+        self.peers.mark_left(sorted(removed))
         log_event("reloaded", seeds=settings.seeds, always=True)
 
     async def drain(self) -> None:
         """Report not ready, end the requests of callers, then close all."""
+        self.peers.announce_leaving()
         began_at = self.stop_requested_at
         if began_at is None:
             began_at = self.loop.time()
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -35,8 +35,10 @@
 
 __all__ = ["Peers"]
 
-# A peer that was unreachable for this long is removed.
+# Time after which a lost peer that announced its end is removed.
 REMOVE_PEER_S = 30.0
+# The same for others, which may use their shares behind a partition of up to an hour.
+REMOVE_SILENT_PEER_S = 4 * 3600.0
 # Fraction of the status interval after which a status is due: ticks come at fixed
 # times, so one just before the interval ends must count.
 DUE_FRACTION = 0.9
@@ -56,11 +58,13 @@
     """A peer, and the open link over which it gets statuses.
 
     ``dialer`` is ``None`` while the peer's own link serves both directions.
+    ``has_left`` is true when the peer announced its end or the operator removed it.
     """
 
     dialer: Dialer | None
     reachable_at: float
     link: MessageLink | None = None
+    has_left: bool = False
 
 
 class Peers:
@@ -89,6 +93,7 @@
         self.sent = _StatusFields()
         self.sent_at = -math.inf
         self.started_at = time.monotonic()
+        self.is_leaving = False
         self.server = LinkServer(
             hello,
             LinkHandlers(
@@ -128,9 +133,7 @@
 
     def addresses(self) -> list[str]:
         """Return the addresses of peers that are reachable."""
-        return [
-            address for address, peer in self.peers.items() if peer.link is not None
-        ]
+        return [key for key, peer in self.peers.items() if peer.link is not None]
 
     def opened(self, link: MessageLink) -> None:
         """Use a link that a peer dialled if it is the one to keep, or the only one.
@@ -160,6 +163,7 @@
         """Send statuses to a peer over this link from now on."""
         assert link.peer is not None
         peer.link = link
+        peer.has_left = False
         peer.reachable_at = time.monotonic()
         log_event("peer_regained", peer=link.peer.address, lifetime=link.peer.lifetime)
         link.send(self.status(_StatusFields()))
@@ -227,12 +231,13 @@
                 link.send_line(line)
 
     def remove_if_lost(self, address: str, peer: _Peer, now: float) -> None:
-        if now - peer.reachable_at <= REMOVE_PEER_S:
+        limit_s = REMOVE_PEER_S if peer.has_left else REMOVE_SILENT_PEER_S
+        if now - peer.reachable_at <= limit_s:
             return
         if peer.dialer is not None:
             peer.dialer.close()
         del self.peers[address]
-        log_event("peer_forgotten", peer=address)
+        log_event("peer_forgotten", peer=address, has_left=peer.has_left)
 
     def gathered_links(self) -> list[MessageLink]:
         """Return the links to peers that get this zone's usage together."""
@@ -313,6 +318,7 @@
             era=era,
             eras=eras,
             held=self.cache.held_digests(),
+            leaving=self.is_leaving,
         )
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
@@ -344,6 +350,8 @@
         )
         self.zones.receive_status(peer, usage, time.monotonic())
         self.receive_tables(link, status)
+        if status.leaving:
+            self.mark_left([peer.address])
 
     def receive_zone(self, message: ZoneUsage) -> None:
         """Merge another zone's usage, and forward it if it came from there."""
@@ -363,6 +371,20 @@
         self.tables.confirm(link, known)
         self.tables.send_missing_rows(link, known, message.wanted, self.addresses())
 
+    def mark_left(self, addresses: list[str]) -> None:
+        """Record that entries end or were removed; linked ones still count."""
+        for address in addresses:
+            if address in self.peers:
+                self.peers[address].has_left = True
+
+    def announce_leaving(self) -> None:
+        """Tell all peers that this entry ends, so that they leave it no share."""
+        self.is_leaving = True
+        status = self.status(_StatusFields())
+        for peer in self.peers.values():
+            if peer.link is not None:
+                peer.link.send(status)
+
     def close(self) -> None:
         self.server.close()
         for peer in self.peers.values():
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -194,6 +194,7 @@
     the organisation's rate limit does. The values of an organisation that is left out
     are unchanged. ``peers`` holds the addresses of entries and is empty when it is
     unchanged. ``era``, ``eras`` and ``held`` are those of ``TableVersions``.
+    ``leaving`` is true while the sender drains before its end.
     """
 
     running_s: float
@@ -205,6 +206,7 @@
     era: int = 0
     eras: dict[str, int] = attrs.Factory(dict)
     held: dict[str, int] = attrs.Factory(dict)
+    leaving: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -178,6 +178,53 @@
     assert second.admitted_by(1) == {"workshop": 100.0}
 
 
+def known_after(peers, silent_s):
+    """Return the number of peers that are counted after a silence."""
+    peers.tick(time.monotonic() + silent_s)
+    return peers.usage.known_peer_count
+
+
+def test_a_silent_peer_is_counted_for_hours(pair):
+    """Guards against each side of a partition taking itself for the only one."""
+    first, _ = pair
+    first.peers.closed(first.dial(2))
+    first.peers.add([hello(3).address])
+    assert known_after(first.peers, 3_600.0) == 2
+    assert known_after(first.peers, 5 * 3_600.0) == 0
+
+
+def test_a_peer_that_announced_its_end_is_removed(pair):
+    """Guards against a share of the limits that stays unused after a planned stop."""
+    first, second = pair
+    link = second.dial(1)
+    second.peers.announce_leaving()
+    incoming = first.dial(2)
+    first.peers.receive(incoming, statuses(link)[-1])
+    first.peers.closed(incoming)
+    assert known_after(first.peers, 20.0) == 1
+    assert known_after(first.peers, 60.0) == 0
+
+
+def test_a_peer_that_returns_after_its_end_is_counted_again(pair):
+    """Guards against the share of a restarted process, used while it is cut off."""
+    first, second = pair
+    link = second.dial(1)
+    second.peers.announce_leaving()
+    incoming = first.dial(2)
+    first.peers.receive(incoming, statuses(link)[-1])
+    first.peers.closed(incoming)
+    first.peers.closed(first.dial(2))
+    assert known_after(first.peers, 60.0) == 1
+
+
+def test_a_seed_that_the_operator_removed_is_not_counted(pair):
+    """Guards against a share kept for a machine that was replaced without a stop."""
+    first, _ = pair
+    first.peers.closed(first.dial(2))
+    first.peers.mark_left([hello(2).address, "10.0.0.9:7601"])
+    assert known_after(first.peers, 60.0) == 0
+
+
 def stale_status(versions):
     return PeerStatus(
         running_s=1.0,
