--- a/src/acaciarelay/coordination/loop_budget.py
+++ b/src/acaciarelay/coordination/loop_budget.py
@@ -76,8 +76,8 @@
         self.pool = _Allowance(POOL_SHARE, POOL_BURST_S, POOL_BURST_S)
         # When each connection last found the pool empty; the oldest time comes first.
         self.busy: dict[LoopTime, float] = {}
-        # Time until which no heavy step may begin, so that other tasks get at least half
-        # of the event loop between heavy steps.
+        # Time until which no heavy step may begin, so that other tasks get at least
+        # half of the event loop between heavy steps.
         self.heavy_until = -math.inf
 
     def open(self, reader: Reader, peer: str) -> "LoopTime":
