Lower the floor of a rank to 0.3 of the mean share

Change: the floor lies just above the quarter below which a kind counts as starved. Tests of the queue's order and of refusals below the floor.

--- a/src/acaciarelay/coordination/rank_floor.py
+++ b/src/acaciarelay/coordination/rank_floor.py
@@ -13,8 +13,10 @@
 
 __all__ = ["RankFloor"]
 
-# Share of the mean of all ranks that each rank gets at least.
-FLOOR_SHARE = 0.5
+# Share of the mean of all ranks that each rank gets at least. A rank counts as starved
+# below a quarter of it. A higher floor costs urgent requests more than it gives: a long
+# calm answer holds a slot as long as several short urgent ones.
+FLOOR_SHARE = 0.3
 # A rank is preferred only while it is served less often than this part of the share of
 # each more urgent rank, so that none of them is served behind it.
 MAX_URGENT_SHARE = 0.8
--- a/tests/unit/platform_path/test_rank_floor.py
+++ b/tests/unit/platform_path/test_rank_floor.py
@@ -7,8 +7,7 @@
 
 SERVICE = "assistant"
 URGENT, CALM = 0, 2
-# Callers of the least urgent kind want half of the mean share or more; the play is too
-# short for more than this part of it, since the first requests find no counts.
+# The play is too short for the whole floor, since the first requests find no counts.
 KEPT_FLOOR = 0.8
 PLAY_S = 12.0
 FLEETS = [(6, 8), (25, 5)]
--- a/tests/unit/platform_path/test_slot_queue.py
+++ b/tests/unit/platform_path/test_slot_queue.py
@@ -14,6 +14,7 @@
     left_s=5.0,
     wait_s=5.0,
     late=False,
+    below_floor=False,
 ):
     return SlotRequest(
         request=request,
@@ -26,6 +27,7 @@
         output_tokens=0,
         slots=2,
         asked=1,
+        below_floor=below_floor,
     )
 
 
@@ -49,6 +51,27 @@
     assert granted(queue) == ["urgent"]
 
 
+def test_a_request_below_its_floor_goes_first():
+    """Guards against a starved rank that waits behind all urgent requests."""
+    queue = new_queue()
+    queue.enqueue("entry", slot_request("urgent", rank=0), 0.0)
+    queue.enqueue("entry", slot_request("calm", rank=2, below_floor=True), 0.1)
+    assert granted(queue) == ["calm"]
+
+
+def test_a_request_below_its_floor_waits_behind_no_others():
+    """Guards against refusing a starved rank for the wait of the urgent ones."""
+    queue = new_queue()
+    for number in range(20):
+        queue.enqueue("entry", slot_request(f"urgent-{number}", rank=0), 0.0)
+    granted(queue)
+    for name, below_floor in (("calm", False), ("starved", True)):
+        calm = slot_request(name, rank=2, wait_s=0.3, below_floor=below_floor)
+        queue.enqueue("entry", calm, 0.0)
+    assert queue.pop_if_infeasible("entry", "calm", 0.0) is not None
+    assert queue.pop_if_infeasible("entry", "starved", 0.0) is None
+
+
 def test_small_organisation_is_not_behind_a_large_one():
     """Guards against head-of-line blocking within a rank."""
     queue = new_queue()
