Parse one large request head at a time

Cause: a head of 7.6 KB with 1,900 fields takes 5 to 8 ms to parse. The first head of a connection is paused by nothing, and the burst of the common pool allows further ones at once, so that heads of ten callers followed each other for 0.37 s. An order needs some twenty turns of the event loop, and each turn had several of these heads.

Change: a head above 2 KB waits after the last one of any connection for as long as that one took (20 ms at most).

--- a/src/acaciarelay/coordination/loop_budget.py
+++ b/src/acaciarelay/coordination/loop_budget.py
@@ -1,6 +1,7 @@
 """Time of the event loop that reading from other processes may take."""
 
 import enum
+import math
 from collections.abc import Callable
 
 import attrs
@@ -75,6 +76,9 @@
         self.pool = _Allowance(POOL_SHARE, POOL_BURST_S, POOL_BURST_S)
         # When each connection last found the pool empty; the oldest time comes first.
         self.busy: dict[LoopTime, float] = {}
+        # Time until which no heavy step may begin, so that other tasks get the event
+        # loop for as long as the last one took.
+        self.heavy_until = -math.inf
 
     def open(self, reader: Reader, peer: str) -> "LoopTime":
         """Begin to account for a connection to ``peer``, an address."""
@@ -135,6 +139,18 @@
         share = self.budget.share_of_busy(self, now)
         return max(MIN_PAUSE_S, -self.own.left_s / share)
 
+    def record_heavy(self, began: float, now: float) -> None:
+        """Record a heavy step, whose time ``spend`` counts as well."""
+        self.budget.heavy_until = now + min(now - began, MAX_CHARGED_STEP_S)
+
+    def heavy_pause_s(self, now: float) -> float:
+        """Return the seconds that a heavy step has to wait after one of any connection.
+
+        ``pause_s`` does not delay the first step of a connection.
+        """
+        pause_s = self.budget.heavy_until - now
+        return max(MIN_PAUSE_S, pause_s) if pause_s > 0 else 0.0
+
     def close(self) -> None:
         """Leave the pool to other connections."""
         self.budget.busy.pop(self, None)
--- a/src/acaciarelay/transport/request_reader.py
+++ b/src/acaciarelay/transport/request_reader.py
@@ -29,6 +29,8 @@
 MAX_LINE_BYTES = 4_096
 # Bytes of blank lines before a request that are ignored.
 MAX_BLANK_BYTES = 64
+# A larger head takes more than a millisecond to parse if it has many fields.
+HEAVY_HEAD_BYTES = 2_048
 # When a caller may send a body again for which there was no room; other callers' bodies
 # stay for about as long as their requests.
 NO_ROOM_RETRY_AFTER_S = 0.5
@@ -136,10 +138,26 @@
             assert self.gate is not None
             self.gate.resume(PauseReason.PIPELINED)
             return
+        is_heavy = len(head) > HEAVY_HEAD_BYTES
+        if is_heavy and self.postpone_head():
+            return
+        began = self.loop.time()
         data = bytes(self.pending)
         self.pending.clear()
         self.receive(data)
         self.bound_pending()
+        if is_heavy and self.gate is not None:
+            self.gate.loop_time.record_heavy(began, self.loop.time())
+
+    def postpone_head(self) -> bool:
+        """Return whether parsing the head waits for other tasks, after other heads."""
+        assert self.gate is not None
+        pause_s = self.gate.loop_time.heavy_pause_s(self.loop.time())
+        if pause_s <= 0:
+            return False
+        self.parse_handle = self.loop.call_later(pause_s, self.continue_head)
+        self.bound_pending()
+        return True
 
     def bound_pending(self) -> None:
         """Read no more while much waits for the request before it."""
--- a/tests/unit/coordination/test_loop_budget.py
+++ b/tests/unit/coordination/test_loop_budget.py
@@ -6,6 +6,8 @@
     CONNECTION_BURST_S,
     CONNECTION_SHARE,
     LONG_STEP_S,
+    MAX_CHARGED_STEP_S,
+    MIN_PAUSE_S,
     POOL_BURST_S,
     POOL_SHARE,
     LoopBudget,
@@ -36,6 +38,21 @@
     assert [(step.peer, step.size) for step in steps] == [("10.0.0.1:1", 262_144)]
 
 
+def test_a_heavy_step_waits_after_that_of_another_connection():
+    """Guards against first steps of many connections that follow each other at once."""
+    budget = LoopBudget()
+    first, second = (budget.open(Reader.CALLER, f"10.0.0.{n}") for n in (1, 2))
+    first.spend(1.0, 1.006, 8_000)
+    assert second.heavy_pause_s(1.006) == 0
+    first.record_heavy(2.0, 2.006)
+    assert second.heavy_pause_s(2.006) == pytest.approx(0.006)
+    assert second.heavy_pause_s(2.0119) >= MIN_PAUSE_S
+    assert second.heavy_pause_s(2.013) == 0
+    # A step that took so long mostly waited for the processor.
+    first.record_heavy(3.0, 3.5)
+    assert second.heavy_pause_s(3.5) == pytest.approx(MAX_CHARGED_STEP_S)
+
+
 class Loop:
     """An event loop in which connections take steps of ``STEP_S`` whenever they may."""
 
