--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -1,4 +1,4 @@
-"""Choice of an endpoint: with a slot granted by an agent, or by local load data."""
+"""Choice of an endpoint: with a granted slot, or by local load data."""
 
 import asyncio
 import time
@@ -23,6 +23,7 @@
 from acaciarelay.protocol.link_messages import SlotRequest
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.relayed_request import RelayedRequest
+from acaciarelay.state.routing import EngineCapacity
 
 __all__ = ["Placement", "Placer", "slot_wait_end"]
 
@@ -48,6 +49,11 @@
     endpoint: Endpoint
     slot: EngineSlot | None
 
+    def release_declined(self) -> None:
+        """Release the slot of a request that the endpoint did not take."""
+        if self.slot is not None:
+            self.slot.release(declined=True)
+
     def release(self, relayed: RelayedRequest | None = None) -> None:
         """Release the slot, reporting the timings of ``relayed`` if it succeeded."""
         if self.slot is None:
@@ -103,7 +109,7 @@
                         return placement
                     case SlotDenied(refused=True):
                         return None
-            else:
+            elif not self._is_undecided(candidates):
                 process_count = self.retry_budget.process_count
                 endpoint = self.health.choose(
                     candidates, relayed.tried, process_count, now
@@ -114,6 +120,11 @@
                 return None
             await asyncio.sleep(min(0.02, max(0.0, wait_until - loop.time())))
 
+    def _is_undecided(self, candidates: list[Endpoint]) -> bool:
+        """Return whether an engine is about to have a granter, for which to wait."""
+        undecided = self.slot_client.undecided
+        return bool(undecided) and any(e.host in undecided for e in candidates)
+
     def _candidates(self, relayed: RelayedRequest, now: float) -> list[Endpoint]:
         """Return the endpoints to choose from, preferring untried and healthy ones."""
         endpoints = [
@@ -214,8 +225,7 @@
         self, relayed: RelayedRequest, asked: int, wait_s: float
     ) -> SlotRequest:
         loop = asyncio.get_running_loop()
-        service = relayed.routing.services.get(relayed.service)
-        engine = service.engine if service is not None else None
+        engine = _engine_capacity(relayed)
         return SlotRequest(
             request=relayed.traits.request_id,
             organisation=relayed.organisation.name if relayed.organisation else "",
@@ -227,8 +237,17 @@
             output_tokens=_output_tokens(relayed),
             slots=engine.slots if engine is not None else 1,
             asked=asked,
+            memory_tokens=engine.memory_tokens if engine is not None else 0,
         )
 
+    def never_fits(self, relayed: RelayedRequest) -> bool:
+        """Return whether a request needs more memory than any engine has."""
+        engine = _engine_capacity(relayed)
+        if engine is None or not engine.memory_tokens:
+            return False
+        tokens = (relayed.traits.prompt_tokens or 0) + _output_tokens(relayed)
+        return tokens > engine.memory_tokens
+
     def predicted_answer_s(
         self, relayed: RelayedRequest, endpoint: Endpoint | None
     ) -> float | None:
@@ -268,5 +287,10 @@
     return relayed.arrived_at + MAX_WAIT_FRACTION * relayed.route.objective_s
 
 
+def _engine_capacity(relayed: RelayedRequest) -> EngineCapacity | None:
+    service = relayed.routing.services.get(relayed.service)
+    return service.engine if service is not None else None
+
+
 def _output_tokens(relayed: RelayedRequest) -> int:
     return relayed.traits.expected_output or relayed.traits.output_tokens or 0
