Name long shared beginnings of prompts in slot requests

Cause: granters do not know which requests begin with the same prompt.

EngineState.kept is the field for an engine's summary. Both are left out of a message when empty, so that other deployments send the same bytes.

--- a/src/acaciarelay/coordination/slot_client.py
+++ b/src/acaciarelay/coordination/slot_client.py
@@ -11,6 +11,7 @@
 import attrs
 
 from acaciarelay.coordination.engine_model import EngineSpeed, assumed_speed
+from acaciarelay.coordination.prompt_chain import PromptChain
 from acaciarelay.protocol.link_messages import (
     EngineState,
     Hello,
@@ -31,6 +32,9 @@
 GRANTER_STATE_STALE_AFTER_SILENCE_S = 2.6
 # Wait assumed while the state of an engine is unknown or stale.
 DEFAULT_WAIT_S = 0.05
+# Chance that an engine still keeps a part by the time at which a request gets there,
+# beside the share of its agent's beliefs that were right.
+KEPT_CHANCE = 0.9
 UNKNOWN_SPEED = EngineSpeed()
 
 
@@ -93,6 +97,20 @@
         """Return the expected time until a new request of a rank has a slot."""
         return self.expected_queue_s(rank, now) + self.link.round_trip_s
 
+    def kept_tokens(self, chain: PromptChain, now: float) -> float:
+        """Return the tokens of a prompt that the engine need not read.
+
+        They are weighted by the chance that it still keeps them.
+        """
+        if self.state is None or not self.state.kept:
+            return 0.0
+        if now - self.link.last_received_at > self.stale_after_s:
+            return 0.0
+        tokens = 0
+        for digest, chain_tokens in chain.items():
+            tokens = max(tokens, min(chain_tokens, self.state.kept.get(digest, 0)))
+        return KEPT_CHANCE * tokens
+
     @property
     def slowdown(self) -> float:
         """Return the mean slowdown of the engine's VM, as far as it is known."""
--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+from acaciarelay.coordination.prompt_chain import (
+    MIN_KEPT_TOKENS,
+    PromptChain,
+    is_chain,
+    link_chain,
+)
 from acaciarelay.coordination.prompt_parts import PromptParts
 from acaciarelay.protocol.http_message import Header, end_to_end_headers
 
@@ -47,6 +53,8 @@
 MAX_DIGITS = 12
 # Digits of event numbers, which are only compared.
 MAX_EVENT_DIGITS = 18
+# Parts of a prompt of which the beginning that it shares with others is named.
+MAX_CHAINED_PARTS = 64
 # An endpoint that asks for a longer pause gets this one.
 MAX_RETRY_AFTER_S = 3600.0
 # The slowdown of a VM on which work takes as long as usual.
@@ -77,7 +85,8 @@
     ``key`` is the caller key. ``output_tokens`` is the most that may be generated;
     ``expected_output`` is the caller's estimate. ``last_event`` is the number of the
     last event that the caller has received. ``shared_parts`` holds the parts of the
-    prompt that other prompts may share. ``forwarded`` lists the header fields to
+    prompt that other prompts may share, and ``shared_chain`` names the beginning of
+    the prompt that they make up if it is long. ``forwarded`` lists the header fields to
     forward to an endpoint.
     """
 
@@ -89,6 +98,7 @@
     expected_output: int | None
     last_event: int | None
     shared_parts: PromptParts
+    shared_chain: PromptChain
     forwarded: list[Header]
 
 
@@ -140,6 +150,7 @@
     prompt, output = _token_counts(fields.get(_TOKENS))
     hint = fields.get(_LENGTH_HINT)
     last_event = fields.get(_LAST_EVENT)
+    parts = _prompt_parts(headers)
     forwarded = []
     for header in end_to_end_headers(headers):
         if header[0] in _SYSTEM_HEADERS:
@@ -153,7 +164,8 @@
         output_tokens=output,
         expected_output=_whole(hint, MAX_DIGITS),
         last_event=_whole(last_event, MAX_EVENT_DIGITS),
-        shared_parts=PromptParts.of_ids(_shared_part_ids(_prompt_parts(headers))),
+        shared_parts=PromptParts.of_ids(_shared_part_ids(parts)),
+        shared_chain=_shared_chain(parts, prompt or 0),
         forwarded=forwarded,
     )
 
@@ -168,6 +180,24 @@
     return ids - {""}
 
 
+def _shared_chain(text: str, prompt_tokens: int) -> PromptChain:
+    """Return the chain of all parts but the last; empty for a short prompt."""
+    if prompt_tokens < MIN_KEPT_TOKENS or not text:
+        return {}
+    own = _whole(text.rpartition(":")[2], MAX_DIGITS) or 0
+    if prompt_tokens - own < MIN_KEPT_TOKENS:
+        return {}
+    *shared, _ = text.lower().split(",")
+    parts = []
+    for part in shared[:MAX_CHAINED_PARTS]:
+        part_id, _, tokens = part.rpartition(":")
+        parts.append((part_id.strip(), _whole(tokens, MAX_DIGITS) or 0))
+    if sum(tokens for _, tokens in parts) < MIN_KEPT_TOKENS:
+        return {}
+    chain = link_chain(parts)
+    return chain if is_chain(chain, prompt_tokens) else {}
+
+
 def _prompt_parts(headers: list[Header]) -> str:
     """Return the list of parts, which may be in several fields."""
     return ",".join(value for name, value in headers if name == _PROMPT_PARTS)
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -14,10 +14,13 @@
 import cattrs
 import orjson
 
+from acaciarelay.coordination.prompt_chain import PromptChain
 from acaciarelay.coordination.prompt_parts import PromptParts, part_name
 from acaciarelay.protocol.prompt_codec import (
+    decode_chain,
     decode_parts,
     decode_prompts,
+    encode_chain,
     encode_parts,
     encode_prompts,
 )
@@ -108,6 +111,8 @@
     here and in the other messages about slots; it is empty on a link to an agent.
     ``memory_tokens`` is the capacity of the engine's KV cache, 0 while unknown.
     ``held`` is true for a request that already runs, with a slot of an earlier granter.
+    ``parts`` names the shared parts of its prompt if they are long, as a
+    ``PromptChain``.
     """
 
     request: str
@@ -124,6 +129,7 @@
     engine: str = ""
     memory_tokens: int = 0
     held: bool = False
+    parts: PromptChain = attrs.Factory(dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -173,6 +179,8 @@
     are those of ``EngineSpeed``: the seconds to the first event per 1,000 prompt tokens
     and the seconds per token generated after it, or 0 while unknown. ``slowdown`` is
     the mean time that work takes on the engine's VM, relative to the usual time.
+    ``kept`` names the most used shared parts that the engine is believed to keep, by
+    the digests of their chains, with the tokens that they probably save.
     """
 
     waits_s: list[float]
@@ -180,6 +188,7 @@
     token_s: float = 0.0
     slowdown: float = 1.0
     engine: str = ""
+    kept: PromptChain = attrs.Factory(dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -378,6 +387,10 @@
     lambda kind: kind == dict[int, float],
     lambda value, _: {int(name, 16): float(number) for name, number in value.items()},
 )
+_CONVERTER.register_structure_hook_func(
+    lambda kind: kind == PromptChain,
+    lambda values, _: decode_chain(values),
+)
 _CONVERTER.register_structure_hook(PromptParts, lambda text, _: decode_parts(text))
 _CONVERTER.register_structure_hook(
     CrashRecord,
@@ -416,6 +429,11 @@
     values = [getattr(message, name) for name in _FIELDS[kind]]
     if isinstance(message, CrashReport):
         values = [message.crashes, _by_name(message.benign_s)]
+    elif isinstance(message, SlotRequest | EngineState):
+        # The last field, which most messages do without.
+        links = values.pop()
+        if links:
+            values.append(encode_chain(links))
     return orjson.dumps([_NAMES[kind], *values], default=_encode_part) + b"\n"
 
 
--- a/src/acaciarelay/protocol/prompt_codec.py
+++ b/src/acaciarelay/protocol/prompt_codec.py
@@ -1,9 +1,13 @@
-"""Encode the parts of prompts for messages, each part of several prompts once."""
+"""Encode the parts of prompts for messages, each part of several prompts once.
+
+The shared beginning of a prompt is a JSON object: digests in hexadecimal, and tokens.
+"""
 
 import base64
 import struct
 from collections.abc import Iterable
 
+from acaciarelay.coordination.prompt_chain import PromptChain
 from acaciarelay.coordination.prompt_parts import (
     DIGEST_BYTES,
     PromptParts,
@@ -12,8 +16,10 @@
 
 __all__ = [
     "MAX_ENCODED_PROMPTS",
+    "decode_chain",
     "decode_parts",
     "decode_prompts",
+    "encode_chain",
     "encode_parts",
     "encode_prompts",
 ]
@@ -21,6 +27,35 @@
 # Which prompts a part is in, is a bit mask of so many bits.
 MAX_ENCODED_PROMPTS = 32
 MASK_BYTES = 4
+# Bounds of what a peer may name as parts of prompts.
+MAX_NAMED_PARTS = 16
+MAX_NAME_DIGITS = 8
+MAX_PART_TOKENS = 1 << 32
+
+
+def encode_chain(chain: PromptChain) -> dict[str, int]:
+    """Encode the beginning of a prompt, or the parts that an engine keeps."""
+    return {f"{digest:x}": tokens for digest, tokens in chain.items()}
+
+
+def decode_chain(values: object) -> PromptChain:
+    """Decode what ``encode_chain`` returned; nothing if any of it is unusable.
+
+    The message that it is a part of stays of use without it.
+    """
+    if not isinstance(values, dict) or len(values) > MAX_NAMED_PARTS:
+        return {}
+    chain = {}
+    for name, tokens in values.items():
+        if len(name) > MAX_NAME_DIGITS or type(tokens) is not int:
+            return {}
+        if not 0 < tokens < MAX_PART_TOKENS:
+            return {}
+        try:
+            chain[int(name, 16)] = tokens
+        except ValueError:
+            return {}
+    return chain
 
 
 def encode_parts(parts: PromptParts) -> str:
