Ignore negative names of prompt parts from peers

Cause: names are read by int(), which takes a sign, and the record of kept parts uses negative keys for the own parts of ended requests.

Tested: test_prompt_chain.py with such names.

--- a/src/acaciarelay/protocol/prompt_codec.py
+++ b/src/acaciarelay/protocol/prompt_codec.py
@@ -47,7 +47,9 @@
         return {}
     chain = {}
     for name, tokens in values.items():
-        if len(name) > MAX_NAME_DIGITS or type(tokens) is not int:
+        if len(name) > MAX_NAME_DIGITS or not name.isalnum():
+            return {}
+        if type(tokens) is not int:
             return {}
         if not 0 < tokens < MAX_PART_TOKENS:
             return {}
--- a/tests/unit/platform_path/test_prompt_chain.py
+++ b/tests/unit/platform_path/test_prompt_chain.py
@@ -114,6 +114,8 @@
         {"a": 1.5},
         {"a": 1 << 40},
         {"zz": 300},
+        {"-1": 300},
+        {"": 300},
         {"a" * 40: 300},
         {str(n): 300 for n in range(17)},
     ],
