--- a/tests/integration/platform_fleet.py
+++ b/tests/integration/platform_fleet.py
@@ -339,13 +339,16 @@
         parts: str = "",
         limit_ms: int = 2000,
         key: str = KEY,
+        prompt_tokens: int = 100,
     ) -> RawAnswer:
         """Send one request to an entry and read its answer.
 
         ``parts`` lists the parts of the prompt as the platform's header does.
         """
         address = self.programs[entry].settings["caller_address"]
-        head = request_head(target, attempt, method, parts, limit_ms, key=key)
+        head = request_head(
+            target, attempt, method, parts, limit_ms, 0, key, prompt_tokens
+        )
         return await exchange(address, head)
 
 
@@ -357,9 +360,12 @@
     limit_ms: int = 2000,
     body_bytes: int = 0,
     key: str = KEY,
+    prompt_tokens: int = 100,
 ) -> bytes:
     """Return the head of a request, with the token counts that a chat has."""
-    tokens = "Token-Usage: 100,30\r\n" if target.startswith("/chat/") else ""
+    tokens = ""
+    if target.startswith("/chat/"):
+        tokens = f"Token-Usage: {prompt_tokens},30\r\n"
     if parts:
         tokens += f"Prompt-Prefix: {parts}\r\n"
     head = (
--- a/tests/unit/platform_path/test_agent_states.py
+++ b/tests/unit/platform_path/test_agent_states.py
@@ -10,7 +10,13 @@
 from acaciarelay.programs.relay_agent import RelayAgent
 from acaciarelay.programs.relay_settings import RelaySettings
 from acaciarelay.programs.slot_granter import coarse_waits
-from acaciarelay.protocol.link_messages import EngineState, Hello, decode_message
+from acaciarelay.protocol.link_messages import (
+    EngineState,
+    Hello,
+    SlotRelease,
+    SlotRequest,
+    decode_message,
+)
 from acaciarelay_standins.ports import free_port
 
 ZONES = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
@@ -125,6 +131,50 @@
     assert len(link.states) == 1
 
 
+async def test_kept_parts_are_published_when_they_change(agent, monkeypatch):
+    """Guards against hints that entries never get, or get again and again."""
+    clock = Clock()
+    monkeypatch.setattr(slot_granter, "time", clock)
+    monkeypatch.setattr(agent.granter, "schedule_publish", lambda: None)
+    link = FakeEntryLink(0, "zone-a")
+    agent.opened(link)
+    for number in range(40):
+        clock.now += 0.6
+        agent.receive(
+            link,
+            SlotRequest(
+                request=f"r-{number}",
+                organisation="workshop",
+                rank=0,
+                late=False,
+                wait_s=1.0,
+                time_left_s=5.0,
+                prompt_tokens=3000,
+                output_tokens=10,
+                slots=6,
+                asked=1,
+                memory_tokens=100_000,
+                parts={7: 1000, 9: 2000},
+            ),
+        )
+        # The first request reads the whole prompt.
+        first_s = 0.0825 if number == 0 else 0.0325
+        clock.now += 0.1
+        release = SlotRelease(request=f"r-{number}", first_s=first_s, stream_s=0.05)
+        agent.receive(link, release)
+        agent.granter.publish()
+    assert link.states[-1].kept == {7: 1000, 9: 2000}
+    assert agent.granter.kept.parts.kept_tokens({7: 1000, 8: 1500}) == 1000
+    # Other fields settle within the first states.
+    assert len(link.states) < 6
+    speed = agent.granter.model.speed()
+    assert speed.first_s == pytest.approx(0.025, rel=0.1)
+    agent.granter.kept.clear()
+    clock.now += 1.0
+    agent.granter.publish()
+    assert link.states[-1].kept == {}
+
+
 def test_rounded_waits_tell_free_slots_from_short_queues():
     """Guards against a queue that is published as a free slot, or the other way."""
     for wait_s in (0.0, 0.009, 0.011, 0.02, 0.03, 0.1, 0.35, 1.0, 20.0):
