--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -87,7 +87,9 @@
     ``retries_ended`` is true once the caller leaves too soon for another attempt.
     ``on_trial`` is true once it may run despite a suspicion, in one attempt.
     ``off_trial`` is true once it goes to no version of its service that is on trial.
-    ``steps`` describes the attempts for the log.
+    ``steps`` describes the attempts for the log. ``kept_tokens`` are those of the
+    prompt that the engine chosen last was expected to keep, ``most_kept_tokens`` the
+    most at any.
     """
 
     traits: RequestTraits
@@ -120,6 +122,8 @@
     answer_received: bool = False
     reading_paused: bool = False
     steps: list[str] = attrs.Factory(list)
+    kept_tokens: int = 0
+    most_kept_tokens: int = 0
 
     @property
     def repeatable(self) -> bool:
