Name the learned slot limit and the settle times of granters

Names such as learned, taken and ASKED_LATELY_S did not say what they hold, and some comments on constants could be read in two ways. Renames them and rewords the comments. Behaviour is unchanged.

--- a/src/acaciarelay/coordination/slot_limit.py
+++ b/src/acaciarelay/coordination/slot_limit.py
@@ -1,4 +1,4 @@
-"""Slots that a granter uses of an engine whose queue it does not see."""
+"""Limit of the slots to grant of an engine whose queue the granter does not see."""
 
 import math
 
@@ -25,25 +25,25 @@
     """
 
     def __init__(self, now: float) -> None:
-        self._taken = 0.0
+        self._withheld = 0.0
         self._changed_at = now
         self._declined_at = now
 
     def record_decline(self, now: float) -> None:
         """Record that the engine declined a request with a slot."""
-        if self._taken and now - self._declined_at < DECLINE_INTERVAL_S:
+        if self._withheld and now - self._declined_at < DECLINE_INTERVAL_S:
             return
-        self._taken = self._taken_at(now) + 1.0
+        self._withheld = self._withheld_at(now) + 1.0
         self._changed_at = self._declined_at = now
 
     def limit(self, slots: int, now: float) -> int:
         """Return the slots to grant of an engine that has ``slots``."""
-        taken = math.ceil(self._taken_at(now))
-        if taken:
-            return max(1, math.ceil(slots * MIN_SHARE), slots - taken)
+        withheld = math.ceil(self._withheld_at(now))
+        if withheld:
+            return max(1, math.ceil(slots * MIN_SHARE), slots - withheld)
         if now - self._declined_at < EXTRA_AFTER_S:
             return slots
         return slots + EXTRA_SLOTS
 
-    def _taken_at(self, now: float) -> float:
-        return max(0.0, self._taken - (now - self._changed_at) / RECOVERY_S)
+    def _withheld_at(self, now: float) -> float:
+        return max(0.0, self._withheld - (now - self._changed_at) / RECOVERY_S)
--- a/src/acaciarelay/programs/entry_granters.py
+++ b/src/acaciarelay/programs/entry_granters.py
@@ -1,4 +1,4 @@
-"""Slots of engines without an agent in reach: which entry to ask, and granting here."""
+"""Choice of the entry that grants the slots of an engine without a reachable agent."""
 
 import asyncio
 import time
@@ -37,10 +37,11 @@
 
 __all__ = ["EntryGranters"]
 
-# A granter that did not answer is not asked for this time, and until it is heard of.
+# A granter that did not answer is not asked for at least this time, and then not before
+# something is received from it.
 SILENT_S = 1.0
-# An engine whose granter does not grant, since it reaches the agent, has no granter for
-# this time, which doubles with each refusal.
+# A granter refuses while it reaches the engine's agent itself. No granter is asked for
+# this time then, which doubles with each refusal up to the maximum.
 REFUSED_S = 0.1
 MAX_REFUSED_S = 2.0
 # Requests wait for the granter of an engine that has none for at most this time.
@@ -57,6 +58,8 @@
 
 @attrs.define(eq=False)
 class _Refused:
+    """The pause after a refusal; it ends at monotonic time ``until``."""
+
     until: float
     pause_s: float
 
@@ -64,7 +67,7 @@
 class EntryGranters:
     """Choose granters for the engines without an agent in reach.
 
-    The chosen one is the agent's stand-in for ``slot_client``. While the agents of all
+    ``slot_client`` uses the chosen one in place of the agent. While the agents of all
     engines are reached, nothing is sent and nothing computed.
     """
 
@@ -179,7 +182,7 @@
         self.choose("refused")
 
     def tick(self) -> None:
-        """Do what is due, and end what is no longer needed."""
+        """Update the granters of this entry, the gauges and the silent granters."""
         if not self.absences and not self.granted.granted:
             return
         now = time.monotonic()
@@ -190,7 +193,7 @@
             self.end_silences(now)
 
     def end_silences(self, now: float) -> None:
-        """Ask entries again that were heard of after they had been silent."""
+        """Consider silent entries again once something was received from them."""
         links = self.granting_links()
         for address, until in list(self.silent.items()):
             if now < until:
@@ -212,7 +215,7 @@
         for granter, count in counts.items():
             self.metrics.set("engines_granted", count, granter=granter)
 
-    # The choice.
+    # Choice of granters.
 
     def choose(self, reason: str) -> None:
         """Choose the granter of each engine without an agent in reach."""
--- a/src/acaciarelay/programs/granted_engines.py
+++ b/src/acaciarelay/programs/granted_engines.py
@@ -21,18 +21,17 @@
 
 __all__ = ["GrantedEngines"]
 
-# A new granter grants nothing for the first time, in which other entries tell it the
-# slots that they hold, and until it has read the engine's report, for the second time
-# at most.
+# A new granter grants nothing for the minimum, in which other entries report the slots
+# that they hold, and then until it has read the engine's report, up to the maximum.
 MIN_SETTLE_S = 0.05
-SETTLE_S = 0.15
-# The report is read once more after this time, to correct the first count. What it says
-# is forgotten after a further time.
+MAX_SETTLE_S = 0.15
+# Time after which the report is read again, to correct the count of untracked runs, and
+# further time after which that count is dropped.
 RECOUNT_S = 1.0
 FORGET_S = 1.5
 # An entry of another region gets the states of an engine for this time after it has
 # requested a slot.
-ASKED_LATELY_S = 5.0
+RECENT_REQUEST_S = 5.0
 
 
 @attrs.define(eq=False)
@@ -86,7 +85,7 @@
             self.regions,
             self.metrics,
             engine=host,
-            learned=SlotLimit(time.monotonic()),
+            learned_limit=SlotLimit(time.monotonic()),
         )
         granter.is_held = True
         granted = self.granted[host] = _Granted(granter, endpoint)
@@ -94,12 +93,12 @@
             if granter.is_near(link):
                 granter.add_link(link)
         log_event("granting_began", host=host)
-        granter.loop.call_later(SETTLE_S, granter.begin)
+        granter.loop.call_later(MAX_SETTLE_S, granter.begin)
         self._count_runs(granted)
         return granter
 
     def _count_runs(self, granted: _Granted) -> None:
-        """Count the runs of which this granter does not know, unless it does so."""
+        """Start to count the untracked runs, unless a count is in progress."""
         if granted.recount is None or granted.recount.done():
             granted.recount = asyncio.create_task(self._recount(granted.granter))
 
@@ -180,7 +179,7 @@
     def _forget_far(self, granted: _Granted, now: float) -> None:
         granter = granted.granter
         for link, asked_at in list(granted.asked_at.items()):
-            if now - asked_at < ASKED_LATELY_S:
+            if now - asked_at < RECENT_REQUEST_S:
                 continue
             del granted.asked_at[link]
             if not granter.is_near(link):
--- a/src/acaciarelay/programs/granter_links.py
+++ b/src/acaciarelay/programs/granter_links.py
@@ -24,7 +24,7 @@
 
 
 class GranterProbe:
-    """Notice that the granter at the other end of a link does not answer requests.
+    """Detect that the granter at the other end of a link does not answer requests.
 
     ``on_silent`` is called then.
     """
@@ -95,7 +95,7 @@
 
 
 class LocalGranterLink:
-    """The way to this entry as the granter of one engine, without a connection."""
+    """Local path of slot messages to this entry as the granter of one engine."""
 
     peer: Hello | None = None
     round_trip_s = 0.0
@@ -117,7 +117,7 @@
 
 
 class LocalEntry:
-    """This entry as one of those that its own granters serve."""
+    """The link of a granter to its own entry, without a connection."""
 
     def __init__(self, hello: Hello, deliver: Callable[[LinkMessage], None]) -> None:
         self.peer = hello
--- a/src/acaciarelay/programs/slot_granter.py
+++ b/src/acaciarelay/programs/slot_granter.py
@@ -72,8 +72,8 @@
     """Queue the requests for one engine and grant its slots to entries.
 
     ``zones`` maps zones to regions, and ``zone`` is that of this process. ``engine`` is
-    named in messages; an agent leaves it empty. ``learned`` limits the slots of an
-    engine beside which there is no agent. Nothing is granted or refused while
+    named in messages; an agent leaves it empty. ``learned_limit`` bounds the slots
+    of an engine beside which there is no agent. Nothing is granted or refused while
     ``is_held`` is true.
     """
 
@@ -84,7 +84,7 @@
         zones: dict[str, str],
         metrics: Metrics,
         engine: str = "",
-        learned: SlotLimit | None = None,
+        learned_limit: SlotLimit | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.reports = reports
@@ -92,7 +92,7 @@
         self.zones = zones
         self.metrics = metrics
         self.engine = engine
-        self.learned = learned
+        self.learned_limit = learned_limit
         self.is_held = False
         # The configured slots of the engine, unknown until the first request.
         self.slots = 0
@@ -189,16 +189,16 @@
     def update_slot_limit(self, now: float) -> None:
         if not self.slots:
             return
-        if self.learned is None:
+        if self.learned_limit is None:
             self.queue.slot_limit = self.slots + EXTRA_SLOTS
         else:
-            self.queue.slot_limit = self.learned.limit(self.slots, now)
+            self.queue.slot_limit = self.learned_limit.limit(self.slots, now)
 
     def release_slot(self, link: EntryLink, message: SlotRelease) -> None:
         """Withdraw a request or release its slot, and grant what became free."""
         now = time.monotonic()
-        if message.declined and self.learned is not None:
-            self.learned.record_decline(now)
+        if message.declined and self.learned_limit is not None:
+            self.learned_limit.record_decline(now)
             self.update_slot_limit(now)
         self.release(link, message, now)
         self.grant()
@@ -289,7 +289,7 @@
         if self.is_held:
             return
         now = time.monotonic()
-        if self.learned is not None:
+        if self.learned_limit is not None:
             self.update_slot_limit(now)
         if self.queue.waiting:
             # As time passes, and as others come and go, a queued request may become due
