Clarify comments on kept prompts, rank floor and output

Rewords them; USE_FADING_S is now USE_DECAY_S and _send_on is _send_body. Behaviour is unchanged.

Tests: make check passes; 193 unit tests of the touched modules pass.

--- a/src/acaciarelay/coordination/engine_choice.py
+++ b/src/acaciarelay/coordination/engine_choice.py
@@ -30,9 +30,9 @@
 LONG_OUTPUT_TOKENS = 200
 # Penalty for an engine that is too slow to finish the answer before the deadline.
 TOO_SLOW_PENALTY_S = 10.0
-# Share of the engines with a free slot from which on only those are asked that keep a
-# long part of the prompt. With a load of 0.9 of the slots, the first events came up to
-# a fifth later when they were asked alone.
+# Least share of engines with a free slot at which only those that keep a long part of
+# the prompt are asked. Near full load the slot of a keeper may be taken by the time
+# that it is asked, and a request that asked only keepers would wait.
 MIN_FREE_SHARE = 0.75
 # Least expected wait: a slot that was free when an agent said so may be taken since.
 MIN_EXPECTED_WAIT_S = 0.03
--- a/src/acaciarelay/coordination/kept_parts.py
+++ b/src/acaciarelay/coordination/kept_parts.py
@@ -22,8 +22,8 @@
 MAX_KEPT_HINTS = 16
 # Least time between two choices of the parts in the summary.
 HINT_INTERVAL_S = 0.5
-# Uses of a part count less with their age, by a factor of e in this time.
-USE_FADING_S = 30.0
+# Time constant of the exponential decay of the uses of a part.
+USE_DECAY_S = 30.0
 # Size assumed for the engine's memory while it is unknown.
 DEFAULT_MEMORY_TOKENS = 50_000
 # After so many wrong beliefs in a row the engine has probably restarted.
@@ -76,7 +76,7 @@
     used_at: float = 0.0
 
     def score_at(self, now: float) -> float:
-        return self.score * math.exp(-max(0.0, now - self.used_at) / USE_FADING_S)
+        return self.score * math.exp(-max(0.0, now - self.used_at) / USE_DECAY_S)
 
 
 @attrs.frozen
--- a/src/acaciarelay/coordination/prompt_chain.py
+++ b/src/acaciarelay/coordination/prompt_chain.py
@@ -17,8 +17,8 @@
     "link_chain",
 ]
 
-# A link of a chain names at least so many tokens. A slow engine reads them about
-# 30 ms, which is the spread of the wait for a free slot (``MIN_EXPECTED_WAIT_S`` of
+# A link of a chain names at least so many tokens. A slow engine takes about 30 ms to
+# read them, which is the spread of the wait for a free slot (``MIN_EXPECTED_WAIT_S`` of
 # ``engine_choice``): a smaller saving says nothing about which engine answers first.
 MIN_KEPT_TOKENS = 256
 # Later links of longer chains are not named.
--- a/src/acaciarelay/coordination/rank_floor.py
+++ b/src/acaciarelay/coordination/rank_floor.py
@@ -1,6 +1,6 @@
 """Least share of requests that each rank gets served while more urgent ones flood.
 
-It answers loads beyond the capacity in which urgent requests alone would keep all
+It is for loads beyond the capacity in which urgent requests alone would keep all
 slots: a rank that is served far less often than the mean goes first until it is at its
 floor again. A rank above its floor is never preferred, so that less urgent requests are
 never served more often than more urgent ones. A flood of the rank itself raises its
@@ -13,14 +13,15 @@
 
 __all__ = ["RankFloor"]
 
-# Share of the mean of all ranks that each rank gets at least. A rank counts as starved
-# below a quarter of it. A higher floor costs urgent requests more than it gives: a long
-# calm answer holds a slot as long as several short urgent ones.
+# Least share of a rank, as a fraction of the mean share of all ranks. It is above the
+# quarter of the mean below which a rank counts as starved. A higher floor costs urgent
+# requests more than it gives: a long calm answer holds a slot as long as several short
+# urgent ones.
 FLOOR_SHARE = 0.3
 # A rank is preferred only while it is served less often than this part of the share of
 # each more urgent rank, so that none of them is served behind it.
 MAX_URGENT_SHARE = 0.8
-# Time constant of the counts.
+# Time constant of the exponential decay of the counts.
 WINDOW_S = 5.0
 # Arrivals in the window below which the share of a rank says little.
 MIN_ARRIVALS = 4.0
--- a/src/acaciarelay/coordination/slot_client.py
+++ b/src/acaciarelay/coordination/slot_client.py
@@ -32,8 +32,8 @@
 GRANTER_STATE_STALE_AFTER_SILENCE_S = 2.6
 # Wait assumed while the state of an engine is unknown or stale.
 DEFAULT_WAIT_S = 0.05
-# Chance that an engine still keeps a part by the time at which a request gets there,
-# beside the share of its agent's beliefs that were right.
+# Probability that an engine still keeps a part when a request arrives there. The
+# granter has already weighted the tokens by how often its record was right.
 KEPT_CHANCE = 0.9
 UNKNOWN_SPEED = EngineSpeed()
 
--- a/src/acaciarelay/transport/buffered_output.py
+++ b/src/acaciarelay/transport/buffered_output.py
@@ -129,7 +129,7 @@
         self.unacknowledged = unacknowledged
 
     def end_wait(self) -> None:
-        """Go on after a pause."""
+        """Let ``wait_for_room`` return, as its room is reserved."""
         if self.room is not None and not self.room.done():
             self.room.set_result(None)
 
--- a/src/acaciarelay/transport/request_sender.py
+++ b/src/acaciarelay/transport/request_sender.py
@@ -9,6 +9,7 @@
 
 __all__ = ["RequestSender"]
 
+# Bytes of a body that are framed and written at once.
 PIECE_BYTES = 16_384
 
 
@@ -40,20 +41,20 @@
         self._write(
             h11.Request(method=method, target=target, headers=encode_headers(headers))
         )
-        self._send_on()
+        self._send_body()
 
     def pause(self) -> None:
         """Send nothing more until the transport has room."""
         self.paused = True
 
     def resume(self) -> None:
-        """Send on."""
+        """Continue to send after a pause."""
         self.paused = False
         if not self.is_done:
             self.on_progress()
-            self._send_on()
+            self._send_body()
 
-    def _send_on(self) -> None:
+    def _send_body(self) -> None:
         while self.sent_bytes < len(self.body):
             if self.paused or self.transport.is_closing():
                 return
