Mend four faults that the read-through found in granters and answer buffers

Causes: a slot limit withheld up to ten slots a second without a bound and gave back one a second, so that an engine could stay at half of its slots for minutes; a caller's progress was hidden while its backlog grew faster than it read, so that it could be cut; the timer that starts a granter outlived it; a slot told twice was taken twice off the runs without a slot. Change: the withheld slots are bounded by what the limit can lose; progress is counted in acknowledged bytes; the timer is cancelled; a slot counts once.

--- a/src/acaciarelay/coordination/slot_limit.py
+++ b/src/acaciarelay/coordination/slot_limit.py
@@ -29,21 +29,27 @@
         self._changed_at = now
         self._declined_at = now
 
-    def record_decline(self, now: float) -> None:
-        """Record that the engine declined a request with a slot."""
+    def record_decline(self, slots: int, now: float) -> None:
+        """Record that the engine, which has ``slots``, declined a request with one."""
         if self._withheld and now - self._declined_at < DECLINE_INTERVAL_S:
             return
-        self._withheld = self._withheld_at(now) + 1.0
+        # More withheld slots than the limit can lose would only delay its recovery.
+        most = max(1, slots - _least_limit(slots))
+        self._withheld = min(self._withheld_at(now) + 1.0, most)
         self._changed_at = self._declined_at = now
 
     def limit(self, slots: int, now: float) -> int:
         """Return the slots to grant of an engine that has ``slots``."""
         withheld = math.ceil(self._withheld_at(now))
         if withheld:
-            return max(1, math.ceil(slots * MIN_SHARE), slots - withheld)
+            return max(_least_limit(slots), slots - withheld)
         if now - self._declined_at < EXTRA_AFTER_S:
             return slots
         return slots + EXTRA_SLOTS
 
     def _withheld_at(self, now: float) -> float:
         return max(0.0, self._withheld - (now - self._changed_at) / RECOVERY_S)
+
+
+def _least_limit(slots: int) -> int:
+    return max(1, math.ceil(slots * MIN_SHARE))
--- a/src/acaciarelay/coordination/slot_queue.py
+++ b/src/acaciarelay/coordination/slot_queue.py
@@ -116,15 +116,19 @@
         if self.slot_limit:
             state.predicted_wait_s = self._predicted_wait_s(key, now, untracked_runs)
 
-    def adopt(self, owner: object, slot_request: SlotRequest, now: float) -> None:
-        """Count a request that runs with a slot of an earlier granter."""
+    def adopt(self, owner: object, slot_request: SlotRequest, now: float) -> bool:
+        """Count a request that runs with a slot of an earlier granter.
+
+        Returns ``False`` if it was counted already.
+        """
         key = (id(owner), slot_request.request)
         if key in self.granted:
-            return
+            return False
         self.waiting.pop(key, None)
         state = SlotRequestState(slot_request, owner, now, 0.0, granted_at=now)
         self.granted[key] = state
         self._granted_tokens += state.memory_tokens
+        return True
 
     def release(
         self, owner: object, request: str, now: float
--- a/src/acaciarelay/programs/granted_engines.py
+++ b/src/acaciarelay/programs/granted_engines.py
@@ -36,11 +36,15 @@
 
 @attrs.define(eq=False)
 class _Granted:
-    """The granter of one engine, and when entries last requested a slot of it."""
+    """The granter of one engine, and when entries last requested a slot of it.
+
+    ``settled`` lets the granter begin to grant.
+    """
 
     granter: SlotGranter
     endpoint: Endpoint
     asked_at: dict[EntryLink, float] = attrs.Factory(dict)
+    settled: asyncio.TimerHandle | None = None
     recount: asyncio.Task | None = None
 
     @property
@@ -93,7 +97,7 @@
             if granter.is_near(link):
                 granter.add_link(link)
         log_event("granting_began", host=host)
-        granter.loop.call_later(MAX_SETTLE_S, granter.begin)
+        granted.settled = granter.loop.call_later(MAX_SETTLE_S, granter.begin)
         self._count_runs(granted)
         return granter
 
@@ -188,6 +192,8 @@
     def _end(self, host: str, granted: _Granted) -> None:
         del self.granted[host]
         granted.granter.close()
+        if granted.settled is not None:
+            granted.settled.cancel()
         if granted.recount is not None:
             granted.recount.cancel()
         log_event("granting_ended", host=host)
--- a/src/acaciarelay/programs/slot_granter.py
+++ b/src/acaciarelay/programs/slot_granter.py
@@ -181,9 +181,9 @@
         self.slots = message.slots
         self.queue.memory_limit = message.memory_tokens
         self.update_slot_limit(now)
-        self.queue.adopt(link, message, now)
-        # It was counted as a run without a slot if the engine has reported it.
-        self.untracked_runs = max(0, self.untracked_runs - 1)
+        if self.queue.adopt(link, message, now):
+            # It was counted as a run without a slot if the engine has reported it.
+            self.untracked_runs = max(0, self.untracked_runs - 1)
         self.schedule_publish()
 
     def update_slot_limit(self, now: float) -> None:
@@ -198,7 +198,7 @@
         """Withdraw a request or release its slot, and grant what became free."""
         now = time.monotonic()
         if message.declined and self.learned_limit is not None:
-            self.learned_limit.record_decline(now)
+            self.learned_limit.record_decline(self.slots, now)
             self.update_slot_limit(now)
         self.release(link, message, now)
         self.grant()
--- a/src/acaciarelay/transport/buffered_output.py
+++ b/src/acaciarelay/transport/buffered_output.py
@@ -36,8 +36,9 @@
         self.on_flushed: Callable[[], None] | None = None
         # Present while the answer is paused.
         self.room: asyncio.Future | None = None
-        # Bytes that the caller's host had not acknowledged at the last check.
-        self.unacknowledged = 0
+        # Bytes written, and how many of them the caller's host has acknowledged.
+        self.written = 0
+        self.acknowledged = 0
         limit_unread_bytes(transport)
 
     @property
@@ -52,6 +53,7 @@
         self.buffer += data
         if not flush or not self.buffer:
             return
+        self.written += len(self.buffer)
         self.answer.write(len(self.buffer), self.loop.time())
         self.answer.drop_reserved()
         self.backlog.append(self.buffer)
@@ -124,9 +126,10 @@
         with a slow link would seem to make no progress.
         """
         unacknowledged = unacknowledged_bytes(self.transport) + self.backlog.size
-        if unacknowledged < self.unacknowledged:
+        acknowledged = self.written - unacknowledged
+        if acknowledged > self.acknowledged:
             self.answer.progress_at = self.loop.time()
-        self.unacknowledged = unacknowledged
+        self.acknowledged = acknowledged
 
     def end_wait(self) -> None:
         """Let ``wait_for_room`` return, as its room is reserved."""
--- a/tests/unit/platform_path/test_buffered_output.py
+++ b/tests/unit/platform_path/test_buffered_output.py
@@ -15,6 +15,7 @@
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.slow_callers import SlowCallers, answer_memory_bytes
 from acaciarelay.state.routing import CallerLimits
+from acaciarelay.transport import buffered_output
 from acaciarelay.transport.inbound_server import (
     CallerDisconnectedError,
     InboundConnection,
@@ -197,6 +198,24 @@
         sock.close()
 
 
+async def test_progress_shows_while_the_backlog_grows_faster(monkeypatch):
+    """Guards against a cut of a caller that reads slower than its answer comes."""
+    unread = 0
+    monkeypatch.setattr(buffered_output, "unacknowledged_bytes", lambda _: unread)
+    async with start() as (server, listener):
+        sock = await ask(listener, "/")
+        await until(lambda: server.connections)
+        connection = next(iter(server.connections))
+        output = connection.output
+        output.record_progress()
+        output.answer.progress_at = 0.0
+        output.written += 2 * len(PIECE)
+        unread = len(PIECE)
+        output.record_progress()
+        assert output.answer.progress_at > 0.0
+        sock.close()
+
+
 async def test_a_buffered_answer_is_reset_at_the_exit():
     """Guards against the end of a process that ends an unframed answer early."""
     async with start() as (server, listener):
