Split the building of statuses from the links to peers

No change of behaviour.

Tested: unit tests of relay_peers, peer_links, zone_usage, restored_edges, restored_tables, link_messages, message_link, entry_granters: passed.

--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -10,8 +10,9 @@
 from acaciarelay.coordination.usage_ledger import UsageLedger
 from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.peer_status import StatusBuilder, StatusFields
 from acaciarelay.programs.relay_state_cache import StateCache
-from acaciarelay.programs.table_exchange import TableExchange, encode_versions
+from acaciarelay.programs.table_exchange import TableExchange
 from acaciarelay.programs.zone_usage import ZoneUsageExchange
 from acaciarelay.protocol.link_messages import (
     CrashReport,
@@ -47,15 +48,6 @@
 DUE_FRACTION = 0.9
 
 
-@attrs.define(eq=False)
-class _StatusFields:
-    """The last values of the status fields that are only sent when they change."""
-
-    admitted: dict[str, float] = attrs.Factory(dict)
-    demand: dict[str, float] = attrs.Factory(dict)
-    peers: list[str] = attrs.Factory(list)
-
-
 @attrs.define(eq=False)
 class _Peer:
     """A peer, and the open link over which it gets statuses.
@@ -103,10 +95,9 @@
         self.on_link_closed: Callable[[MessageLink], None] = lambda link: None
         self.on_slot_message: Callable[[MessageLink, SlotMessage], None]
         self.on_slot_message = lambda link, message: None
-        self.sent = _StatusFields()
+        self.own_status = StatusBuilder(hello, cache, usage, self.tables)
+        self.sent = StatusFields()
         self.sent_at = -math.inf
-        self.started_at = time.monotonic()
-        self.is_leaving = False
         self.server = LinkServer(
             hello,
             LinkHandlers(
@@ -152,6 +143,10 @@
         """Return the links to peers that are reachable."""
         return [peer.link for peer in self.peers.values() if peer.link is not None]
 
+    def links_with_hello(self) -> list[tuple[MessageLink, Hello]]:
+        """Return the links to peers that are reachable, each with the peer's hello."""
+        return [(link, link.peer) for link in self.links() if link.peer is not None]
+
     def opened(self, link: MessageLink) -> None:
         """Use a link that a peer dialled if it is the one to keep, or the only one.
 
@@ -183,7 +178,7 @@
         peer.has_left = False
         peer.reachable_at = time.monotonic()
         log_event("peer_regained", peer=link.peer.address, lifetime=link.peer.lifetime)
-        link.send(self.status(_StatusFields()))
+        link.send(self.status(StatusFields()))
         self.on_link_used(link)
         if not link.peer.digests_parts:
             return
@@ -223,9 +218,7 @@
         self.sent_at = now
         # All peers got the same statuses before, so one encoded status serves them all.
         status = self.status(self.sent)
-        self.sent = _StatusFields(
-            self.usage.totals(), self.usage.demand(now), self.live_addresses()
-        )
+        self.sent = self.own_status.fields(self.live_addresses(), now)
         line = encode_message(status)
         gathered_set = set(gathered)
         for address, peer in list(self.peers.items()):
@@ -248,9 +241,8 @@
         if report is None:
             return
         line = encode_message(report)
-        for peer in self.peers.values():
-            link = peer.link
-            if link is not None and link.peer is not None and link.peer.digests_parts:
+        for link, peer in self.links_with_hello():
+            if peer.digests_parts:
                 link.send_line(line)
 
     def remove_if_lost(self, address: str, peer: _Peer, now: float) -> None:
@@ -265,25 +257,19 @@
     def gathered_links(self) -> list[MessageLink]:
         """Return the links to peers that get this zone's usage together."""
         entries = 1 + len(self.peers)
-        links = []
-        for peer in self.peers.values():
-            link = peer.link
-            if link is None or link.peer is None:
-                continue
-            if self.zones.is_gathered(link.peer, entries):
-                links.append(link)
-        return links
+        return [
+            link
+            for link, peer in self.links_with_hello()
+            if self.zones.is_gathered(peer, entries)
+        ]
 
     def near_links(self) -> list[MessageLink]:
         """Return the links to peers of this zone that understand gathered usage."""
-        links = []
-        for peer in self.peers.values():
-            link = peer.link
-            if link is None or link.peer is None or not link.peer.gathers_usage:
-                continue
-            if not self.zones.is_far(link.peer):
-                links.append(link)
-        return links
+        return [
+            link
+            for link, peer in self.links_with_hello()
+            if peer.gathers_usage and not self.zones.is_far(peer)
+        ]
 
     def send_tables(self, links: list[MessageLink], now: float) -> None:
         """Send gathered peers the table versions, if they are due."""
@@ -305,13 +291,7 @@
         peers = [link.peer for link in far if link.peer is not None]
         near_addresses = [link.peer.address for link in near if link.peer is not None]
         self.zones.lose_silent_zones(peers, now)
-        own_usage = EntryUsage(
-            address=self.hello.address,
-            lifetime=self.hello.lifetime,
-            running_s=round(now - self.started_at, 3),
-            admitted=self.usage.totals(),
-            demand=self.usage.demand(now),
-        )
+        own_usage = self.own_status.entry_usage(now)
         for zone in sorted({peer.zone for peer in peers}):
             addresses = [p.address for p in peers if p.zone == zone]
             outgoing = self.zones.message_to(zone, addresses, near_addresses, own_usage)
@@ -329,34 +309,19 @@
     ) -> None:
         """Send a message about a rollout to some peers that understand it, or all."""
         line = encode_message(message)
-        for address, peer in self.peers.items():
-            link = peer.link
-            if link is None or link.peer is None or not link.peer.rolls_out:
+        for link, peer in self.links_with_hello():
+            if not peer.rolls_out:
                 continue
-            if receivers is None or address in receivers:
+            if receivers is None or peer.address in receivers:
                 link.send_line(line)
 
     def live_addresses(self) -> list[str]:
         """Return the addresses of this entry and of its peers that are alive."""
         return sorted([self.hello.address, *self.addresses()])
 
-    def status(self, sent: _StatusFields) -> PeerStatus:
-        """Build a status for peers that already received ``sent``."""
-        now = time.monotonic()
-        peers = self.live_addresses()
-        numbers, era, eras = encode_versions(self.cache.versions())
-        return PeerStatus(
-            running_s=round(now - self.started_at, 3),
-            versions=numbers,
-            wanted=self.tables.wanted(),
-            peers=peers if peers != sent.peers else [],
-            admitted=_changes(sent.admitted, self.usage.totals()),
-            demand=_changes(sent.demand, self.usage.demand(now)),
-            era=era,
-            eras=eras,
-            held=self.cache.held_digests(),
-            leaving=self.is_leaving,
-        )
+    def status(self, sent: StatusFields) -> PeerStatus:
+        """Return a status for peers that already received ``sent``."""
+        return self.own_status.message(sent, self.live_addresses(), time.monotonic())
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
         if link.peer is None:
@@ -420,8 +385,8 @@
 
     def announce_leaving(self) -> None:
         """Tell all peers that this entry ends, so that they leave it no share."""
-        self.is_leaving = True
-        status = self.status(_StatusFields())
+        self.own_status.is_leaving = True
+        status = self.status(StatusFields())
         for peer in self.peers.values():
             if peer.link is not None:
                 peer.link.send(status)
@@ -431,11 +396,3 @@
         for peer in self.peers.values():
             if peer.dialer is not None:
                 peer.dialer.close()
-
-
-def _changes(before: dict[str, float], now: dict[str, float]) -> dict[str, float]:
-    """Return the values that differ, with zero for those that no longer exist."""
-    changes = {name: value for name, value in now.items() if before.get(name) != value}
-    for name in before.keys() - now.keys():
-        changes[name] = 0.0
-    return changes
