Clarify names and comments of monitored rollouts

Some docstrings did not say what is returned or in which unit, and some names and comments were unusual or told what the code says. No change of behaviour.

--- a/src/acaciarelay/coordination/rollout/answer_counts.py
+++ b/src/acaciarelay/coordination/rollout/answer_counts.py
@@ -18,7 +18,7 @@
 
 __all__ = ["AnswerCounts"]
 
-# Routes that are counted by themselves; the answers of all others are counted together.
+# Routes that are counted separately; the answers of all others are counted together.
 MAX_ROUTES = 16
 # Engines whose times are reported.
 MAX_ENGINES = 256
@@ -36,6 +36,8 @@
 
 @attrs.frozen
 class _Running:
+    """Attempt that has not ended; ``since`` is the monotonic time of its start."""
+
     route: str
     engine: str
     new: bool
@@ -96,8 +98,8 @@
     def end(self, key: int, failed: bool, now: float) -> None:
         """Record the end of an answer, whole or not.
 
-        Attempts that found no engine, or lost one that is gone, are to be forgotten:
-        they say nothing about its version.
+        Attempts that found no engine, or whose engine has gone, say nothing about its
+        version; ``forget`` is called for these instead.
         """
         running = self.running.pop(key, None)
         if running is None:
@@ -117,11 +119,14 @@
         times.buckets += bucket
 
     def forget(self, key: int) -> None:
-        """Leave out an attempt that says nothing, as when its caller has left."""
+        """Leave out an attempt that says nothing about the version of its engine."""
         self.running.pop(key, None)
 
     def report(self, epoch: int, phase: Phase, now: float) -> EntryCounts:
-        """Return the counts so far."""
+        """Return the counts so far.
+
+        ``epoch`` and ``phase`` are those of the permission that the entry follows.
+        """
         if self.number % REPORTS_PER_ENGINE_TIMES == 0:
             self.engine_times = self._engine_times()
         self.number += 1
--- a/src/acaciarelay/coordination/rollout/comparison.py
+++ b/src/acaciarelay/coordination/rollout/comparison.py
@@ -13,10 +13,10 @@
 
 __all__ = ["VersionComparison"]
 
-# Answers are compared with those of the same second.
+# Length of the intervals within which answers are compared.
 SLICE_S = 1.0
-# Evidence of failures at which a version is bad. By Ville's inequality, 1 / 4,000
-# bounds the probability for a good version, at whatever time.
+# Evidence of failures, as an e-value, at which a version is bad. By Ville's inequality,
+# 1 / 4,000 bounds the probability for a good version, at whatever time.
 BAD_EVIDENCE = 4000.0
 # Evidence at which it is bad once the share has ended. The bound of 1 / 200 is hardly
 # attained, since the evidence comes in steps of about 9 for each failure. With 100, a
@@ -184,7 +184,10 @@
 
 
 class _FailureEvidence:
-    """Evidence over all alternatives: the routes, the odds and the begin."""
+    """Evidence averaged over all alternatives: routes, odds and the first bad second.
+
+    ``steps`` is the number of seconds of the order.
+    """
 
     def __init__(self, steps: int) -> None:
         self.steps = steps
@@ -214,7 +217,7 @@
         self.slices += 1
 
     def value(self, routes: int) -> float:
-        """Return the evidence, of which each of the routes has an equal weight."""
+        """Return the evidence as an average in which all routes weigh the same."""
         weight = (1.0 - ALL_ROUTES_WEIGHT) / max(routes, len(self.by_route))
         total = 1.0 - ALL_ROUTES_WEIGHT - weight * len(self.by_route)
         total += ALL_ROUTES_WEIGHT * _mean(self.all_routes)
@@ -234,7 +237,7 @@
 
 
 def _evidence(strata: dict[str, Stratum], odds: float, most: float) -> float:
-    """Return the evidence of failures over routes, up to a bound."""
+    """Return the evidence of failures over all routes, at most ``most``."""
     total = 0.0
     for stratum in strata.values():
         total += log_failure_evidence(
@@ -248,7 +251,7 @@
 
 
 def _at_most(failures: int, requests: int, share: float) -> float:
-    """Return the probability of at most as many failures as were seen."""
+    """Return the probability of at most ``failures`` if each fails with ``share``."""
     odds = share / (1.0 - share)
     term = (1.0 - share) ** requests
     total = term
--- a/src/acaciarelay/coordination/rollout/engine_spread.py
+++ b/src/acaciarelay/coordination/rollout/engine_spread.py
@@ -6,17 +6,17 @@
 
 __all__ = ["EngineSum", "EngineSpread", "unequal_share"]
 
-# The spread of the engines is not known well from few of them. It is estimated as if
-# this many more were known, with the variance of speeds of 0.6, 1 and 1.7.
+# An estimate of the spread from few engines is uncertain, so this many degrees of
+# freedom are added, with the variance of speeds of 0.6, 1 and 1.7 in squared buckets.
 PRIOR_ENGINES = 4
 PRIOR_VARIANCE = 6.0
 
 
 @attrs.define
 class EngineSum:
-    """Requests sent to an engine, its answers, and the sum of their buckets.
+    """Requests sent to an engine, its answers, and how long these took.
 
-    ``excess`` counts the buckets from the means of the routes on.
+    ``excess`` is the sum of their differences from the mean buckets of their routes.
     """
 
     requests: int = 0
@@ -38,9 +38,10 @@
     def estimate(
         cls, groups: Iterable[Mapping[str, EngineSum]], answer_variance: float
     ) -> "EngineSpread":
-        """Estimate the variance within groups of engines that have the same version.
+        """Return the variance within groups of engines that have the same version.
 
-        ``answer_variance`` is that of single answers over all engines.
+        ``answer_variance`` is that of single answers over all engines, in squared
+        buckets.
         """
         between = 0.0
         weight = 0.0
--- a/src/acaciarelay/coordination/rollout/evidence.py
+++ b/src/acaciarelay/coordination/rollout/evidence.py
@@ -13,7 +13,7 @@
 
 __all__ = ["ChangeMixture", "log_failure_evidence"]
 
-# Values above this bound say no more than the bound.
+# Bound of the product, against an overflow.
 MAX_VALUE = 1e15
 
 
--- a/src/acaciarelay/coordination/rollout/lease.py
+++ b/src/acaciarelay/coordination/rollout/lease.py
@@ -27,13 +27,15 @@
 
 @attrs.frozen(kw_only=True)
 class _Pending:
+    """A write under way or of unknown outcome, sent at monotonic ``sent_at``."""
+
     write: WriteRows
     sent_at: float
 
 
 @attrs.define(eq=False)
 class RowLease:
-    """Lease of an order as seen by one entry.
+    """Lease of an order as seen by one entry; times are monotonic, in seconds.
 
     At most one write is under way. Each write changes the coordinator's row and has its
     last known version as a condition, so of all writes after one version at most one
@@ -66,7 +68,7 @@
         return self.epoch > 0 and now < self.valid_until
 
     def release(self) -> None:
-        """Stop to act as the holder."""
+        """Stop acting as the holder."""
         self.epoch = 0
         self.valid_until = 0.0
         self.needs_read = True
--- a/src/acaciarelay/coordination/rollout/plan.py
+++ b/src/acaciarelay/coordination/rollout/plan.py
@@ -7,7 +7,8 @@
 
 __all__ = ["RolloutPlan"]
 
-# Time before the end of an order at which all requests go to the new version.
+# Time before the end of an order from which all requests go to the new version: this
+# share of the order's duration, but no longer than the maximum.
 MAX_LEAD_S = 2.0
 LEAD_SHARE = 0.15
 # Time before the end at which the end state is written at the latest: a write and its
@@ -44,10 +45,12 @@
 
     @property
     def lead_s(self) -> float:
+        """Time of full traffic before the end of the order."""
         return min(MAX_LEAD_S, LEAD_SHARE * self.order.duration_s)
 
     @property
     def margin_s(self) -> float:
+        """Time before the end of the order at which the end state is written."""
         return min(END_MARGIN_S, self.lead_s / 2)
 
     def age_s(self, now: float) -> float:
--- a/src/acaciarelay/coordination/rollout/selection.py
+++ b/src/acaciarelay/coordination/rollout/selection.py
@@ -15,7 +15,7 @@
 # speed of one or two engines, which differ by a factor of up to 3. Each of them has
 # enough time to be loaded like the old ones.
 TRIAL_S = 1.5
-# Registrations of old engines that were stopped may stay listed for this long.
+# Time for which registrations of stopped engines may stay listed.
 STOPPED_LISTED_S = 10.0
 
 
@@ -82,9 +82,10 @@
     age_s: float,
     share: ShareLimit,
 ) -> list[Endpoint]:
-    """Return the new engines that get the share, so few that they are loaded.
+    """Return the new engines that get the share.
 
-    All entries choose the same ones as long as they list the same.
+    They are so few that each gets as many requests as an old one. All entries choose
+    the same ones as long as they list the same.
     """
     loaded = share.used_share * old_count / max(0.01, 1.0 - share.used_share)
     count = min(len(new), max(1, round(loaded)))
--- a/src/acaciarelay/coordination/rollout/share.py
+++ b/src/acaciarelay/coordination/rollout/share.py
@@ -11,7 +11,7 @@
     """Allow the new version a share of the requests that this entry has sent.
 
     The entry starts without credit, so the sum over all entries keeps to the share
-    whichever of them start, stop or are cut off, and without an exchange of counts.
+    without an exchange of counts, whichever entries start, stop or are cut off.
     ``reserved`` requests may go to the new version but were not sent yet.
     """
 
--- a/src/acaciarelay/coordination/rollout/steps.py
+++ b/src/acaciarelay/coordination/rollout/steps.py
@@ -51,7 +51,7 @@
 
 @attrs.frozen
 class Tick:
-    """Time has gone on; to be given every 0.1 s or more often."""
+    """Time has passed; to be given at least every 0.1 s."""
 
 
 @attrs.frozen(kw_only=True)
@@ -59,8 +59,8 @@
     """Both rows as the store held them at one moment after ``read_at``.
 
     ``read_at`` is the monotonic time at which the read began, ``now_ms`` the store's
-    time in the answer. The versions are 0 for rows that don't exist; a row that can't
-    be read has its version, and ``None`` as content.
+    time in the answer, in Unix milliseconds. The versions are 0 for rows that don't
+    exist; a row that can't be read has its version, and ``None`` as content.
     """
 
     read_at: float
--- a/src/acaciarelay/coordination/rollout/strata.py
+++ b/src/acaciarelay/coordination/rollout/strata.py
@@ -13,7 +13,7 @@
 
 @attrs.define(eq=False)
 class Stratum:
-    """Answers of one route over the same time.
+    """Answers of one route in the same period; ``*_times`` are counts by bucket.
 
     ``late_from`` is the bucket from which on they are late, where that is counted.
     """
--- a/src/acaciarelay/coordination/rollout/time_test.py
+++ b/src/acaciarelay/coordination/rollout/time_test.py
@@ -16,7 +16,7 @@
 
 __all__ = ["TimeTest"]
 
-# Difference that is no fault, in buckets: a factor of 1.09.
+# Difference of mean times that is no fault, in buckets: a factor of 1.09.
 MARGIN = 0.5
 # Seconds of the second comparison, by which a version that turns bad late is found.
 RECENT_SLICES = 4
@@ -27,7 +27,11 @@
 
 @attrs.define
 class _Sums:
-    """Weighted differences of the means of both versions, summed over strata."""
+    """Weighted differences of the means of both versions, summed over strata.
+
+    Times are in buckets. ``weighted / weight`` is the mean difference, and ``squares``
+    the sum of squared deviations with ``freedom`` degrees of freedom.
+    """
 
     weighted: float = 0.0
     weight: float = 0.0
@@ -44,7 +48,7 @@
 
     @property
     def variance(self) -> float:
-        """Variance of single answers."""
+        """Variance of single answers, in squared buckets; 0 without answers."""
         return self.squares / self.freedom if self.freedom else 0.0
 
 
@@ -90,9 +94,9 @@
         return EngineSpread.estimate(groups, self.answer_variance)
 
     def score(self, before: Mapping[str, Stratum]) -> float:
-        """Return the score over all routes, since the begin or of the last seconds.
+        """Return the score over all routes: the higher of all and of the last seconds.
 
-        ``before`` holds the answers of an unknown time.
+        ``before`` holds the answers whose second is unknown.
         """
         total = _merged(self.total)
         for stratum in before.values():
--- a/src/acaciarelay/platform/rollouts.py
+++ b/src/acaciarelay/platform/rollouts.py
@@ -96,8 +96,9 @@
 def decode_coordinator(data: bytes, era: int) -> CoordinatorRow:
     """Decode the coordinator's row; raises ``FormatError``.
 
-    It names the order by the number of its row's version. That is in the era in which
-    the row was read, as a restored store has either both rows or not this one.
+    The row names the order by the number of its version, without the era. ``era`` is
+    that in which the row was read: a restored store that holds this row also holds the
+    order's.
     """
     try:
         raw = orjson.loads(data)
--- a/src/acaciarelay/programs/order_run.py
+++ b/src/acaciarelay/programs/order_run.py
@@ -189,7 +189,7 @@
             )
 
     def withdraw(self) -> None:
-        """Stop to use the version, since the operator has removed the order."""
+        """Stop using the version, since the operator has removed the order."""
         now = time.monotonic()
         log_event("rollout_order_removed", **self.fields(), always=True)
         self.permission.receive_end(RolloutState.ROLLED_BACK, now)
@@ -250,7 +250,7 @@
         self.links.send(message, None)
 
     def end(self, state: RolloutState) -> None:
-        """Take the end state that the rows hold."""
+        """Take the end state that the rows hold, and close the run."""
         now = time.monotonic()
         self.permission.receive_end(state, now)
         self.links.ended.record(self.order, state)
@@ -321,5 +321,5 @@
 
 
 def _is_same(counts: EntryCounts, sent: EntryCounts | None) -> bool:
-    """Return whether counts say nothing that was not sent."""
+    """Return whether counts differ from those sent at most in their number."""
     return sent is not None and attrs.evolve(counts, number=sent.number) == sent
--- a/src/acaciarelay/programs/rollout_store.py
+++ b/src/acaciarelay/programs/rollout_store.py
@@ -1,4 +1,4 @@
-"""Reads and conditional writes of the rows of one rollout, beside the requests."""
+"""Asynchronous reads and conditional writes of the rows of one rollout."""
 
 import asyncio
 import time
@@ -42,24 +42,25 @@
 
 __all__ = ["RolloutStore"]
 
-# A call is given up after this time, before the lease ends. Of so many calls in a row
-# that fail, one may take longer, for a store that is slow.
+# Time limit of a call, so that it ends before the lease. While calls fail, each third
+# one has the longer limit, for a store that is slow.
 CALL_TIMEOUT_S = 0.8
 LONG_CALL_TIMEOUT_S = 2.2
-CALLS_TO_A_LONG_ONE = 3
-# Reads of both rows that may fail because one of them changed meanwhile.
+LONG_CALL_EVERY = 3
+# Attempts to read both rows without a change between the two reads.
 MAX_READS = 3
 
 
 class _Caller:
-    """A connection to the store for one kind of call, with the time for the next."""
+    """A connection to the store for one kind of call, and its failures in a row."""
 
     def __init__(self, address: str) -> None:
         self.client = StoreClient(address)
         self.failures = 0
 
     def timeout_s(self) -> float:
-        if self.failures % CALLS_TO_A_LONG_ONE == CALLS_TO_A_LONG_ONE - 1:
+        """Return the time limit of the next call."""
+        if self.failures % LONG_CALL_EVERY == LONG_CALL_EVERY - 1:
             return LONG_CALL_TIMEOUT_S
         return CALL_TIMEOUT_S
 
@@ -103,7 +104,7 @@
         self.writing = asyncio.create_task(self._guard(self._write(write)))
 
     def close(self) -> None:
-        """Give up the calls on their way."""
+        """Cancel the calls under way."""
         for task in (self.reading, self.writing):
             if task is not None:
                 task.cancel()
--- a/src/acaciarelay/programs/rollouts.py
+++ b/src/acaciarelay/programs/rollouts.py
@@ -37,7 +37,7 @@
 
 __all__ = ["Rollouts"]
 
-# Interval at which open orders are looked after.
+# Interval at which open orders are processed.
 TICK_S = 0.1
 # Services with an order; the orders of further ones are left out.
 MAX_SERVICES = 256
@@ -128,8 +128,7 @@
         )
         if run is not None:
             if _order_id(order) in replaced:
-                # It comes from the copy of a restored store, and the operator has
-                # replaced it since.
+                # A restored store shows an order that the operator had replaced.
                 log_event("rollout_order_is_former", **run.fields(), always=True)
                 return
             if _order_id(order) != _order_id(run.order):
@@ -145,9 +144,9 @@
         )
         self.set_state(run)
         if self.task is None or self.task.done():
-            self.task = asyncio.get_running_loop().create_task(self.look_after())
+            self.task = asyncio.get_running_loop().create_task(self.process_orders())
 
-    async def look_after(self) -> None:
+    async def process_orders(self) -> None:
         """Do what is due for the open orders, as long as there are any."""
         while open_runs := [run for run in self.runs.values() if run.open]:
             now = time.monotonic()
@@ -190,7 +189,10 @@
     def choose(
         self, relayed: RelayedRequest, endpoints: Sequence[Endpoint]
     ) -> list[Endpoint]:
-        """Return the endpoints for a request, and keep its part of the share if new."""
+        """Return the endpoints for a request.
+
+        Reserves a part of the share if they are those of a version on trial.
+        """
         self.release(relayed)
         is_first = not relayed.tried and not relayed.off_trial
         usable = self._usable(relayed.service, endpoints, is_first)
--- a/src/acaciarelay/programs/running_attempts.py
+++ b/src/acaciarelay/programs/running_attempts.py
@@ -37,6 +37,8 @@
 
 @attrs.define(eq=False)
 class _MeanWork:
+    """Moving average of the work of a route's requests, in prompt tokens."""
+
     value: float = 0.0
     count: int = 0
 
@@ -47,7 +49,7 @@
 
 
 class RunningAttempts:
-    """Keep the attempts that were sent to engines and have not ended."""
+    """Hold the attempts that were sent to engines and have not ended."""
 
     def __init__(self) -> None:
         self._keys = itertools.count(1)
@@ -57,7 +59,7 @@
     def begin(
         self, relayed: RelayedRequest, endpoint: Endpoint, now: float
     ) -> RunningAttempt:
-        """Record that a request was sent."""
+        """Record that a request was sent, and return the attempt."""
         attempt = RunningAttempt(
             key=next(self._keys),
             service=endpoint.service,
--- a/src/acaciarelay/protocol/rollout_messages.py
+++ b/src/acaciarelay/protocol/rollout_messages.py
@@ -73,7 +73,7 @@
 
 
 def counts_message(service: str, counts: EntryCounts) -> RolloutCounts:
-    """Build the message that sends the counts of an entry."""
+    """Return the message that sends the counts of an entry."""
     return RolloutCounts(
         service=service,
         era=counts.order.era,
--- a/src/acaciarelay/state/rollout.py
+++ b/src/acaciarelay/state/rollout.py
@@ -89,6 +89,7 @@
 
     @property
     def has_duration(self) -> bool:
+        """Whether the duration is usable."""
         return 0.0 < self.duration_s <= MAX_ROLLOUT_S
 
     def repeats(self, other: "RolloutOrder") -> bool:
@@ -182,7 +183,8 @@
 
     ``holder`` names one lifetime of an entry. ``since_ms`` is the Unix time in
     milliseconds at which the order was first seen. ``phase`` is the permission that the
-    row gives; it is ``ENDED`` once the status row holds the end state.
+    row gives; it is ``ENDED`` once the status row holds the end state. ``lease_s`` is
+    the time in seconds without a change after which another entry may take the row.
     """
 
     order: StoreVersion
