--- a/tests/rollout_rig.py
+++ b/tests/rollout_rig.py
@@ -234,6 +234,7 @@
         expected_output=None,
         last_event=None,
         shared_parts=frozenset(),
+        shared_chain={},
         forwarded=[],
     )
     route = routing.find_route(HOST, prefix)
