--- a/tests/integration/slow_peers.py
+++ b/tests/integration/slow_peers.py
@@ -68,9 +68,10 @@
         connection: InboundConnection,
         fields: dict[str, str],
         headers: list[tuple[str, str]],
+        course: object,
     ) -> None:
         if not fields["attempt-id"].startswith(LONG):
-            return await super().stream(connection, fields, headers)
+            return await super().stream(connection, fields, headers, course)
         connection.start(200, [*headers, ("Content-Type", "text/event-stream")])
         for number in range(1, LONG_BYTES // PIECE_BYTES + 1):
             data = b"x" * PIECE_BYTES
--- a/tests/stop_soak_runner.py
+++ b/tests/stop_soak_runner.py
@@ -49,7 +49,11 @@
         self.factor = 1.0
 
     async def answer(
-        self, connection: InboundConnection, fields: dict[str, str], attempt: str
+        self,
+        connection: InboundConnection,
+        fields: dict[str, str],
+        attempt: str,
+        course: object,
     ) -> None:
         span = Span(time.monotonic())
         self.spans[attempt].append(span)
