Review cases 6 and 7: let the leaving runner say so in its answers

The fault then shows at entries that asked it nothing in between; both cases have many users come at once for that.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,10 +14,12 @@
     {"name": "orders", "healthPath": "/health", "maxConns": 110},
     {"name": "assistant", "healthPath": "/health", "maxConns": 310},
 ]
-# When the requesters stop, after the channels fell silent.
-LOAD_S = 7.0
+# When many users come at once, after the channels fell silent; before, none come from
+# just before that on.
+BURST_S = 3.15
+BURST = 6
 # How much longer than drainMs the runner serves after its row is gone.
-LONGER_S = 1.5
+LONGER_S = 0.7
 
 
 def routes(version: int) -> list[dict]:
@@ -56,12 +58,11 @@
             number += 1
             attempt = f"{entry.name}-{number}"
             tasks.append(asyncio.create_task(one(entry, attempt)))
-            await asyncio.sleep(0.04)
+            await asyncio.sleep(0.25)
 
-    began = time.monotonic()
-    until = began + 1.5 + LOAD_S
+    until = time.monotonic() + 1.5
     loads = [asyncio.create_task(load(entry, until)) for entry in fleet.entries]
-    await asyncio.sleep(1.5)
+    await asyncio.gather(*loads)
     # Planned work: the replacement of a runner, of which the new one starts first, and
     # a manifest with a further route.
     await fleet.add_runner("orders", old.zone)
@@ -75,13 +76,18 @@
         count = sum(proxy.silence_open() for proxy in fleet.proxies)
         record.note(f"{count} open channels to the store fall silent; new ones work")
     await asyncio.sleep(0.2)
+    old.leaving = True
     fleet.remove(old)
     gone_at = time.monotonic()
     record.note("the store has accepted that i-1 is gone; i-1 goes on serving")
-    await asyncio.sleep(rig2.DRAIN_S + LONGER_S)
+    await asyncio.sleep(silent_at + BURST_S - time.monotonic())
+    for number in range(BURST):
+        for entry in fleet.entries:
+            attempt = f"{entry.name}-burst-{number}"
+            tasks.append(asyncio.create_task(one(entry, attempt)))
+    await asyncio.sleep(gone_at + rig2.DRAIN_S + LONGER_S - time.monotonic())
     broken_off = old.exit()
     record.note(f"i-1 exits with {broken_off} requests running")
-    await asyncio.gather(*loads)
     await asyncio.gather(*tasks)
     return judge(record, old, sent, answers, silent_at, gone_at)
 
@@ -119,9 +125,11 @@
         if answer.status != 200:
             at, entry = sent[attempt]
             record.note(f"{attempt} sent; answered {answer.status} {answer.end}", at)
+    lost = [attempt for attempt in late if answers[attempt].status != 200]
     record.note(
         f"{len(sent)} orders sent, {len(old.runs)} ran at i-1, {len(late)} of them "
-        f"sent later than {bound - gone_at:.3f} s after it was gone"
+        f"sent later than {bound - gone_at:.3f} s after it was gone, {len(lost)} of "
+        "these lost"
     )
     return 1 if late else 0
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,12 +14,16 @@
 SERVICES = [{"name": "orders", "healthPath": "/health", "maxConns": 110}]
 PING_S = 1.2
 # How much later than its sending the ping without a response is performed.
-LATE_S = 5.9
+LATE_S = 5.8
 # When the runner reports that it drains, after that sending: the store has been without
 # disturbance for longer than contactMs then.
 DRAINS_AFTER_S = 3.1
+# When many users come at once, after the runner has reported that it drains; before,
+# none come from just before that on.
+BURST_S = 2.9
+BURST = 6
 # How much longer than drainMs the runner serves.
-LONGER_S = 0.9
+LONGER_S = 0.7
 
 
 class Pings:
@@ -91,19 +95,20 @@
             number += 1
             attempt = f"{entry.name}-{number}"
             tasks.append(asyncio.create_task(one(entry, attempt)))
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.25)
 
-    until = time.monotonic() + LATE_S + 4.0
-    loads = [asyncio.create_task(load(entry, until)) for entry in fleet.entries]
-    await asyncio.sleep(1.0)
     began = time.monotonic()
+    until = began + DRAINS_AFTER_S - 0.3
+    loads = [asyncio.create_task(load(entry, until)) for entry in fleet.entries]
     pings.seq += 1
     late_row = pings.row()
     if rig2.trouble():
         record.note(f"i-1 sends a ping (ready, seq {pings.seq}) and gets no response")
     else:
         pings.perform(late_row)
+    await asyncio.gather(*loads)
     await asyncio.sleep(began + DRAINS_AFTER_S - time.monotonic())
+    runner.leaving = True
     pings.change("draining")
     await asyncio.sleep(0.01)
     drained_at = time.monotonic()
@@ -112,12 +117,16 @@
     if rig2.trouble():
         pings.perform(late_row)
         record.note(f"the store performs the ping of seq {late_row['seq']} (ready)")
+    await asyncio.sleep(drained_at + BURST_S - time.monotonic())
+    for number in range(BURST):
+        for entry in fleet.entries:
+            attempt = f"{entry.name}-burst-{number}"
+            tasks.append(asyncio.create_task(one(entry, attempt)))
     await asyncio.sleep(drained_at + rig2.DRAIN_S + LONGER_S - time.monotonic())
     pings.change("gone")
     broken_off = runner.exit()
     fleet.remove(runner)
     record.note(f"i-1 exits with {broken_off} requests running")
-    await asyncio.gather(*loads)
     await asyncio.gather(*tasks)
     return judge(record, runner, sent, answers, drained_at)
 
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -86,7 +86,7 @@
         return at - self.began
 
     def write(self) -> None:
-        self.path.write_text("\n".join(self.lines) + "\n")
+        self.path.write_text("\n".join(sorted(self.lines)) + "\n")
 
 
 def fill(template: str, fields: dict[str, Any]) -> str:
@@ -264,7 +264,7 @@
         self.zone = zone
         self.record = record
         self.slots = slots
-        self.work_s = 0.09
+        self.work_s = 0.4
         self.address = ""
         self.born = int(time.time() * 1000)
         self.server: asyncio.Server | None = None
@@ -273,6 +273,8 @@
         self.runs: list[tuple[str, float]] = []
         self.ended: set[str] = set()
         self.running = 0
+        # A runner that leaves says so in all its answers.
+        self.leaving = False
         self.handler: Handler | None = None
 
     async def start(self, host: str, port: int = 0) -> str:
@@ -317,7 +319,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         attempt = request.headers.get("attempt-id", "")
-        named = f"Attempt-Id: {attempt}\r\n"
+        named = f"Attempt-Id: {attempt}\r\n{self.leaving_line()}"
         if request.headers.get("expect-instance", self.runner_id) != self.runner_id:
             head = f"HTTP/1.1 421 Misdirected Request\r\n{named}Runner-Id: "
             head += f"{self.runner_id}\r\nContent-Length: 0\r\n\r\n"
@@ -337,12 +339,16 @@
         finally:
             self.running -= 1
         body = f"{self.runner_id} ran {attempt}".encode()
+        named = f"Attempt-Id: {attempt}\r\n{self.leaving_line()}"
         head = f"HTTP/1.1 200 OK\r\n{named}Runner-Seal: seal-{self.runner_id}\r\n"
         head += f"Runner-Load: {self.running},0,{self.slots}\r\n"
         writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         await writer.drain()
         self.ended.add(attempt)
 
+    def leaving_line(self) -> str:
+        return "Server-Leaving: 1\r\n" if self.leaving else ""
+
     def exit(self) -> int:
         """End as a process does: break all channels; return the runs broken off."""
         if self.server is not None:
