--- a/review/rig2.py
+++ b/review/rig2.py
@@ -70,6 +70,10 @@
     raise OSError("no free ports")
 
 
+def _seconds(line: str) -> float:
+    return float(line.split(" s ")[0])
+
+
 class Record:
     """Lines of ``record.txt``, with seconds since the start of the script."""
 
@@ -86,7 +90,7 @@
         return at - self.began
 
     def write(self) -> None:
-        self.path.write_text("\n".join(sorted(self.lines)) + "\n")
+        self.path.write_text("\n".join(sorted(self.lines, key=_seconds)) + "\n")
 
 
 def fill(template: str, fields: dict[str, Any]) -> str:
@@ -496,6 +500,10 @@
         self.agents: list[Program] = []
         self.proxies: list[Proxy] = []
         self.runners: list[Runner] = []
+        # What a case has other than hylly-relay.
+        self.bounds = BOUNDS
+        self.contracts = CONTRACTS
+        self.memory_mb = 150
 
     async def __aenter__(self) -> "Fleet":
         server, address = await listen(self.store.handle, "127.0.0.1:0")
@@ -528,11 +536,11 @@
             "seeds": seeds,
             "platform": {"address": store},
             "app": None,
-            "bounds": BOUNDS,
-            "limits": {"memoryMb": 150},
+            "bounds": self.bounds,
+            "limits": {"memoryMb": self.memory_mb},
             "bootstrap": True,
             "heartbeatMs": 1200,
-            "contracts": CONTRACTS,
+            "contracts": self.contracts,
             "metricsPort": port + 23,
         }
 
