--- a/review/rig2.py
+++ b/review/rig2.py
@@ -269,6 +269,7 @@
         self.record = record
         self.slots = slots
         self.work_s = 0.4
+        self.version = "v1"
         self.address = ""
         self.born = int(time.time() * 1000)
         self.server: asyncio.Server | None = None
@@ -292,7 +293,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "coldLeftMs": 0,
