Do not take a lost call for an outage of the store

All open connections to the store had fallen silent while new ones worked, and the removal came in the first answer on a new one.

Cause: a feed counted an outage from its own last answer. With calls that wait for changes that is seconds ago even if the store was never away, so a single lost call passed for an outage, and the removal for a registration that had lapsed in it. A pause of the entry itself did the same. The feed that failed second saw no outage, so the order in which the calls had begun decided.

Change: StoreContact, shared by all feeds, holds what shows an outage: the store's own refusal, or a failed call on a new connection that asks for no wait. A call that waited, or that ended late through a pause of the entry, shows nothing. An outage is bounded by the answers to any feed, and has to be as long as a registration lives without a renewal. store_regained now logs the failed calls, the time since the last answer and the verdict.

Ruled out: a larger minimum outage. The silence of a call that waits is 2.85 s at the most, and a registration can lapse in 2.4 s, so that no length of silence tells one from the other.

Test: test_lost_store_calls (both orders of the feeds, four times of the removal, two losses in a row, a pause, and outages of three forms in which runners lapse and stay in use).

--- a/src/acaciarelay/platform/store.py
+++ b/src/acaciarelay/platform/store.py
@@ -64,9 +64,13 @@
 
 @attrs.frozen
 class StoreError:
-    """Failure of a call to the store."""
+    """Failure of a call to the store.
+
+    ``is_refusal`` is true if the store itself answered that it is unavailable.
+    """
 
     detail: str
+    is_refusal: bool = False
 
 
 @attrs.frozen
@@ -146,6 +150,11 @@
         self._sent = False
         self._lock = asyncio.Lock()
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the next call uses the connection of the last one."""
+        return self._connection is not None and self._connection.reusable
+
     async def read_table(
         self, table: str, timeout_s: float
     ) -> Result[RowPage, StoreError]:
@@ -165,7 +174,7 @@
                     page, more = _decode_page(answer)
                     size += len(answer.body)
                 case Ok(_Answer(status=status)):
-                    return Err(StoreError(f"the store answered {status}"))
+                    return Err(_refused(status))
             if page is None:
                 return Err(StoreError("the store's answer is unreadable"))
             if size > MAX_TABLE_BYTES:
@@ -207,7 +216,7 @@
                     return Ok(attrs.evolve(page, version=page.rows[-1].version))
                 return Ok(page)
             case Ok(_Answer(status=status)):
-                return Err(StoreError(f"the store answered {status}"))
+                return Err(_refused(status))
 
     async def read_row(
         self, table: str, key: str, timeout_s: float
@@ -221,7 +230,7 @@
             case Ok(_Answer(status=200) as answer):
                 page, _ = _decode_page(answer)
             case Ok(_Answer(status=status)):
-                return Err(StoreError(f"the store answered {status}"))
+                return Err(_refused(status))
         if page is None:
             return Err(StoreError("the store's answer is unreadable"))
         rows = [row for row in page.rows if row.key == key]
@@ -272,7 +281,7 @@
         self, method: str, path: str, body: bytes
     ) -> Result[_Answer, StoreError]:
         connection = self._connection
-        if connection is None or not connection.reusable:
+        if not self.is_connected:
             match await connect(
                 self.address, CONNECT_TIMEOUT_S, self.loop_budget, Reader.STORE
             ):
@@ -312,6 +321,10 @@
             self._connection = None
 
 
+def _refused(status: int) -> StoreError:
+    return StoreError(f"the store answered {status}", status == UNAVAILABLE_STATUS)
+
+
 def _decode_era(response: h11.Response, default: int) -> int:
     for name, value in response.headers:
         if name != ERA_HEADER:
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -71,6 +71,7 @@
     def __init__(
         self, registration_interval_s: float = REGISTRATION_INTERVAL_S
     ) -> None:
+        self.registration_interval_s = registration_interval_s
         self.routing: RoutingTable | None = None
         self.endpoints = EndpointList()
         endpoint_hold_s = (
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from acaciarelay.coordination.loop_budget import LoopBudget
+from acaciarelay.coordination.store_contact import StoreContact
 from acaciarelay.platform.configuration import OPERATOR_TABLE
 from acaciarelay.platform.store import (
     HistoryCompacted,
@@ -46,12 +47,9 @@
 READS_TO_A_LONG_ONE = 3
 # Mean time between the starts of two failing calls, if they fail sooner.
 RETRY_INTERVAL_S = 0.25
-# Failures that last longer than this count as an outage, in which registrations may
-# lapse.
-MIN_OUTAGE_S = 1.0
-# Endpoints whose rows are removed within this time after an outage are not dropped at
-# once, since they may register again.
-OUTAGE_GRACE_S = 0.4
+# A call that ends later than this after its time limit was held up by a pause of this
+# process, which may have hidden the answer.
+MAX_TIMER_DELAY_S = 0.3
 
 
 class _NextCall(enum.Enum):
@@ -67,20 +65,29 @@
     """State of the calls for one table; times are monotonic seconds.
 
     ``version`` is ``None`` while a complete read is due, and ``era`` is that of the
-    last one. ``failing_since`` is the time of the last success before the calls began
-    to fail, and ``failure_count`` how many have failed since. With ``probing`` the next
-    call asks for no wait, so that it tells soon whether the store answers.
+    last one. ``read_at`` is the time of the last answer that was applied, and
+    ``failure_count`` how many calls have failed since. Until ``restored_until`` the
+    rows of a restored store may lapse. With ``probing`` the next call asks for no wait,
+    so that it tells soon whether the store answers.
     """
 
-    last_success_at: float
+    read_at: float
     version: StoreVersion | None = None
     era: int = 0
-    failing_since: float | None = None
     failure_count: int = 0
-    grace_until: float = 0.0
+    restored_until: float = 0.0
     probing: bool = False
     task: asyncio.Task | None = None
 
+    @property
+    def is_failing(self) -> bool:
+        return self.failure_count > 0
+
+    @property
+    def waits(self) -> bool:
+        """Return whether the next call waits for changes."""
+        return self.version is not None and not self.probing and not self.is_failing
+
 
 class StoreFollower:
     """Follow each table with a feed of its own.
@@ -110,7 +117,8 @@
         self.silence_limit_s = silence_limit_s
         self.entry_count = entry_count
         now = time.monotonic()
-        self.feeds = {table: _Feed(last_success_at=now) for table in TABLES}
+        self.feeds = {table: _Feed(read_at=now) for table in TABLES}
+        self.contact = StoreContact(cache.registration_interval_s, now)
         # The newest era that a peer has made this follower ask for.
         self.probed_era = 0
 
@@ -124,10 +132,12 @@
         self.feeds[table].task = loop.create_task(self.follow(table))
 
     def probe(self) -> None:
-        """Call again at once for all tables, and give up the calls on their way.
+        """Call again at once for all tables, after a pause of this process.
 
-        What these deliver may be as old as their start.
+        What the calls on their way deliver may be as old as their start, and their
+        failures show nothing of the store.
         """
+        self.contact.is_unreachable = False
         for table, feed in self.feeds.items():
             self.call_again(table, feed)
 
@@ -198,19 +208,26 @@
 
     async def update(self, client: StoreClient, table: str, feed: _Feed) -> _NextCall:
         """Make one call for a table; return when the next one follows."""
+        began = time.monotonic()
+        shows_outage = not client.is_connected and not feed.waits
+        limit_s = self.call_limit_s(feed)
         match await self.next_page(client, table, feed):
             case Ok(RowPage() as page):
+                self.contact.record_answer(time.monotonic())
                 if self.is_new_era(feed, page.version.era):
                     return self.begin_era(table, feed, page.version.era)
                 self.apply(table, feed, page)
             case Err(HistoryCompacted(era=era)):
+                self.contact.record_answer(time.monotonic())
                 if self.is_new_era(feed, era):
                     return self.begin_era(table, feed, era)
                 log_event("store_history_gone", table=table, era=era)
                 feed.version = None
-            case Err(StoreError(detail=detail)):
-                feed.failure_count += 1
-                self.record_failure(table, feed, detail)
+            case Err(StoreError() as error):
+                is_on_time = time.monotonic() - began <= limit_s + MAX_TIMER_DELAY_S
+                if error.is_refusal or (shows_outage and is_on_time):
+                    self.contact.record_unreachable()
+                self.record_failure(table, feed, error.detail)
                 return _NextCall.AFTER_RETRY_INTERVAL
         return _NextCall.AFTER_INTERVAL
 
@@ -223,7 +240,7 @@
         log_event("store_era_began", table=table, era=era, known_era=feed.version.era)
         feed.version = None
         # Registrations in the copy are old, and may lapse at once.
-        feed.grace_until = time.monotonic() + REREGISTRATION_TIMEOUT_S
+        feed.restored_until = time.monotonic() + REREGISTRATION_TIMEOUT_S
         # The other feeds need not make this one ask again.
         feed.probing = True
         self.probe_other_feeds(feed)
@@ -232,16 +249,21 @@
     async def next_page(
         self, client: StoreClient, table: str, feed: _Feed
     ) -> Result[RowPage, StoreError | HistoryCompacted]:
-        longest_s = self.silence_limit_s - NEXT_CALL_S
+        limit_s = self.call_limit_s(feed)
         if feed.version is None:
-            return await client.read_table(table, self.read_limit_s(feed))
-        after = feed.version.number
-        if feed.probing or feed.failing_since is not None:
-            limit_s = self.silence_limit_s * PROBE_FRACTION
-            return await client.wait_for_changes(table, after, 0.0, limit_s)
+            return await client.read_table(table, limit_s)
         # A renewed registration is no change, so both feeds may be quiet for long.
-        wait_s = longest_s - ANSWER_MARGIN_S
-        return await client.wait_for_changes(table, after, wait_s, longest_s)
+        wait_s = limit_s - ANSWER_MARGIN_S if feed.waits else 0.0
+        after = feed.version.number
+        return await client.wait_for_changes(table, after, wait_s, limit_s)
+
+    def call_limit_s(self, feed: _Feed) -> float:
+        """Return the seconds after which the next call of a feed is given up."""
+        if feed.version is None:
+            return self.read_limit_s(feed)
+        if feed.waits:
+            return self.silence_limit_s - NEXT_CALL_S
+        return self.silence_limit_s * PROBE_FRACTION
 
     def read_limit_s(self, feed: _Feed) -> float:
         """Return the seconds after which a complete read is given up.
@@ -256,22 +278,24 @@
     def apply(self, table: str, feed: _Feed, page: RowPage) -> None:
         """Apply the rows of an answer, unless it is older than what is known."""
         now = time.monotonic()
-        if feed.failing_since is not None:
+        may_have_lapsed = self.contact.may_have_lapsed(feed.read_at, now)
+        if feed.is_failing:
             log_event(
                 "store_regained",
                 table=table,
                 era=page.version.era,
                 version=page.version.number,
+                failures=feed.failure_count,
+                unread_s=round(now - feed.read_at, 3),
+                was_unreachable=may_have_lapsed,
             )
-            if now - feed.failing_since > MIN_OUTAGE_S:
-                feed.grace_until = now + OUTAGE_GRACE_S
-        feed.failing_since = None
+        after_outage = may_have_lapsed or now < feed.restored_until
         feed.failure_count = 0
-        feed.last_success_at = now
+        feed.read_at = now
         feed.probing = False
         if feed.version is None:
             # Endpoints that a restored store has lost register again soon.
-            after_outage = page.version.era > feed.era or now < feed.grace_until
+            after_outage |= page.version.era > feed.era
             if not self.cache.apply_snapshot(table, page, after_outage):
                 return
             feed.era = page.version.era
@@ -279,22 +303,21 @@
             log_stale_read(table, page.version, feed.version)
             return
         else:
-            after_outage = now < feed.grace_until
             self.cache.apply_changes(table, page.rows, page.version, after_outage)
         feed.version = page.version
         self.cache.mark_read(table)
 
     def record_failure(self, table: str, feed: _Feed, detail: str) -> None:
         """Record a failed call; the first one makes the other feeds ask again."""
-        if feed.failing_since is not None:
+        feed.failure_count += 1
+        if feed.failure_count > 1:
             return
-        feed.failing_since = feed.last_success_at
         self.cache.mark_unreadable(table)
         log_event("store_lost", table=table, detail=detail)
         self.probe_other_feeds(feed)
 
     def probe_other_feeds(self, feed: _Feed) -> None:
         for table, other in self.feeds.items():
-            if other is feed or other.failing_since is not None or other.probing:
+            if other is feed or other.is_failing or other.probing:
                 continue
             self.call_again(table, other)
--- a/tests/unit/platform_path/store_fleet_model.py
+++ b/tests/unit/platform_path/store_fleet_model.py
@@ -54,6 +54,7 @@
     fleet: "StoreFleet"
     entry: "Entry"
     reusable: bool = True
+    silent: bool = False
     request: str = ""
     events: list[object] = attrs.Factory(list)
 
@@ -69,7 +70,7 @@
     async def exchange(self) -> None:
         entry, store = self.entry, self.fleet.store
         await asyncio.sleep(STORE_DELAY_S)
-        if entry.store_silent:
+        if entry.store_silent or self.silent:
             await asyncio.sleep(3600)
         if store.away:
             self.events = [ConnectionFault(FaultKind.RESET)]
@@ -84,6 +85,8 @@
             era, lost = answer.era, answer.lost
         await asyncio.sleep(entry.transit_s)
         await entry.thawed.wait()
+        if self.silent:
+            await asyncio.sleep(3600)
         if lost:
             self.events = [ConnectionFault(FaultKind.RESET)]
             return
@@ -155,6 +158,7 @@
     peers: Peers | None = None
     follower: StoreFollower | None = None
     ticking: asyncio.Task | None = None
+    connections: list[_StoreConnection] = attrs.Factory(list)
     on_change: Callable[["Entry"], None] = lambda entry: None
 
     @property
@@ -221,6 +225,11 @@
             self.check()
             await asyncio.sleep(TICK_S)
 
+    def silence_connections(self) -> None:
+        """Let the open connections to the store fall silent; new ones work."""
+        for connection in self.connections:
+            connection.silent = True
+
     def freeze(self) -> None:
         self.frozen_at = time.monotonic()
         self.thawed.clear()
@@ -276,7 +285,9 @@
         if self.store.away:
             await asyncio.sleep(STORE_DELAY_S)
             return Err(ConnectionFault(FaultKind.CONNECT))
-        return Ok(_StoreConnection(self, entry))
+        connection = _StoreConnection(self, entry)
+        entry.connections.append(connection)
+        return Ok(connection)
 
     def run(self, action: Callable[[], None] | None = None, wait_s: float = 0) -> None:
         """Run an action in the loop, and then what happens within a time."""
