Order a writer's rows within an era of the store too

Cause: within an era only the store's versions were compared. A late write has a newer version and is older by the order that its writer gave it (start, draining, sequence); that order was asked only across a restore, and there a removal was undone by a higher sequence too, although renewals are no change and aren't seen.

Change: CachedTable holds the row in force against one that may be late, until it is written again or has lasted longer than the store lists a registration that nobody renews. The order is typed: the incarnation, then the position in it. Nothing of an incarnation that was removed for certain or replaced is taken at once; one with an earlier time of start, after a clock was set back, comes into use after that time. Peers pass on what they hold, as they did over a restore, and an entry that reads only the late row takes it.

Ruled out: comparing the time of start by size (a sound runner would be left out for good after its clock was set back) and the sequence alone (see above).

--- a/src/acaciarelay/coordination/store_contact.py
+++ b/src/acaciarelay/coordination/store_contact.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["StoreContact"]
+__all__ = ["LAPSE_INTERVALS", "StoreContact"]
 
 # Intervals without a renewal after which the store removes a registration.
 LAPSE_INTERVALS = 3
--- a/src/acaciarelay/platform/configuration.py
+++ b/src/acaciarelay/platform/configuration.py
@@ -60,7 +60,7 @@
 def configuration_order(data: bytes) -> WriterOrder | None:
     """Return the operator's order of a configuration, ``None`` if it is unreadable."""
     try:
-        return (int(orjson.loads(data)["version"]),)
+        return WriterOrder(0, (int(orjson.loads(data)["version"]),))
     except (ValueError, KeyError, TypeError, OverflowError):
         return None
 
--- a/src/acaciarelay/platform/endpoints.py
+++ b/src/acaciarelay/platform/endpoints.py
@@ -71,7 +71,7 @@
         draining = DRAINING_BY_STATE[_text(raw["state"])]
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
-    return (started_ms, int(draining), sequence)
+    return WriterOrder(started_ms, (int(draining), sequence))
 
 
 def _text(value: Any) -> str:
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import binascii
+import math
 import time
 from collections.abc import Callable, Iterable
 
 import attrs
 import eliot
 
+from acaciarelay.coordination.store_contact import LAPSE_INTERVALS
 from acaciarelay.platform.configuration import (
     CONFIGURATION_KEY,
     ENDPOINT_TABLE,
@@ -44,6 +46,8 @@
 # The store removes the registration of a lost endpoint after this many intervals, and
 # an endpoint that is alive has written its own again by then.
 HOLD_INTERVALS = 5
+# Time in which the removal of a registration that nobody renews is read.
+MAX_READ_DELAY_S = 2.4
 REGISTRATION_INTERVAL_S = 1.2
 
 # Stands for the word of any peer among what has to be confirmed.
@@ -77,14 +81,19 @@
         endpoint_hold_s = (
             HOLD_INTERVALS * registration_interval_s + REREGISTRATION_TIMEOUT_S
         )
+        endpoint_doubt_s = LAPSE_INTERVALS * registration_interval_s + MAX_READ_DELAY_S
         self.tables = {
             OPERATOR_TABLE: _TableState(
+                # The operator's versions rise, so one that is lower is late for good.
                 CachedTable(
-                    configuration_order, CONFIGURATION_HOLD_S, holds_removed=True
+                    configuration_order,
+                    CONFIGURATION_HOLD_S,
+                    math.inf,
+                    holds_removed=True,
                 )
             ),
             ENDPOINT_TABLE: _TableState(
-                CachedTable(registration_order, endpoint_hold_s)
+                CachedTable(registration_order, endpoint_hold_s, endpoint_doubt_s)
             ),
         }
         # The row of the configuration in force.
