Ask an endpoint that is listed again after its removal whether it serves

What callers would see: a sound runner that lapsed behind a partition, while the store was in reach, and came back with the same start would get nothing for 6 s, since its row can't be told from a late write of a runner that left.

--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -30,7 +30,7 @@
 )
 from acaciarelay.protocol.link_messages import PeerRow
 from acaciarelay.state.cached_table import CachedTable, StoreRow
-from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S, EndpointList
+from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S, Endpoint, EndpointList
 from acaciarelay.state.routing import RoutingTable
 from acaciarelay.state.store_era import StoreVersion
 
@@ -206,6 +206,30 @@
             if changed:
                 self._notify_listeners(table)
 
+    def returned_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints that are listed again after their certain removal.
+
+        They are not in use while a late write may have listed them.
+        """
+        endpoints = []
+        for row in self.tables[ENDPOINT_TABLE].cached.returned_rows():
+            assert row.value is not None
+            try:
+                endpoint = decode_endpoint(row.key, row.value)
+            except FormatError:
+                continue
+            if self.endpoints.is_usable(endpoint):
+                endpoints.append(endpoint)
+        return endpoints
+
+    def confirm_returned(self, endpoint: Endpoint) -> None:
+        """Use an endpoint that is listed again, as it has said that it serves."""
+        if endpoint not in self.returned_endpoints():
+            return
+        row = self.tables[ENDPOINT_TABLE].cached.end_hold(endpoint.endpoint_id)
+        if row is not None and self._apply_row(ENDPOINT_TABLE, row, False):
+            self._notify_listeners(ENDPOINT_TABLE)
+
     def mark_read(self, table: str) -> None:
         """Record that the store has just told the newest rows of a table."""
         state = self.tables[table]
--- a/src/acaciarelay/state/cached_table.py
+++ b/src/acaciarelay/state/cached_table.py
@@ -133,6 +133,24 @@
         self.doubt_until[key] = -math.inf
         return row
 
+    def returned_rows(self) -> list[StoreRow]:
+        """Return the rows held off as removed whose writers may be alive.
+
+        By their order, a late write and a writer that lapsed unnoticed look alike.
+        """
+        returned = []
+        for key, in_force in self.held.items():
+            row = self.rows[key]
+            if row.value is None or in_force.value is not None:
+                continue
+            order, last = self._order(row), self._order(in_force)
+            if order is None or last is None:
+                continue
+            if order.incarnation != last.incarnation or order.position < last.position:
+                continue
+            returned.append(row)
+        return returned
+
     def replace_all(
         self, rows: Iterable[StoreRow], version: StoreVersion
     ) -> list[StoreRow]:
