Keep connections whose peers read slowly; end those whose peers are gone

Endpoints that read a request's body slowly were cut after 4 s with 502, and links between own processes after 3.2 s.

Cause: TCP_USER_TIMEOUT also bounds how long data waits for the peer's window, counted from the first probe of it, although the peer acknowledges every probe; a window that opens by less than the first segment doesn't end that time.

Change: PeerWatch, on connections to callers, endpoints and own processes, turns the option off while data waits for the window, and asks the kernel each 0.5 s whether the peer's host leaves retransmissions or probes of the window unanswered (PeerLiveness, pure). A peer that is reachable and reads nothing is bounded by memory and by the time limit of its request, a response without one by 15 s. Keep-alive probes of idle connections follow the same limit.

Ruled out: a larger option (a gone peer is noticed later, a slow one still cut); progress of reading alone (a caller may pause).

Tests, over real sockets whose peers have small buffers: test_peer_watch (slow, reading nothing, vanished behind a closed window and with data in flight; callers, endpoints, links), test_slow_uploads, test_peer_liveness.

--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -121,6 +121,7 @@
             self.refuse(connection, admitted, request)
             return
         relayed = admitted
+        connection.allow_reading_until(relayed.deadline)
         try:
             async with self.drain.time_limit(relayed):
                 refusal = await self.serve(connection, request, relayed)
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -16,15 +16,14 @@
 from acaciarelay.protocol.answer_head import HeadGate, HeadTooLargeError
 from acaciarelay.protocol.http_message import Header, encode_headers
 from acaciarelay.transport.bounded_reads import BoundedReads
+from acaciarelay.transport.peer_watch import PeerWatch
 from acaciarelay.transport.request_sender import RequestSender
-from acaciarelay.transport.sockets import (
-    enable_dead_peer_detection,
-    end_transmission,
-)
+from acaciarelay.transport.sockets import end_transmission
 
 __all__ = ["ConnectionFault", "EndpointConnection", "FaultKind", "connect"]
 
-TCP_USER_TIMEOUT_S = 4.0
+# An endpoint whose host acknowledges nothing for this long is gone.
+PEER_TIMEOUT_S = 4.0
 # Bytes that are read in one step, and of a body that are parsed at once.
 READ_BYTES = 16_384
 PARSE_BYTES = 4_096
@@ -82,6 +81,8 @@
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_LINE_BYTES)
         self.heads = HeadGate()
         self.transport: asyncio.Transport | None = None
+        # Present once the connection is open.
+        self.peer_watch: PeerWatch | None = None
         self.events: collections.deque[h11.Event | ConnectionFault] = (
             collections.deque()
         )
@@ -98,10 +99,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        enable_dead_peer_detection(transport, TCP_USER_TIMEOUT_S)
+        self.peer_watch = PeerWatch(transport, PEER_TIMEOUT_S, self.end_by_gone_peer)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.loop_time.close()
+        if self.peer_watch is not None:
+            self.peer_watch.close()
         if self.stall_timer is not None:
             self.stall_timer.cancel()
         if exc is None and self.fault is None:
@@ -110,6 +113,10 @@
             kind = FaultKind.RESET if exc is not None else FaultKind.CLOSED
             self._fail(ConnectionFault(kind, str(exc or "")))
 
+    def end_by_gone_peer(self) -> None:
+        """End a connection whose endpoint can't be reached any more."""
+        self._fail(ConnectionFault(FaultKind.RESET, "the endpoint is gone"))
+
     def eof_received(self) -> bool:
         self._receive(b"")
         if self.fault is None:
@@ -276,7 +283,8 @@
         self, method: str, target: str, headers: Sequence[Header], body: bytes
     ) -> None:
         """Write a complete request; from then on the endpoint may have received it."""
-        assert self.transport is not None
+        assert self.transport is not None and self.peer_watch is not None
+        self.peer_watch.record_write()
         head = self.http.send(
             h11.Request(method=method, target=target, headers=encode_headers(headers))
         )
@@ -294,7 +302,8 @@
         self, method: str, target: str, headers: Sequence[Header], body: bytes
     ) -> None:
         """Send a request like ``send``, as fast as the endpoint reads it."""
-        assert self.transport is not None
+        assert self.transport is not None and self.peer_watch is not None
+        self.peer_watch.record_write()
         self.sender = RequestSender(self.http, self.transport, self.record_progress)
         self.sender.send(method, target, headers, body)
 
@@ -305,6 +314,8 @@
     def resume_writing(self) -> None:
         if self.sender is not None:
             self.sender.resume()
+        if self.peer_watch is not None:
+            self.peer_watch.record_write()
 
     async def next_event(self) -> h11.Event | ConnectionFault:
         """Return the next event of the response, or the fault that ended it.
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -13,17 +13,14 @@
 from acaciarelay.state.routing import CallerLimits
 from acaciarelay.transport.buffered_output import AnswerOutputs
 from acaciarelay.transport.connection_phase import ClosedBy, Phase
+from acaciarelay.transport.peer_watch import PeerWatch
 from acaciarelay.transport.read_gate import ReadGate
 from acaciarelay.transport.request_reader import RequestReader
 from acaciarelay.transport.response_output import (
     CallerDisconnectedError,
     ResponseOutput,
 )
-from acaciarelay.transport.sockets import (
-    enable_dead_peer_detection,
-    reset_at_close,
-    unacknowledged_bytes,
-)
+from acaciarelay.transport.sockets import reset_at_close, unacknowledged_bytes
 
 __all__ = [
     "CallerDisconnectedError",
@@ -33,8 +30,10 @@
 
 # HTTP version in which a response of unknown length ends with its connection.
 HTTP_1_0 = b"1.0"
-# A caller that acknowledges no data for this long is treated as disconnected.
-TCP_USER_TIMEOUT_S = 8.0
+# A caller whose host acknowledges nothing for this long is gone.
+PEER_TIMEOUT_S = 8.0
+# Time in which a caller reads a response that has no time limit of its own.
+READ_LIMIT_S = 15.0
 # Time in which a refused caller may finish sending, so that closing does not reset the
 # connection before it has read the response.
 LINGER_S = 1.0
@@ -70,9 +69,12 @@
         self.on_refusal = on_refusal
         self.registry = registry
         self.loop_budget = loop_budget
-        # Both are present once the connection is open.
+        # These are present once the connection is open.
         self.output: ResponseOutput | None = None
         self.transport: asyncio.Transport | None = None
+        self.peer_watch: PeerWatch | None = None
+        # Event loop time after which a response that is not read is given up.
+        self.read_until = 0.0
         # When the connection was opened, or its last response was written.
         self.idle_since = self.loop.time()
         self.task: asyncio.Task | None = None
@@ -97,7 +99,7 @@
             self.output = ResponseOutput(transport)
         else:
             self.output = self.answers.open(transport)
-        enable_dead_peer_detection(transport, TCP_USER_TIMEOUT_S)
+        self.peer_watch = PeerWatch(transport, PEER_TIMEOUT_S, self.end_by_gone_peer)
         self.set_timer(self.limits().idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -106,6 +108,8 @@
         self.phase = Phase.CLOSING
         is_timeout = isinstance(exc, TimeoutError)
         self.record_end(ClosedBy.NETWORK if is_timeout else ClosedBy.CALLER)
+        if self.peer_watch is not None:
+            self.peer_watch.close()
         if self.gate is not None:
             self.gate.close()
         if self.parse_handle is not None:
@@ -118,6 +122,12 @@
         if self.output is not None:
             self.output.close()
 
+    def end_by_gone_peer(self) -> None:
+        """End a connection whose caller can't be reached any more."""
+        self.record_end(ClosedBy.NETWORK)
+        if self.transport is not None:
+            self.transport.abort()
+
     def record_end(self, closed_by: ClosedBy) -> None:
         """Record who ends the connection, unless it was ended before."""
         if self.closed_by is None:
@@ -144,6 +154,8 @@
     def resume_writing(self) -> None:
         if self.output is not None:
             self.output.resume()
+        if self.peer_watch is not None:
+            self.peer_watch.record_write()
 
     # Requests.
 
@@ -154,6 +166,7 @@
         self.body = bytearray()
         self.phase = Phase.RESPONSE
         self.response_started = False
+        self.read_until = self.loop.time() + READ_LIMIT_S
         self.set_timer(None)
         self.pending += self.http.trailing_data[0]
         self.task = self.loop.create_task(self.run(request))
@@ -173,7 +186,9 @@
         if self.output is not None and self.output.call_when_flushed(
             self.finish_request
         ):
+            self.set_timer(max(0.0, self.read_until - self.loop.time()))
             return
+        self.set_timer(None)
         if self.http.our_state is h11.MUST_CLOSE:
             self.phase = Phase.CLOSING
             self.close_after_response()
@@ -257,6 +272,12 @@
             self.output.transport.close()
             return
         self.output.write(data or b"", flush)
+        if flush and self.peer_watch is not None:
+            self.peer_watch.record_write()
+
+    def allow_reading_until(self, deadline: float) -> None:
+        """Let the caller read the response up to its time limit, an event loop time."""
+        self.read_until = max(self.read_until, deadline)
 
     async def drain(self) -> None:
         """Wait until the caller accepts more data.
@@ -317,7 +338,12 @@
                 self.reject(refuse("head_too_slow"))
             case Phase.BODY:
                 self.reject(refuse("body_too_slow"))
+            case Phase.RESPONSE:
+                self.reset()
             case Phase.CLOSING if self.unsent_bytes:
+                if self.loop.time() >= self.read_until:
+                    self.reset()
+                    return
                 self.set_timer(LINGER_S)
             case Phase.CLOSING:
                 self.abort()
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -24,8 +24,8 @@
     encode_message,
 )
 from acaciarelay.transport.bounded_reads import BoundedReads
+from acaciarelay.transport.peer_watch import PeerWatch
 from acaciarelay.transport.read_gate import PauseReason, ReadGate
-from acaciarelay.transport.sockets import enable_dead_peer_detection
 
 __all__ = [
     "SLOW_HEARTBEAT_INTERVAL_S",
@@ -45,6 +45,8 @@
 # probes the connection meanwhile.
 QUIET_HEARTBEAT_INTERVAL_S = 4.0
 QUIET_SILENCE_TIMEOUT_S = 10.0
+# A peer whose host acknowledges nothing for this long is gone.
+PEER_TIMEOUT_S = 2 * SILENCE_TIMEOUT_S
 PING_INTERVAL_S = 2.0
 # Interval of the checks for due heartbeats and for silence.
 TICK_S = 0.1
@@ -127,6 +129,8 @@
         self.handlers = handlers
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
+        # Present once the link is connected.
+        self.peer_watch: PeerWatch | None = None
         # The peer's hello once it has arrived, which opens the link.
         self.peer: Hello | None = None
         self.opened_at = 0.0
@@ -150,7 +154,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        enable_dead_peer_detection(transport, SILENCE_TIMEOUT_S * 2)
+        self.peer_watch = PeerWatch(transport, PEER_TIMEOUT_S, self.close)
         name = transport.get_extra_info("peername")
         self.peer_host = name[0] if name else ""
         loop_time = self.ticker.loop_budget.open(Reader.LINK, self.peer_host)
@@ -260,6 +264,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.ticker.discard(self)
+        if self.peer_watch is not None:
+            self.peer_watch.close()
         if self.gate is not None:
             self.gate.close()
         if not self.closed_future.done():
@@ -277,6 +283,8 @@
             return
         self.last_sent_at = self.loop.time()
         self.transport.write(line)
+        if self.peer_watch is not None:
+            self.peer_watch.record_write()
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.close()
 
--- a/src/acaciarelay/transport/sockets.py
+++ b/src/acaciarelay/transport/sockets.py
@@ -15,13 +15,14 @@
     "end_transmission",
     "limit_unread_bytes",
     "listen",
+    "queued_bytes",
     "reset_at_close",
+    "set_user_timeout",
     "unacknowledged_bytes",
 ]
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
 # Receive buffer of a connection whose peer may send much while nothing is read from it.
 # The kernel doubles it; the default grows to megabytes.
 UNREAD_BYTES = 65_536
@@ -30,23 +31,25 @@
 
 
 def enable_dead_peer_detection(
-    transport: asyncio.BaseTransport,
-    user_timeout_s: float,
-    probes: int = KEEPALIVE_PROBES,
+    transport: asyncio.BaseTransport, limit_s: float
 ) -> None:
-    """Abort a connection whose peer no longer acknowledges data or probes.
-
-    ``user_timeout_s`` limits the time for which sent data may stay unacknowledged.
-    """
+    """Abort a connection whose peer acknowledges no data or probes for ``limit_s``."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
     tcp = socket.IPPROTO_TCP
+    probes = max(1, round((limit_s - KEEPALIVE_IDLE_S) / KEEPALIVE_INTERVAL_S))
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, probes)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, int(user_timeout_s * 1000))
+    set_user_timeout(sock, limit_s)
+
+
+def set_user_timeout(sock: socket.socket, limit_s: float) -> None:
+    """Limit how long sent data may stay unacknowledged; 0 stands for no limit."""
+    timeout_ms = int(limit_s * 1000)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
 def limit_unread_bytes(transport: asyncio.BaseTransport) -> None:
@@ -82,12 +85,19 @@
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
         return unsent
+    return unsent + (queued_bytes(sock) or 0)
+
+
+def queued_bytes(sock: socket.socket) -> int | None:
+    """Return the bytes in the kernel that the peer's host hasn't acknowledged.
+
+    Not every kernel tells it; ``None`` stands for one that doesn't.
+    """
     try:
         queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
     except OSError:
-        # Not every kernel tells it.
-        return unsent
-    return unsent + struct.unpack("i", queued)[0]
+        return None
+    return int(struct.unpack("i", queued)[0])
 
 
 def listen(host: str, port: int, backlog: int) -> socket.socket:
