Take an answer with an invalid status for none

Statuses 000, 001, 099 and those that aren't three digits were not passed on before either.

Cause: the HTTP parser accepts statuses up to 999; HTTP has five classes, up to 599. Such bytes are no answer in the protocol.

Change: both HTTP clients fail a connection with such a status as malformed. What may run again goes elsewhere; anything else gets 502, outcome unknown.

--- a/src/acaciarelay/protocol/http_message.py
+++ b/src/acaciarelay/protocol/http_message.py
@@ -6,6 +6,7 @@
 import h11
 
 __all__ = [
+    "MAX_STATUS",
     "REQUEST_ID_HEADER",
     "Header",
     "HttpRequest",
@@ -16,6 +17,9 @@
 
 REQUEST_ID_HEADER = "acaciarelay-request-id"
 
+# The five classes of statuses (RFC 9110, section 15) end here; the parser allows more.
+MAX_STATUS = 599
+
 Header = tuple[str, str]
 
 # Fields that are not forwarded: the hop-by-hop fields (RFC 9110, section 7.6.1), Host,
--- a/src/acaciarelay/transport/endpoint_call.py
+++ b/src/acaciarelay/transport/endpoint_call.py
@@ -14,7 +14,7 @@
 
 from acaciarelay.coordination.loop_budget import LoopBudget, LoopTime, Reader
 from acaciarelay.protocol.answer_head import HeadGate, HeadTooLargeError
-from acaciarelay.protocol.http_message import Header, encode_headers
+from acaciarelay.protocol.http_message import MAX_STATUS, Header, encode_headers
 from acaciarelay.transport.bounded_reads import BoundedReads
 from acaciarelay.transport.peer_watch import PeerWatch
 from acaciarelay.transport.request_sender import RequestSender
@@ -222,6 +222,9 @@
                     continue
                 case h11.ConnectionClosed():
                     return
+                case h11.Response(status_code=status) if status > MAX_STATUS:
+                    self._fail_malformed(f"invalid status {status}")
+                    return
                 case h11.Response():
                     self.record_progress()
                 case h11.EndOfMessage(headers=trailers):
--- a/src/acaciarelay/transport/http_client.py
+++ b/src/acaciarelay/transport/http_client.py
@@ -9,7 +9,7 @@
 import h11
 from result import Err, Ok, Result
 
-from acaciarelay.protocol.http_message import Header
+from acaciarelay.protocol.http_message import MAX_STATUS, Header
 
 __all__ = [
     "ClientExchange",
@@ -115,6 +115,8 @@
         match await self.next_event(self.limits.head_timeout_s):
             case Err(error):
                 return error
+            case Ok(h11.Response(status_code=status)) if status > MAX_STATUS:
+                return HttpError(HttpFault.SENT, f"invalid status {status}")
             case Ok(h11.Response() as response):
                 self.status = response.status_code
                 self.headers = [
