Split the list of endpoints by rows from the state cache

EndpointRows puts the rows of the endpoint table in force; behaviour is unchanged. The test of an error in a row names the module in which the row is decoded now.

--- /dev/null
+++ b/src/acaciarelay/programs/endpoint_rows.py
@@ -0,0 +1,61 @@
+"""Apply the rows of the endpoint table to the list of endpoints."""
+
+import time
+
+from acaciarelay.platform.configuration import ENDPOINT_TABLE, FormatError
+from acaciarelay.platform.endpoints import decode_endpoint
+from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.row_logs import log_changed_endpoint, log_unreadable_row
+from acaciarelay.state.cached_table import CachedTable, StoreRow
+from acaciarelay.state.endpoints import Endpoint, EndpointList
+
+__all__ = ["EndpointRows"]
+
+
+class EndpointRows:
+    """Keep the list of endpoints by the rows in force of ``cached``."""
+
+    def __init__(self, cached: CachedTable) -> None:
+        self.cached = cached
+        self.endpoints = EndpointList()
+
+    def apply(self, row: StoreRow, after_outage: bool) -> bool:
+        """Put a row in force; ``True`` when the list changed.
+
+        With ``after_outage`` a removed endpoint stays listed, as it may have lapsed.
+        """
+        if row.value is None:
+            return self._remove(row, after_outage)
+        try:
+            endpoint = decode_endpoint(row.key, row.value)
+        except FormatError as error:
+            log_unreadable_row(ENDPOINT_TABLE, row, error)
+            # Some other writer's row has replaced the registration.
+            return self.endpoints.remove(row.key)
+        changed = self.endpoints.upsert(endpoint)
+        if changed:
+            log_changed_endpoint(row, endpoint)
+        return changed
+
+    def _remove(self, row: StoreRow, after_outage: bool) -> bool:
+        if after_outage:
+            self.endpoints.mark_missing(row.key, time.monotonic())
+            log_event("endpoint_missing", endpoint=row.key, version=row.version.number)
+            return False
+        removed = self.endpoints.remove(row.key)
+        if removed:
+            log_event("endpoint_removed", endpoint=row.key, version=row.version.number)
+        return removed
+
+    def returned(self) -> list[Endpoint]:
+        """Return the endpoints that are listed again and held off as removed."""
+        endpoints = []
+        for row in self.cached.returned_rows():
+            assert row.value is not None
+            try:
+                endpoint = decode_endpoint(row.key, row.value)
+            except FormatError:
+                continue
+            if self.endpoints.is_usable(endpoint):
+                endpoints.append(endpoint)
+        return endpoints
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -18,19 +18,19 @@
     configuration_order,
     decode_configuration,
 )
-from acaciarelay.platform.endpoints import decode_endpoint, registration_order
+from acaciarelay.platform.endpoints import registration_order
 from acaciarelay.platform.store import RowPage
+from acaciarelay.programs.endpoint_rows import EndpointRows
 from acaciarelay.programs.logs import log_event, run_steps
 from acaciarelay.programs.peer_rows import decode_row, encode_row
 from acaciarelay.programs.row_logs import (
-    log_changed_endpoint,
     log_held_row,
     log_stale_read,
     log_unreadable_row,
 )
 from acaciarelay.protocol.link_messages import PeerRow
 from acaciarelay.state.cached_table import CachedTable, StoreRow
-from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S, Endpoint, EndpointList
+from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S, Endpoint
 from acaciarelay.state.routing import RoutingTable
 from acaciarelay.state.store_era import StoreVersion
 
@@ -77,7 +77,6 @@
     ) -> None:
         self.registration_interval_s = registration_interval_s
         self.routing: RoutingTable | None = None
-        self.endpoints = EndpointList()
         endpoint_hold_s = (
             HOLD_INTERVALS * registration_interval_s + REREGISTRATION_TIMEOUT_S
         )
@@ -96,6 +95,8 @@
                 CachedTable(registration_order, endpoint_hold_s, endpoint_doubt_s)
             ),
         }
+        self.endpoint_rows = EndpointRows(self.tables[ENDPOINT_TABLE].cached)
+        self.endpoints = self.endpoint_rows.endpoints
         # The row of the configuration in force.
         self.configuration_row: StoreRow | None = None
         # Set while the cache may be acted on, which is not so just after a pause.
@@ -211,16 +212,7 @@
 
         They are not in use while a late write may have listed them.
         """
-        endpoints = []
-        for row in self.tables[ENDPOINT_TABLE].cached.returned_rows():
-            assert row.value is not None
-            try:
-                endpoint = decode_endpoint(row.key, row.value)
-            except FormatError:
-                continue
-            if self.endpoints.is_usable(endpoint):
-                endpoints.append(endpoint)
-        return endpoints
+        return self.endpoint_rows.returned()
 
     def confirm_returned(self, endpoint: Endpoint) -> None:
         """Use an endpoint that is listed again, as it has said that it serves."""
@@ -336,7 +328,7 @@
         try:
             if table == OPERATOR_TABLE:
                 return self._apply_operator_row(row)
-            return self._apply_endpoint(row, after_outage)
+            return self.endpoint_rows.apply(row, after_outage)
         except Exception:
             eliot.write_traceback()
             return False
@@ -390,31 +382,6 @@
             return
         log_held_row(table, row, held)
 
-    def _apply_endpoint(self, row: StoreRow, after_outage: bool) -> bool:
-        if row.value is None:
-            if after_outage:
-                self.endpoints.mark_missing(row.key, time.monotonic())
-                log_event(
-                    "endpoint_missing", endpoint=row.key, version=row.version.number
-                )
-                return False
-            removed = self.endpoints.remove(row.key)
-            if removed:
-                log_event(
-                    "endpoint_removed", endpoint=row.key, version=row.version.number
-                )
-            return removed
-        try:
-            endpoint = decode_endpoint(row.key, row.value)
-        except FormatError as error:
-            log_unreadable_row(ENDPOINT_TABLE, row, error)
-            # Some other writer's row has replaced the registration.
-            return self.endpoints.remove(row.key)
-        changed = self.endpoints.upsert(endpoint)
-        if changed:
-            log_changed_endpoint(row, endpoint)
-        return changed
-
     def expire_endpoints(self) -> None:
         """Drop the endpoints that did not register again after an outage."""
         expired = self.endpoints.expire(time.monotonic())
--- a/src/acaciarelay/transport/inbound_server.py
+++ b/src/acaciarelay/transport/inbound_server.py
@@ -69,7 +69,7 @@
         self.on_refusal = on_refusal
         self.registry = registry
         self.loop_budget = loop_budget
-        # These are present once the connection is open.
+        # These three are present once the connection is open.
         self.output: ResponseOutput | None = None
         self.transport: asyncio.Transport | None = None
         self.peer_watch: PeerWatch | None = None
--- a/tests/unit/platform_path/test_errors_in_changes.py
+++ b/tests/unit/platform_path/test_errors_in_changes.py
@@ -4,7 +4,7 @@
 import pytest
 from relay_rig import configuration, registration
 
-from acaciarelay.programs import relay_state_cache
+from acaciarelay.programs import endpoint_rows, relay_state_cache
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.state.cached_table import StoreRow
 from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S
@@ -44,16 +44,19 @@
 
 
 @pytest.mark.parametrize(
-    ("table", "decode"),
-    [("op", "decode_configuration"), ("servers", "decode_endpoint")],
+    ("table", "module", "decode"),
+    [
+        ("op", relay_state_cache, "decode_configuration"),
+        ("servers", endpoint_rows, "decode_endpoint"),
+    ],
 )
-def test_an_error_in_a_row_hides_no_later_row(table, decode, monkeypatch):
+def test_an_error_in_a_row_hides_no_later_row(table, module, decode, monkeypatch):
     """Guards against a feed of the store that one odd row ends for good."""
     cache = StateCache()
     calls = []
     listeners(cache, table).append(lambda: calls.append(table))
     with monkeypatch.context() as patch:
-        patch.setattr(relay_state_cache, decode, fail)
+        patch.setattr(module, decode, fail)
         apply(cache, table, 1)
     assert calls == []
     apply(cache, table, 2)
