--- a/src/acaciarelay/transport/peer_watch.py
+++ b/src/acaciarelay/transport/peer_watch.py
@@ -66,6 +66,8 @@
         on_gone: Callable[[], None],
     ) -> None:
         self.sock: socket.socket | None = transport.get_extra_info("socket")
+        name = transport.get_extra_info("peername")
+        self.peer_host = name[0] if name else ""
         self.limit_s = limit_s
         self.on_gone = on_gone
         self.liveness = PeerLiveness(limit_s)
@@ -96,6 +98,12 @@
             self._set_timeout_off(True)
         if self.is_timeout_off and self.liveness.is_gone(state, now):
             self.close()
+            eliot.log_message(
+                "peer_gone",
+                peer=self.peer_host,
+                queued_bytes=state.queued_bytes,
+                unanswered=state.unanswered,
+            )
             self.on_gone()
 
     def _set_timeout_off(self, is_off: bool) -> None:
--- a/tests/integration/test_peer_watch.py
+++ b/tests/integration/test_peer_watch.py
@@ -13,7 +13,12 @@
 from acaciarelay.coordination.memory_budget import MemoryBudget
 from acaciarelay.protocol.link_messages import Heartbeat, Hello, encode_message
 from acaciarelay.state.routing import CallerLimits
-from acaciarelay.transport import endpoint_call, inbound_server, message_link
+from acaciarelay.transport import (
+    endpoint_call,
+    inbound_server,
+    message_link,
+    peer_watch,
+)
 from acaciarelay.transport.buffered_output import AnswerOutputs
 from acaciarelay.transport.endpoint_call import connect
 from acaciarelay.transport.inbound_server import InboundConnection
@@ -232,8 +237,14 @@
 
 @pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("reads_s", [0.0, 2.0], ids=["never read", "read slowly"])
-async def test_a_peer_that_vanishes_with_data_unread_is_ended_in_seconds(kind, reads_s):
+async def test_a_peer_that_vanishes_with_data_unread_is_ended_in_seconds(
+    kind, reads_s, monkeypatch
+):
     """Guards against gone peers behind a closed window, which no timeout ends."""
+    logged = []
+    monkeypatch.setattr(
+        peer_watch.eliot, "log_message", lambda name, **fields: logged.append(name)
+    )
     async with Connection(kind) as connection:
         if reads_s:
             await connection.peer.read_slowly(reads_s)
@@ -243,6 +254,7 @@
             task.cancel()
         connection.peer.vanish()
         await connection.until_closed(GONE_S)
+    assert logged == ["peer_gone"]
 
 
 async def test_a_peer_that_vanishes_while_data_is_in_flight_is_ended_in_seconds():
