Settle a doubtful registration by its renewals alone

An answer that turns a request away unrun doesn't tell.

Change: EndpointInquiries is taken out again. A doubt ends after the time of the other holds, 8.2 s in place of 6 s: late writes may come in series, and each renews the row for three intervals.

What it costs: a sound runner that lapsed while the store was in reach, behind a partition, is out of use for 8.2 s after its return. After an outage of the store it is in use at once, as before.

--- a/src/acaciarelay/coordination/store_contact.py
+++ b/src/acaciarelay/coordination/store_contact.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["LAPSE_INTERVALS", "StoreContact"]
+__all__ = ["StoreContact"]
 
 # Intervals without a renewal after which the store removes a registration.
 LAPSE_INTERVALS = 3
--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -14,7 +14,6 @@
 from acaciarelay.protocol.http_message import Header, end_to_end_headers
 
 __all__ = [
-    "INQUIRY_PATH",
     "READY_PATH",
     "REPORT_PATH",
     "AnswerTraits",
@@ -27,14 +26,12 @@
     "decode_request_id",
     "decode_retry_after",
     "endpoint_headers",
-    "inquiry_headers",
     "retry_after_header",
     "shared_part_ids",
 ]
 
 READY_PATH = "/ready"
 REPORT_PATH = "/report"
-INQUIRY_PATH = "/"
 
 _ATTEMPT = "attempt-id"
 _TIME_LIMIT = "deadline-ms"
@@ -46,14 +43,11 @@
 _LAST_EVENT = "last-event-id"
 _PROMPT_PARTS = "prompt-prefix"
 _SEAL = "runner-seal"
-_ENDPOINT = "runner-id"
 _NOT_RUN = "not-executed"
 _LOAD = "runner-load"
 _LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
 _ENCODING = "content-encoding"
-# Id of no endpoint: whichever gets a request for it turns it away unrun.
-_NO_ENDPOINT = "-"
 # Digits of the whole numbers that are read. Sums and products of longer ones might not
 # fit the calculations.
 MAX_DIGITS = 12
@@ -129,8 +123,7 @@
     ``sealed`` is true when it has the runner's seal, without which no answer is passed
     on to the caller; ``not_run`` when the endpoint reports that it did not run the
     request; ``encoded`` when the body has a content encoding; ``leaving`` when the
-    endpoint reports that it leaves. ``endpoint_id`` is the id of the endpoint, if it
-    tells. ``retry_after_s`` is how long a refusing endpoint
+    endpoint reports that it leaves. ``retry_after_s`` is how long a refusing endpoint
     wants nothing from this process. ``load_text`` is the load report as received, and
     ``load`` what it says, ``None`` if it is unreadable.
     """
@@ -140,7 +133,6 @@
     not_run: bool
     encoded: bool
     leaving: bool
-    endpoint_id: str | None
     retry_after_s: float | None
     load_text: str | None
     load: LoadReport | None
@@ -273,11 +265,6 @@
     return headers
 
 
-def inquiry_headers(host: str) -> list[Header]:
-    """Build the head of a request that any endpoint answers without running it."""
-    return [("Host", host), (_EXPECTED_ENDPOINT, _NO_ENDPOINT)]
-
-
 def decode_answer(headers: list[Header]) -> AnswerTraits:
     """Decode the head of an endpoint's answer."""
     fields = dict(headers)
@@ -287,7 +274,6 @@
         not_run=_NOT_RUN in fields,
         encoded=_ENCODING in fields,
         leaving=_LEAVING in fields,
-        endpoint_id=fields.get(_ENDPOINT),
         retry_after_s=decode_retry_after(headers),
         load_text=fields.get(_LOAD),
         load=decode_load(headers),
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -51,12 +51,6 @@
         ("link", "direction"),
         "Message bytes on sessions, by link: zone, region or wan.",
     ),
-    Metric(
-        "acaciarelay_inquiries_total",
-        "counter",
-        ("outcome",),
-        "Endpoints asked whether they serve, by outcome: serves, leaves or unknown.",
-    ),
     Metric(
         "acaciarelay_session_losses_total",
         "counter",
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -21,7 +21,6 @@
 from acaciarelay.programs.caller_server import CallerServer
 from acaciarelay.programs.crash_guard import CrashGuard
 from acaciarelay.programs.decision_log import configure_decision_log
-from acaciarelay.programs.endpoint_inquiries import EndpointInquiries
 from acaciarelay.programs.entry_granters import EntryGranters
 from acaciarelay.programs.entry_stop import EntryStop
 from acaciarelay.programs.logs import log_event, run_steps
@@ -163,7 +162,6 @@
             self.loop_budget,
         )
         self.peers.on_era = self.follower.probe_era
-        self.inquiries = EndpointInquiries(self.cache, self.metrics)
         self.callers = CallerServer(self.build_inbound, self.connections)
         self.granters = EntryGranters(
             self.hello, settings.zones, self.slot_client, self.peers, self.metrics
@@ -219,7 +217,6 @@
                 self.granters.tick,
                 self.cache.expire_endpoints,
                 self.cache.release_holds,
-                self.inquiries.tick,
                 self.update_gauges,
             )
         )
@@ -378,7 +375,6 @@
         run_steps(
             (
                 self.follower.close,
-                self.inquiries.close,
                 *((self.rollouts.close,) if self.rollouts is not None else ()),
                 self.peers.close,
                 self.crashes.close,
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -9,7 +9,6 @@
 import attrs
 import eliot
 
-from acaciarelay.coordination.store_contact import LAPSE_INTERVALS
 from acaciarelay.platform.configuration import (
     CONFIGURATION_KEY,
     ENDPOINT_TABLE,
@@ -30,7 +29,7 @@
 )
 from acaciarelay.protocol.link_messages import PeerRow
 from acaciarelay.state.cached_table import CachedTable, StoreRow
-from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S, Endpoint
+from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S
 from acaciarelay.state.routing import RoutingTable
 from acaciarelay.state.store_era import StoreVersion
 
@@ -44,10 +43,9 @@
 # operator does not write it again.
 CONFIGURATION_HOLD_S = 30.0
 # The store removes the registration of a lost endpoint after this many intervals, and
-# an endpoint that is alive has written its own again by then.
+# an endpoint that is alive has written its own again by then. A registration that lasts
+# longer than this and the time to read its removal is renewed by a live endpoint.
 HOLD_INTERVALS = 5
-# Time in which the removal of a registration that nobody renews is read.
-MAX_READ_DELAY_S = 2.4
 REGISTRATION_INTERVAL_S = 1.2
 
 # Stands for the word of any peer among what has to be confirmed.
@@ -80,7 +78,6 @@
         endpoint_hold_s = (
             HOLD_INTERVALS * registration_interval_s + REREGISTRATION_TIMEOUT_S
         )
-        endpoint_doubt_s = LAPSE_INTERVALS * registration_interval_s + MAX_READ_DELAY_S
         self.tables = {
             OPERATOR_TABLE: _TableState(
                 # The operator's versions rise, so one that is lower is late for good.
@@ -92,10 +89,10 @@
                 )
             ),
             ENDPOINT_TABLE: _TableState(
-                CachedTable(registration_order, endpoint_hold_s, endpoint_doubt_s)
+                CachedTable(registration_order, endpoint_hold_s, endpoint_hold_s)
             ),
         }
-        self.endpoint_rows = EndpointRows(self.tables[ENDPOINT_TABLE].cached)
+        self.endpoint_rows = EndpointRows()
         self.endpoints = self.endpoint_rows.endpoints
         # The row of the configuration in force.
         self.configuration_row: StoreRow | None = None
@@ -207,21 +204,6 @@
             if changed:
                 self._notify_listeners(table)
 
-    def returned_endpoints(self) -> list[Endpoint]:
-        """Return the endpoints that are listed again after their certain removal.
-
-        They are not in use while a late write may have listed them.
-        """
-        return self.endpoint_rows.returned()
-
-    def confirm_returned(self, endpoint: Endpoint) -> None:
-        """Use an endpoint that is listed again, as it has said that it serves."""
-        if endpoint not in self.returned_endpoints():
-            return
-        row = self.tables[ENDPOINT_TABLE].cached.end_hold(endpoint.endpoint_id)
-        if row is not None and self._apply_row(ENDPOINT_TABLE, row, False):
-            self._notify_listeners(ENDPOINT_TABLE)
-
     def mark_read(self, table: str) -> None:
         """Record that the store has just told the newest rows of a table."""
         state = self.tables[table]
--- a/src/acaciarelay/state/cached_table.py
+++ b/src/acaciarelay/state/cached_table.py
@@ -123,34 +123,6 @@
         self._put_in_force(row, in_force)
         return row
 
-    def end_hold(self, key: str) -> StoreRow | None:
-        """End the hold of a key; return the row to put in force."""
-        in_force = self.held.get(key)
-        if in_force is None:
-            return None
-        row = self.rows[key]
-        self._put_in_force(row, in_force)
-        self.doubt_until[key] = -math.inf
-        return row
-
-    def returned_rows(self) -> list[StoreRow]:
-        """Return the rows held off as removed whose writers may be alive.
-
-        By their order, a late write and a writer that lapsed unnoticed look alike.
-        """
-        returned = []
-        for key, in_force in self.held.items():
-            row = self.rows[key]
-            if row.value is None or in_force.value is not None:
-                continue
-            order, last = self._order(row), self._order(in_force)
-            if order is None or last is None:
-                continue
-            if order.incarnation != last.incarnation or order.position < last.position:
-                continue
-            returned.append(row)
-        return returned
-
     def replace_all(
         self, rows: Iterable[StoreRow], version: StoreVersion
     ) -> list[StoreRow]:
@@ -179,12 +151,15 @@
 
     def release_holds(self, now: float) -> list[StoreRow]:
         """End the holds when their time is over; return the rows to put in force."""
-        ended = [key for key in self.held if now >= self._hold_end(key)]
         released = []
-        for key in ended:
-            row = self.end_hold(key)
-            if row is not None:
-                released.append(row)
+        for key, in_force in list(self.held.items()):
+            if now < self._hold_end(key):
+                continue
+            row = self.rows[key]
+            self._put_in_force(row, in_force)
+            # What peers still hold must not begin the doubt anew.
+            self.doubt_until[key] = -math.inf
+            released.append(row)
         return released
 
     def rows_after(self, version: StoreVersion) -> list[StoreRow]:
