--- a/src/acaciarelay/programs/endpoint_rows.py
+++ b/src/acaciarelay/programs/endpoint_rows.py
@@ -18,13 +18,13 @@
     def __init__(self) -> None:
         self.endpoints = EndpointList()
 
-    def apply(self, row: StoreRow, after_outage: bool) -> bool:
-        """Put a row in force; ``True`` when the list changed.
+    def apply(self, row: StoreRow, after_outage: bool, source: str) -> bool:
+        """Put a row that ``source`` told in force; ``True`` when the list changed.
 
         With ``after_outage`` a removed endpoint stays listed, as it may have lapsed.
         """
         if row.value is None:
-            return self._remove(row, after_outage)
+            return self._remove(row, after_outage, source)
         try:
             endpoint = decode_endpoint(row.key, row.value)
         except FormatError as error:
@@ -33,15 +33,20 @@
             return self.endpoints.remove(row.key)
         changed = self.endpoints.upsert(endpoint)
         if changed:
-            log_changed_endpoint(row, endpoint)
+            log_changed_endpoint(row, endpoint, source)
         return changed
 
-    def _remove(self, row: StoreRow, after_outage: bool) -> bool:
+    def _remove(self, row: StoreRow, after_outage: bool, source: str) -> bool:
+        version = row.version.number
         if after_outage:
             self.endpoints.mark_missing(row.key, time.monotonic())
-            log_event("endpoint_missing", endpoint=row.key, version=row.version.number)
+            log_event(
+                "endpoint_missing", endpoint=row.key, source=source, version=version
+            )
             return False
         removed = self.endpoints.remove(row.key)
         if removed:
-            log_event("endpoint_removed", endpoint=row.key, version=row.version.number)
+            log_event(
+                "endpoint_removed", endpoint=row.key, source=source, version=version
+            )
         return removed
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -48,6 +48,10 @@
 HOLD_INTERVALS = 5
 REGISTRATION_INTERVAL_S = 1.2
 
+# Who told a row, for the log; a peer's is its name.
+FEED_SOURCE = "feed"
+READ_SOURCE = "complete read"
+HOLD_SOURCE = "end of hold"
 # Stands for the word of any peer among what has to be confirmed.
 PEERS = "peers"
 # Time in seconds that is longer ago than any limit.
@@ -136,8 +140,9 @@
         rows: Iterable[StoreRow],
         version: StoreVersion,
         after_outage: bool,
+        source: str = FEED_SOURCE,
     ) -> None:
-        """Apply changed rows.
+        """Apply changed rows; ``source`` names for the log who told them.
 
         With ``after_outage`` a removed endpoint stays listed until it registers again
         or ``expire_endpoints`` drops it.
@@ -161,12 +166,14 @@
                 row = attrs.evolve(row, lapsed=True)
             merged = state.cached.merge(row, now)
             if merged is None:
-                self._log_hold(table, row)
+                self._log_hold(table, row, source)
                 continue
             state.changed_at = now
             # A held removal is certain.
             is_held = merged.version.era < state.cached.version.era
-            changed |= self._apply_row(table, merged, after_outage and not is_held)
+            changed |= self._apply_row(
+                table, merged, after_outage and not is_held, source
+            )
         if changed:
             self._notify_listeners(table)
 
@@ -177,7 +184,7 @@
             log_stale_read(table, page.version, cached.version)
             return False
         rows = cached.replace_all(page.rows, page.version)
-        self.apply_changes(table, rows, page.version, after_outage)
+        self.apply_changes(table, rows, page.version, after_outage, READ_SOURCE)
         return True
 
     def release_holds(self) -> None:
@@ -200,7 +207,7 @@
                     row_version=row.version.number,
                     always=True,
                 )
-                changed |= self._apply_row(table, row, False)
+                changed |= self._apply_row(table, row, False, HOLD_SOURCE)
             if changed:
                 self._notify_listeners(table)
 
@@ -303,25 +310,27 @@
             )
             # Endpoints that the restored store has lost register again soon.
             after_outage = version.era > known.era
-            self.apply_changes(table, decoded, version, after_outage)
+            self.apply_changes(table, decoded, version, after_outage, peer)
 
-    def _apply_row(self, table: str, row: StoreRow, after_outage: bool) -> bool:
+    def _apply_row(
+        self, table: str, row: StoreRow, after_outage: bool, source: str
+    ) -> bool:
         """Apply a row; log an unexpected error, which must not end who brought it."""
         try:
             if table == OPERATOR_TABLE:
-                return self._apply_operator_row(row)
-            return self.endpoint_rows.apply(row, after_outage)
+                return self._apply_operator_row(row, source)
+            return self.endpoint_rows.apply(row, after_outage, source)
         except Exception:
             eliot.write_traceback()
             return False
 
-    def _apply_operator_row(self, row: StoreRow) -> bool:
+    def _apply_operator_row(self, row: StoreRow, source: str) -> bool:
         if row.key == CONFIGURATION_KEY:
-            return self._apply_configuration(row)
+            return self._apply_configuration(row, source)
         self.on_operator_row(row)
         return False
 
-    def _apply_configuration(self, row: StoreRow) -> bool:
+    def _apply_configuration(self, row: StoreRow, source: str) -> bool:
         if row.value is None:
             log_event("configuration_row_missing", row_version=row.version.number)
             return False
@@ -335,6 +344,7 @@
             return False
         log_event(
             "configuration_applied",
+            source=source,
             version=routing.version,
             era=row.version.era,
             row_version=row.version.number,
@@ -357,12 +367,12 @@
             return row.value != in_force.value
         return routing.version > self.routing.version
 
-    def _log_hold(self, table: str, row: StoreRow) -> None:
+    def _log_hold(self, table: str, row: StoreRow, source: str) -> None:
         cached = self.tables[table].cached
         held = cached.held.get(row.key)
         if held is None or cached.rows[row.key].version != row.version:
             return
-        log_held_row(table, row, held)
+        log_held_row(table, row, held, cached.writer_order, source)
 
     def expire_endpoints(self) -> None:
         """Drop the endpoints that did not register again after an outage."""
--- a/src/acaciarelay/programs/row_logs.py
+++ b/src/acaciarelay/programs/row_logs.py
@@ -1,7 +1,9 @@
 """Log lines about rows of the store."""
 
+from collections.abc import Callable
+
 from acaciarelay.programs.logs import log_event
-from acaciarelay.state.cached_table import StoreRow
+from acaciarelay.state.cached_table import StoreRow, WriterOrder
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.store_era import StoreVersion
 
@@ -37,27 +39,49 @@
     )
 
 
-def log_held_row(table: str, row: StoreRow, held: StoreRow) -> None:
-    """Log a row of a new era in place of which another one stays in force."""
+def log_held_row(
+    table: str,
+    row: StoreRow,
+    held: StoreRow,
+    writer_order: Callable[[bytes], WriterOrder | None],
+    source: str,
+) -> None:
+    """Log a row in place of which another one stays in force, and why."""
     log_event(
         "row_held",
         table=table,
         key=row.key,
+        source=source,
         era=row.version.era,
         row_version=row.version.number,
+        order=_describe_order(row.value, writer_order),
         held_era=held.version.era,
         held_version=held.version.number,
+        held_order=_describe_order(held.value or held.removed_value, writer_order),
+        held_removed=held.value is None,
     )
 
 
-def log_changed_endpoint(row: StoreRow, endpoint: Endpoint) -> None:
+def _describe_order(
+    value: bytes | None, writer_order: Callable[[bytes], WriterOrder | None]
+) -> list[int] | None:
+    """Return a writer's incarnation and the position of its write within it."""
+    order = writer_order(value) if value is not None else None
+    if order is None:
+        return None
+    return [order.incarnation, *order.position]
+
+
+def log_changed_endpoint(row: StoreRow, endpoint: Endpoint, source: str) -> None:
     """Log an endpoint that is new or differs from what was known."""
     log_event(
         "endpoint_changed",
         endpoint=row.key,
+        source=source,
         service=endpoint.service,
         address=endpoint.address,
         draining=endpoint.draining,
+        started_ms=endpoint.started_ms,
         software=endpoint.version,
         era=row.version.era,
         version=row.version.number,
