--- a/src/acaciarelay/platform/endpoints.py
+++ b/src/acaciarelay/platform/endpoints.py
@@ -10,7 +10,13 @@
 from acaciarelay.state.cached_table import WriterOrder
 from acaciarelay.state.endpoints import Endpoint
 
-__all__ = ["EngineReport", "decode_endpoint", "decode_report", "registration_order"]
+__all__ = [
+    "EngineReport",
+    "decode_endpoint",
+    "decode_report",
+    "is_drain",
+    "registration_order",
+]
 
 MAX_PORT = 65_535
 MAX_SLOTS = 65_536
@@ -74,6 +80,11 @@
     return WriterOrder(started_ms, (int(draining), sequence))
 
 
+def is_drain(order: WriterOrder) -> bool:
+    """Return whether a registration with this order says that the endpoint drains."""
+    return order.position[0] == 1
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise ValueError("a field is no text")
--- a/src/acaciarelay/programs/endpoint_rows.py
+++ b/src/acaciarelay/programs/endpoint_rows.py
@@ -3,7 +3,11 @@
 import time
 
 from acaciarelay.platform.configuration import ENDPOINT_TABLE, FormatError
-from acaciarelay.platform.endpoints import decode_endpoint
+from acaciarelay.platform.endpoints import (
+    decode_endpoint,
+    is_drain,
+    registration_order,
+)
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.row_logs import log_changed_endpoint, log_unreadable_row
 from acaciarelay.state.cached_table import StoreRow
@@ -36,6 +40,24 @@
             log_changed_endpoint(row, endpoint, source)
         return changed
 
+    def apply_newest(self, row: StoreRow) -> bool:
+        """Heed a drain in the newest row of a key, though another one is in force.
+
+        Whether the row is a late one of a former start can't be told yet. The next ping
+        of a runner that does not drain says so.
+        """
+        order = registration_order(row.value) if row.value is not None else None
+        draining = order is not None and is_drain(order)
+        changed = self.endpoints.report_drain(row.key, draining)
+        if changed:
+            log_event(
+                "endpoint_drain_reported",
+                endpoint=row.key,
+                draining=draining,
+                version=row.version.number,
+            )
+        return changed
+
     def _remove(self, row: StoreRow, after_outage: bool, source: str) -> bool:
         version = row.version.number
         if after_outage:
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -165,6 +165,9 @@
             if after_outage and row.value is None:
                 row = attrs.evolve(row, lapsed=True)
             merged = state.cached.merge(row, now)
+            if table == ENDPOINT_TABLE and row.key in state.cached.rows:
+                newest = state.cached.rows[row.key]
+                changed |= self.endpoint_rows.apply_newest(newest)
             if merged is None:
                 self._log_hold(table, row, source)
                 continue
--- a/src/acaciarelay/state/endpoints.py
+++ b/src/acaciarelay/state/endpoints.py
@@ -50,6 +50,8 @@
 
     ``leaving`` holds id and start of the endpoints that have said themselves that they
     leave, the oldest first. Their registrations may still say that they are ready.
+    ``drain_reported`` holds the ids whose newest row says that they drain, whichever
+    row is in force.
     """
 
     def __init__(self) -> None:
@@ -57,6 +59,7 @@
         self.leaving: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
         )
+        self.drain_reported: set[str] = set()
 
     def upsert(self, endpoint: Endpoint) -> bool:
         """Add or replace an endpoint; ``True`` when it changed."""
@@ -107,8 +110,20 @@
             self.leaving.popitem(last=False)
         return True
 
+    def report_drain(self, endpoint_id: str, draining: bool) -> bool:
+        """Record what the newest row of an id says; ``True`` when that changed."""
+        if draining == (endpoint_id in self.drain_reported):
+            return False
+        if draining:
+            self.drain_reported.add(endpoint_id)
+        else:
+            self.drain_reported.discard(endpoint_id)
+        return True
+
     def is_usable(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get new requests."""
+        if endpoint.endpoint_id in self.drain_reported:
+            return False
         incarnation = (endpoint.endpoint_id, endpoint.started_ms)
         return not endpoint.draining and incarnation not in self.leaving
 
--- a/tests/unit/platform_path/test_late_writes.py
+++ b/tests/unit/platform_path/test_late_writes.py
@@ -9,6 +9,7 @@
 from unit.platform_path.test_relay_state_cache import at, row
 
 from acaciarelay.platform.store import RowPage
+from acaciarelay.programs.peer_rows import encode_row
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.state.cached_table import StoreRow
 from acaciarelay.state.store_era import NO_VERSION, StoreVersion
@@ -140,6 +141,35 @@
     assert table.usable() == [10]
 
 
+def test_a_runner_behind_a_clock_set_back_that_drains_gets_nothing(table):
+    """Guards against requests to a leaving runner whose rows are held for late ones."""
+    table.write(born=1000, seq=7)
+    table.write(born=10, seq=1)
+    table.write(born=10, seq=2, state="draining")
+    assert table.usable() == []
+    table.wait(RENEWED_S)
+    assert table.usable() == []
+
+
+def test_a_late_drain_of_a_former_start_ends_with_the_next_ping(table):
+    """Guards against a new start that is out of use for long by a late write."""
+    table.write(born=10, seq=7)
+    table.write(born=20, seq=1)
+    table.write(born=10, seq=8, state="draining")
+    assert table.usable() == []
+    table.write(born=20, seq=2)
+    assert table.usable() == [20]
+
+
+def test_a_drain_that_a_peer_knows_and_that_is_held_ends_the_use(table):
+    """Guards against a drain that only a peer has read and that is held for late."""
+    table.write(born=1000, seq=7)
+    drain = registration("orders", ADDRESS, born=10, seq=2, state="draining")
+    told = encode_row("servers", row("i-1", 2, drain))
+    table.cache.apply_peer_rows("entry-2", [told], {"servers": at(2)})
+    assert table.usable() == []
+
+
 def test_a_removed_runner_that_starts_with_a_clock_set_back_comes_into_use(table):
     """Guards against a new start that is taken for a late ping for good."""
     table.write(born=1000, seq=7, state="draining")
--- a/tests/unit/platform_path/test_row_logs.py
+++ b/tests/unit/platform_path/test_row_logs.py
@@ -14,6 +14,8 @@
 def log():
     messages = []
     eliot.add_destinations(messages.append)
+    # The first destination gets what was logged before, too.
+    messages.clear()
     yield messages
     eliot.remove_destination(messages.append)
 
