--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -92,6 +92,8 @@
         loop = asyncio.get_running_loop()
         retry_until = loop.time() + MIN_RETRY_WAIT_LIMIT_S
         while True:
+            if self.lacks_software(relayed):
+                return None
             now = time.monotonic()
             candidates = self._candidates(relayed, now)
             if not candidates and self._deferred_beyond(relayed, now):
@@ -134,8 +136,17 @@
             return endpoints
         return self.rollouts.usable(service, endpoints)
 
+    def lacks_software(self, relayed: RelayedRequest) -> bool:
+        """Return whether no endpoint of the version that began a stream is listed."""
+        if relayed.software is None:
+            return False
+        endpoints = self.cache.endpoints.of_service(relayed.service)
+        return not any(_continues(relayed, endpoint) for endpoint in endpoints)
+
     def may_send(self, relayed: RelayedRequest, endpoint: Endpoint) -> bool:
         """Return whether a request may still use the version of an endpoint."""
+        if not _continues(relayed, endpoint):
+            return False
         return self.rollouts is None or self.rollouts.permits(relayed, endpoint)
 
     def _leaves_trial(self, relayed: RelayedRequest) -> bool:
@@ -159,6 +170,7 @@
     def _undeferred(self, relayed: RelayedRequest, now: float) -> list[Endpoint]:
         """Return the endpoints that a request may use and that want requests."""
         endpoints = self.cache.endpoints.of_service(relayed.service)
+        endpoints = [e for e in endpoints if _continues(relayed, e)]
         if self.rollouts is not None:
             endpoints = self.rollouts.choose(relayed, endpoints)
         undeferred = []
@@ -183,8 +195,10 @@
         until = min(self.health.deferred_until(e.endpoint_id) for e in endpoints)
         return max(0.0, until - now)
 
-    def _may_use(self, endpoint: Endpoint) -> bool:
+    def _may_use(self, relayed: RelayedRequest, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may still get a request after a wait."""
+        if not _continues(relayed, endpoint):
+            return False
         if not self.cache.endpoints.is_usable(endpoint):
             return False
         return self.health.deferred_until(endpoint.endpoint_id) <= time.monotonic()
@@ -208,7 +222,7 @@
             case EngineSlot() as slot:
                 chosen = by_host[slot.agent.host]
                 current = self.cache.endpoints.get(chosen.endpoint_id)
-                if current is not None and self._may_use(current):
+                if current is not None and self._may_use(relayed, current):
                     if relayed.most_kept_tokens:
                         relayed.kept_tokens = round(
                             slot.agent.kept_tokens(relayed.traits.shared_chain, now)
@@ -332,6 +346,14 @@
     return relayed.arrived_at + MAX_WAIT_FRACTION * relayed.route.objective_s
 
 
+def _continues(relayed: RelayedRequest, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint can go on with what the caller has of a stream.
+
+    What two versions of the software write does not fit together.
+    """
+    return relayed.software in (None, endpoint.version)
+
+
 def _engine_capacity(relayed: RelayedRequest) -> EngineCapacity | None:
     service = relayed.routing.services.get(relayed.service)
     return service.engine if service is not None else None
--- a/src/acaciarelay/programs/rollouts.py
+++ b/src/acaciarelay/programs/rollouts.py
@@ -195,6 +195,7 @@
         """
         self.release(relayed)
         is_first = not relayed.tried and not relayed.off_trial
+        is_first = is_first and relayed.software is None
         usable = self._usable(relayed.service, endpoints, is_first)
         run = self.runs.get(relayed.service)
         if run is None or not usable or not is_first:
--- a/src/acaciarelay/programs/stream_forwarder.py
+++ b/src/acaciarelay/programs/stream_forwarder.py
@@ -115,6 +115,8 @@
         self.relayed.last_event_at = self.loop.time()
         if self.relayed.first_event_at is None:
             self.relayed.first_event_at = self.relayed.last_event_at
+        if self.relayed.software is None and self.relayed.endpoint is not None:
+            self.relayed.software = self.relayed.endpoint.version
         self.start_answer()
         queued = self.endpoint_connection.events
         is_end = bool(queued) and isinstance(queued[0], h11.EndOfMessage)
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -87,9 +87,11 @@
     ``retries_ended`` is true once the caller leaves too soon for another attempt.
     ``on_trial`` is true once it may run despite a suspicion, in one attempt.
     ``off_trial`` is true once it goes to no version of its service that is on trial.
-    ``steps`` describes the attempts for the log. ``kept_tokens`` are those of the
-    prompt that the engine chosen last was expected to keep, ``most_kept_tokens`` the
-    most at any.
+    ``software`` is the version of the software that began the stream, ``None`` before
+    its first event: a stream goes on at that version only. ``attempt_count`` counts the
+    attempts, whatever became of them. ``steps`` describes the attempts for the log.
+    ``kept_tokens`` are those of the prompt that the engine chosen last was expected to
+    keep, ``most_kept_tokens`` the most at any.
     """
 
     traits: RequestTraits
@@ -113,6 +115,8 @@
     retries_ended: bool = False
     on_trial: bool = False
     off_trial: bool = False
+    software: str | None = None
+    attempt_count: int = 0
     error_response: ErrorResponse | None = None
     endpoint: Endpoint | None = None
     first_sent_at: float | None = None
