--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -41,6 +41,7 @@
 _TOKENS = "token-usage"
 _LENGTH_HINT = "length-hint"
 _LAST_EVENT = "last-event-id"
+_RESUMES = "resumes"
 _PROMPT_PARTS = "prompt-prefix"
 _SEAL = "runner-seal"
 _NOT_RUN = "not-executed"
@@ -53,6 +54,8 @@
 MAX_DIGITS = 12
 # Digits of event numbers, which are only compared.
 MAX_EVENT_DIGITS = 18
+# Characters of a request id that a resumed stream may name.
+MAX_REQUEST_ID = 128
 # Parts of a prompt of which the beginning that it shares with others is named.
 MAX_CHAINED_PARTS = 64
 # An endpoint that asks for a longer pause gets this one.
@@ -84,10 +87,12 @@
 
     ``key`` is the caller key. ``output_tokens`` is the most that may be generated;
     ``expected_output`` is the caller's estimate. ``last_event`` is the number of the
-    last event that the caller has received. ``shared_parts`` holds the parts of the
-    prompt that other prompts may share, and ``shared_chain`` names the beginning of
-    the prompt that they make up if it is long. ``forwarded`` lists the header fields to
-    forward to an endpoint.
+    last event that the caller has received. ``resumes_stream`` is true when the caller
+    has a part of the stream, and ``first_request`` is the id of its request that
+    brought the first event, empty if it names none or several. ``shared_parts`` holds
+    the parts of the prompt that other prompts may share, and ``shared_chain`` names the
+    beginning of the prompt that they make up if it is long. ``forwarded`` lists the
+    header fields to forward to an endpoint.
     """
 
     request_id: str
@@ -97,6 +102,8 @@
     output_tokens: int | None
     expected_output: int | None
     last_event: int | None
+    resumes_stream: bool = False
+    first_request: str = ""
     shared_parts: PromptParts
     shared_chain: PromptChain
     forwarded: list[Header]
@@ -164,12 +171,23 @@
         output_tokens=output,
         expected_output=_whole(hint, MAX_DIGITS),
         last_event=_whole(last_event, MAX_EVENT_DIGITS),
+        resumes_stream=bool(last_event and last_event.strip()),
+        first_request=_first_request(headers),
         shared_parts=PromptParts.of_ids(_shared_part_ids(parts)),
         shared_chain=_shared_chain(parts, prompt or 0),
         forwarded=forwarded,
     )
 
 
+def _first_request(headers: list[Header]) -> str:
+    """Return the request id that a resumed stream names, empty if it is unusable."""
+    ids = {value.strip() for name, value in headers if name == _RESUMES}
+    if len(ids) != 1:
+        return ""
+    request_id = ids.pop()
+    return request_id if len(request_id) <= MAX_REQUEST_ID else ""
+
+
 def _shared_part_ids(text: str) -> set[str]:
     """Return the ids of all parts but the last, which is the request's own."""
     *shared, _ = text.lower().split(",")
--- a/src/acaciarelay/programs/agent_links.py
+++ b/src/acaciarelay/programs/agent_links.py
@@ -1,7 +1,7 @@
 """Links of an entry to the agents beside the engines."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from acaciarelay.coordination.slot_client import SlotClient
 from acaciarelay.programs.crash_guard import CrashGuard
@@ -13,6 +13,7 @@
     EntryList,
     Hello,
     LinkMessage,
+    StreamFound,
 )
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.routing import RoutingTable
@@ -45,6 +46,9 @@
         self.ticker = ticker
         self.granters = granters
         self.dialers: dict[str, Dialer] = {}
+        # Called with the answers to questions about streams.
+        self.on_stream_found: Callable[[MessageLink, StreamFound], None]
+        self.on_stream_found = lambda link, message: None
         self.handlers = LinkHandlers(
             on_open=self.opened, on_message=self.receive, on_close=self.closed
         )
@@ -81,6 +85,8 @@
                 self.peers.add(entries)
             case CrashReport():
                 self.crashes.receive(message)
+            case StreamFound():
+                self.on_stream_found(link, message)
             case _:
                 self.slot_client.receive(link.peer_host, message)
 
--- a/src/acaciarelay/programs/granter_links.py
+++ b/src/acaciarelay/programs/granter_links.py
@@ -10,6 +10,7 @@
     LinkMessage,
     SlotRelease,
     SlotRequest,
+    StreamStarted,
     decode_message,
 )
 from acaciarelay.transport.message_link import MessageLink
@@ -92,6 +93,9 @@
                 self.link.send(attrs.evolve(message, engine=self.engine))
             case SlotRequest() | SlotRelease():
                 self.link.send(attrs.evolve(message, engine=self.engine))
+            case StreamStarted():
+                if self.link.peer is not None and self.link.peer.finds_streams:
+                    self.link.send(message)
 
 
 class LocalGranterLink:
--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -161,6 +161,13 @@
         "Changes of the granter of an engine without an agent, by reason: absent, "
         "closed, silent, refused, order.",
     ),
+    Metric(
+        "acaciarelay_streams_resumed_total",
+        "counter",
+        ("outcome",),
+        "Streams that callers resumed, by outcome: continued (its first new event was "
+        "sent), origin_unknown, version_gone, not_placed.",
+    ),
     Metric(
         "acaciarelay_places_declined_total",
         "counter",
--- a/src/acaciarelay/programs/relay_agent.py
+++ b/src/acaciarelay/programs/relay_agent.py
@@ -21,6 +21,7 @@
     settings_path,
 )
 from acaciarelay.programs.slot_granter import SlotGranter
+from acaciarelay.programs.stream_records import StreamRecords
 from acaciarelay.protocol.link_messages import (
     BrokenRun,
     CrashReport,
@@ -29,6 +30,8 @@
     LinkMessage,
     SlotRelease,
     SlotRequest,
+    StreamLookup,
+    StreamStarted,
     encode_message,
 )
 from acaciarelay.transport.message_link import LinkHandlers, LinkServer, MessageLink
@@ -59,7 +62,9 @@
             zone=settings.zone,
             digests_parts=True,
             grants_slots=True,
+            finds_streams=True,
         )
+        self.streams = StreamRecords()
         self.server = LinkServer(
             self.hello,
             LinkHandlers(
@@ -118,6 +123,8 @@
                 self.granter.release_slot(link, message)
             case BrokenRun():
                 self.crashes.record(message, self.settings.engine_address)
+            case StreamStarted() | StreamLookup():
+                self.streams.receive(link, message)
             case _:
                 return
 
--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -36,6 +36,7 @@
     settings_path,
 )
 from acaciarelay.programs.relay_state_cache import TABLES, StateCache
+from acaciarelay.programs.resumed_streams import ResumedStreams
 from acaciarelay.programs.rollouts import Rollouts
 from acaciarelay.programs.slow_callers import SlowCallers
 from acaciarelay.programs.store_follower import StoreFollower
@@ -118,6 +119,7 @@
             orders_eras=True,
             grants_slots=True,
             rolls_out=settings.rollout_share > 0.0,
+            finds_streams=True,
         )
         self.ticker = LinkTicker(self.loop_budget)
         self.peers = Peers(
@@ -138,6 +140,10 @@
                 self.metrics,
                 lambda era: self.peers.on_era(era),
             )
+        self.streams = ResumedStreams(
+            self.cache, self.slot_client, self.metrics, self.peers.links
+        )
+        self.peers.on_stream_message = self.streams.receive
         self.relay = RequestRelay(
             self.cache,
             self.usage,
@@ -150,6 +156,7 @@
             self.crashes,
             self.metrics,
             self.rng,
+            self.streams,
             self.rollouts,
             settings.slow_peers,
         )
@@ -174,6 +181,7 @@
             self.ticker,
             self.granters,
         )
+        self.agents.on_stream_found = self.streams.receive
         self.servers: list[asyncio.Server] = []
         self.stopping = asyncio.Event()
         # Event loop time of the first signal to stop.
--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -24,6 +24,7 @@
     RolloutCounts,
     RolloutPermission,
     SlotMessage,
+    StreamMessage,
     TableVersions,
     ZoneUsage,
     encode_message,
@@ -95,6 +96,9 @@
         self.on_link_closed: Callable[[MessageLink], None] = lambda link: None
         self.on_slot_message: Callable[[MessageLink, SlotMessage], None]
         self.on_slot_message = lambda link, message: None
+        # Called with each message about streams that are resumed.
+        self.on_stream_message: Callable[[MessageLink, StreamMessage], None]
+        self.on_stream_message = lambda link, message: None
         self.own_status = StatusBuilder(hello, cache, usage, self.tables)
         self.sent = StatusFields()
         self.sent_at = -math.inf
@@ -343,6 +347,8 @@
                 self.tables.note_held(known)
             case _ if isinstance(message, SlotMessage):
                 self.on_slot_message(link, message)
+            case _ if isinstance(message, StreamMessage):
+                self.on_stream_message(link, message)
 
     def receive_status(
         self, link: MessageLink, peer: Hello, status: PeerStatus
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -23,8 +23,9 @@
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.relay_takeover import Takeovers
 from acaciarelay.programs.request_recorder import RequestRecorder, interrupted_outcome
+from acaciarelay.programs.resumed_streams import ResumedStreams
 from acaciarelay.programs.rollouts import Rollouts
-from acaciarelay.protocol.codes import Refusal, refuse
+from acaciarelay.protocol.codes import Refusal, ResultCode, refuse
 from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.relayed_request import (
     AttemptOutcome,
@@ -76,9 +77,11 @@
         crashes: CrashGuard,
         metrics: Metrics,
         rng: random.Random,
+        streams: ResumedStreams,
         rollouts: Rollouts | None = None,
         slow_peers: bool = False,
     ) -> None:
+        self.streams = streams
         self.rollouts = rollouts
         self.cache = cache
         self.run_clock = run_clock
@@ -164,6 +167,8 @@
         now = time.monotonic()
         self.retry_budget.record_first_attempt(relayed.service, now)
         self.placer.floor.record_arrival(relayed.service, relayed.rank, now)
+        if refusal := await self.resume(relayed):
+            return refusal
         # A retry was spent that has reached no endpoint yet.
         is_prepaid = False
         while True:
@@ -175,6 +180,8 @@
             else:
                 placement = await self.placer.place(relayed)
             if placement is None:
+                if self.placer.lacks_software(relayed):
+                    return self.give_up(relayed, "stream_version_gone")
                 return self.give_up(relayed, "shed")
             self.run_clock.check()
             if not self.cache.trusted.is_set():
@@ -204,6 +211,8 @@
                     self.placer.floor.record_served(
                         relayed.service, relayed.rank, time.monotonic()
                     )
+                relayed.attempt_count += 1
+                self.streams.record(relayed, placement.endpoint, placement.slot)
                 outcome = await self.attempts.attempt(
                     connection, request, relayed, placement.endpoint
                 )
@@ -243,6 +252,15 @@
                         return self.give_up(relayed, "endpoint_failed")
                     self.metrics.count("retries_total", reason="endpoint_failed")
 
+    async def resume(self, relayed: RelayedRequest) -> Refusal | None:
+        """Bind a resumed stream to the version that began it, or refuse it."""
+        if not relayed.route.streaming or not relayed.traits.resumes_stream:
+            return None
+        relayed.software = await self.streams.find_software(relayed)
+        if relayed.software is None:
+            return refuse("stream_origin_unknown")
+        return None
+
     def suspicion_refusal(self, relayed: RelayedRequest) -> Refusal | None:
         """Return the refusal of a prompt that is suspected to crash engines."""
         suspicion = self.crashes.suspicion_of(relayed)
@@ -289,6 +307,8 @@
                 code = "shed"
             if code == "entry_stopping":
                 return refuse(code, "", STOPPING_RETRY_AFTER_S)
+            if code == "stream_version_gone":
+                return refuse(code)
             deferred_s = self.placer.deferred_s(relayed.service, time.monotonic())
             if code == "shed" and deferred_s > 0:
                 return refuse("endpoints_deferred", "", deferred_s)
@@ -331,6 +351,8 @@
         answer that was already started is cut instead, so that it does not look
         complete.
         """
+        if relayed.traits.resumes_stream and relayed.route.streaming:
+            self.streams.count(_resumption_outcome(relayed, refusal))
         if refusal is None:
             self.recorder.record_end(connection, relayed, "delivered", None)
             return
@@ -366,6 +388,18 @@
         respond_refusal(connection, refusal, request_id)
 
 
+def _resumption_outcome(relayed: RelayedRequest, refusal: Refusal | None) -> str:
+    if relayed.first_event_at is not None:
+        return "continued"
+    match refusal:
+        case Refusal(code=ResultCode(name="stream_origin_unknown")):
+            return "origin_unknown"
+        case Refusal(code=ResultCode(name="stream_version_gone")):
+            return "version_gone"
+        case _:
+            return "not_placed"
+
+
 def _describe(outcome: AttemptOutcome, placement: Placement) -> str:
     name = placement.endpoint.endpoint_id
     match outcome:
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -106,6 +106,8 @@
         self._unconfirmed: set[str] = set()
         self.on_configuration: list[Callable[[], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
+        # Called with the name of a table that was read completely.
+        self.on_complete_read: list[Callable[[str], None]] = []
         # Called with each row of the operator's table that is no configuration.
         self.on_operator_row: Callable[[StoreRow], None] = lambda row: None
 
@@ -186,6 +188,8 @@
         if page.version < cached.version:
             log_stale_read(table, page.version, cached.version)
             return False
+        for listener in self.on_complete_read:
+            listener(table)
         rows = cached.replace_all(page.rows, page.version)
         self.apply_changes(table, rows, page.version, after_outage, READ_SOURCE)
         return True
--- /dev/null
+++ b/src/acaciarelay/programs/resumed_streams.py
@@ -0,0 +1,225 @@
+"""Streams that callers resume: which software version they may go on at."""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from acaciarelay.coordination.slot_client import EngineSlot, SlotClient
+from acaciarelay.coordination.software_history import SoftwareHistory
+from acaciarelay.coordination.stream_origins import StreamOrigin
+from acaciarelay.platform.configuration import ENDPOINT_TABLE
+from acaciarelay.programs.logs import log_event
+from acaciarelay.programs.metrics import Metrics
+from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.programs.stream_records import StreamRecords
+from acaciarelay.protocol.link_messages import (
+    StreamFound,
+    StreamLookup,
+    StreamMessage,
+    StreamStarted,
+)
+from acaciarelay.state.endpoints import Endpoint
+from acaciarelay.state.relayed_request import RelayedRequest
+from acaciarelay.state.routing import Repeatability
+from acaciarelay.transport.message_link import MessageLink
+
+__all__ = ["ResumedStreams"]
+
+# How long all processes asked may take to answer, and how long a process that has just
+# started waits for the links to those that it can't ask yet.
+ANSWER_TIMEOUT_S = 0.25
+LINK_TIMEOUT_S = 0.8
+LINK_CHECK_S = 0.05
+# How long a stream may be resumed after the time limit of its request.
+KEPT_AFTER_LIMIT_S = 2.0
+
+
+@attrs.define(eq=False)
+class _Lookup:
+    """A question under way; ``awaited`` are the links that owe an answer."""
+
+    asked: set[MessageLink] = attrs.Factory(set)
+    awaited: set[MessageLink] = attrs.Factory(set)
+    found: list[StreamOrigin] = attrs.Factory(list)
+    answered: asyncio.Event = attrs.Factory(asyncio.Event)
+
+
+class ResumedStreams:
+    """Record where streams begin, and find out where a resumed one began.
+
+    The agents beside the engines remember it, as they outlive the entries, and this
+    entry. In place of an agent that is out of reach it is the entry that grants the
+    slots of its engine. ``peer_links`` returns the links to all entries.
+    """
+
+    def __init__(
+        self,
+        cache: StateCache,
+        slot_client: SlotClient,
+        metrics: Metrics,
+        peer_links: Callable[[], Iterable[MessageLink]],
+    ) -> None:
+        self.cache = cache
+        self.slot_client = slot_client
+        self.metrics = metrics
+        self.peer_links = peer_links
+        self.records = StreamRecords()
+        self.history = SoftwareHistory()
+        self.lookups: dict[int, _Lookup] = {}
+        self.numbers = itertools.count(1)
+        self.loop = asyncio.get_running_loop()
+        cache.on_endpoints.append(self.update_history)
+        cache.on_complete_read.append(self.begin_history)
+
+    # Versions in service.
+
+    def begin_history(self, table: str) -> None:
+        if table == ENDPOINT_TABLE:
+            self.history.begin(time.monotonic())
+
+    def update_history(self) -> None:
+        self.history.update(self.cache.endpoints.all(), time.monotonic())
+
+    def only_version(self, relayed: RelayedRequest) -> str | None:
+        """Return the only version that can have begun a stream of this service."""
+        if not self.cache.tables[ENDPOINT_TABLE].readable:
+            return None
+        self.update_history()
+        return self.history.only_version(
+            relayed.service, relayed.route.timeout_s, time.monotonic()
+        )
+
+    # Streams that begin.
+
+    def record(
+        self, relayed: RelayedRequest, endpoint: Endpoint, slot: EngineSlot | None
+    ) -> None:
+        """Remember that a request is sent to an endpoint, before it is sent."""
+        if relayed.route.repeatability is not Repeatability.RESUMABLE:
+            return
+        limit_s = relayed.deadline - self.loop.time()
+        limit_s = max(limit_s, relayed.traits.time_limit_s or 0.0)
+        message = StreamStarted(
+            request=relayed.traits.request_id,
+            version=endpoint.version,
+            attempt=relayed.attempt_count,
+            kept_s=round(limit_s + KEPT_AFTER_LIMIT_S, 1),
+        )
+        self.records.record(message)
+        if slot is None:
+            return
+        agent = slot.agent
+        if not agent.beside_engine or _finds_streams(agent.link):
+            agent.link.send(message)
+
+    # Streams that are resumed.
+
+    async def find_software(self, relayed: RelayedRequest) -> str | None:
+        """Return the version that began a resumed stream, ``None`` if nobody knows."""
+        origin = None
+        first_request = relayed.traits.first_request
+        if first_request:
+            origin = await self.find_origin(first_request, relayed.service)
+        software = origin.version if origin is not None else self.only_version(relayed)
+        log_event(
+            "stream_resumed",
+            request_id=relayed.traits.request_id,
+            first_request=first_request,
+            after_event=relayed.last_event,
+            software=software,
+            known_by="record" if origin is not None else "history",
+        )
+        return software
+
+    async def find_origin(self, request: str, service: str) -> StreamOrigin | None:
+        """Ask who may have seen a request of a service where it was sent last."""
+        known = self.records.origins.find(request, time.monotonic())
+        if known is not None:
+            return known
+        number = next(self.numbers)
+        lookup = self.lookups[number] = _Lookup()
+        try:
+            await self.ask(number, request, service, lookup)
+        finally:
+            del self.lookups[number]
+        return max(lookup.found, key=lambda o: o.attempt, default=None)
+
+    async def ask(
+        self, number: int, request: str, service: str, lookup: _Lookup
+    ) -> None:
+        """Ask all agents in reach, and wait for the answers and for missing links."""
+        began_at = self.loop.time()
+        asked_at = began_at
+        while True:
+            for link in self.links_to_ask():
+                if link in lookup.asked:
+                    continue
+                lookup.asked.add(link)
+                lookup.awaited.add(link)
+                asked_at = self.loop.time()
+                link.send(StreamLookup(number=number, request=request))
+            now = self.loop.time()
+            is_answered = not lookup.awaited or now >= asked_at + ANSWER_TIMEOUT_S
+            if is_answered and (
+                lookup.found
+                or self.is_linked(service)
+                or now >= began_at + LINK_TIMEOUT_S
+            ):
+                return
+            lookup.answered.clear()
+            try:
+                async with asyncio.timeout(LINK_CHECK_S):
+                    await lookup.answered.wait()
+            except TimeoutError:
+                continue
+
+    def links_to_ask(self) -> list[MessageLink]:
+        """Return the links to all agents, and to the peers if agents are missing."""
+        links = []
+        misses_agents = not self.slot_client.agents
+        for agent in self.slot_client.agents.values():
+            if not agent.beside_engine:
+                misses_agents = True
+            elif isinstance(agent.link, MessageLink) and _finds_streams(agent.link):
+                links.append(agent.link)
+        if misses_agents:
+            links += [link for link in self.peer_links() if _finds_streams(link)]
+        return links
+
+    def is_linked(self, service: str) -> bool:
+        """Return whether each engine of a service has a granter that can be asked."""
+        routing = self.cache.routing
+        endpoints = [e for e in self.cache.endpoints.all() if e.service == service]
+        if routing is None or not endpoints:
+            return False
+        known = routing.services.get(service)
+        if known is None or known.engine is None:
+            return True
+        return all(e.host in self.slot_client.agents for e in endpoints)
+
+    def receive(self, link: MessageLink, message: StreamMessage) -> None:
+        """Handle a message of an agent or a peer about streams."""
+        match message:
+            case StreamStarted() | StreamLookup():
+                self.records.receive(link, message)
+            case StreamFound(number=number):
+                lookup = self.lookups.get(number)
+                if lookup is None or link not in lookup.awaited:
+                    return
+                lookup.awaited.discard(link)
+                if message.attempt > 0:
+                    lookup.found.append(StreamOrigin(message.version, message.attempt))
+                if not lookup.awaited:
+                    lookup.answered.set()
+
+    def count(self, outcome: str) -> None:
+        """Count the fate of a resumed stream."""
+        self.metrics.count("streams_resumed_total", outcome=outcome)
+
+
+def _finds_streams(link: object) -> bool:
+    peer = getattr(link, "peer", None)
+    return peer is not None and peer.finds_streams
--- a/src/acaciarelay/protocol/codes.py
+++ b/src/acaciarelay/protocol/codes.py
@@ -101,6 +101,22 @@
         "All endpoints asked for a pause. Wait for Retry-After, then retry.",
         True,
     ),
+    (
+        309,
+        "stream_origin_unknown",
+        503,
+        _N,
+        "The version that began this stream is not known here. Start it anew.",
+        True,
+    ),
+    (
+        310,
+        "stream_version_gone",
+        503,
+        _N,
+        "No endpoint of the version that began this stream serves. Start it anew.",
+        True,
+    ),
     # 4xx: idempotency.
     (400, "key_required", 400, _N, "Send an Idempotency-Key with this call.", False),
     (401, "key_conflict", 409, _N, "Use a new key for a different body.", False),
--- a/src/acaciarelay/protocol/link_messages.py
+++ b/src/acaciarelay/protocol/link_messages.py
@@ -39,6 +39,12 @@
     SlotRelease,
     SlotRequest,
 )
+from acaciarelay.protocol.stream_messages import (
+    StreamFound,
+    StreamLookup,
+    StreamMessage,
+    StreamStarted,
+)
 
 __all__ = [
     "BrokenRun",
@@ -62,6 +68,10 @@
     "SlotRefusal",
     "SlotRelease",
     "SlotRequest",
+    "StreamFound",
+    "StreamLookup",
+    "StreamMessage",
+    "StreamStarted",
     "TableVersions",
     "ZoneUsage",
     "decode_message",
@@ -83,6 +93,7 @@
     ``reports_crashes`` is true when it understands an earlier form of these, which no
     current process sends. ``rolls_out`` is true when it takes part in monitored
     rollouts and understands ``RolloutCounts`` and ``RolloutPermission``.
+    ``finds_streams`` is true when it understands ``StreamMessage``.
     ``grants_slots`` is true for an entry that grants the slots of engines without an
     agent and names the engine in messages, and for an agent that counts the slots which
     entries hold when they reach it.
@@ -98,6 +109,7 @@
     digests_parts: bool = False
     grants_slots: bool = False
     rolls_out: bool = False
+    finds_streams: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -243,6 +255,7 @@
     | CrashReport
     | RolloutCounts
     | RolloutPermission
+    | StreamMessage
 )
 
 _KINDS: dict[str, Any] = {
@@ -263,6 +276,9 @@
     "crash": CrashReport,
     "counts": RolloutCounts,
     "permission": RolloutPermission,
+    "stream": StreamStarted,
+    "lookup": StreamLookup,
+    "found": StreamFound,
 }
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 _FIELDS = {
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -20,6 +20,7 @@
 from acaciarelay.programs.relay_refusal import respond_refusal
 from acaciarelay.programs.relay_request import RequestRelay
 from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.programs.resumed_streams import ResumedStreams
 from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.cached_table import StoreRow
 from acaciarelay.state.routing import CallerLimits, Organisation
@@ -29,6 +30,7 @@
     CallerDisconnectedError,
     InboundConnection,
 )
+from acaciarelay.transport.message_link import MessageLink
 from acaciarelay_standins.inbound_standin import listen
 from acaciarelay_standins.platform_runner import PlatformRunner
 
@@ -115,6 +117,8 @@
 
     def __init__(self, seed: int = 1, body_memory_bytes: int = 64_000_000) -> None:
         self.cache = StateCache()
+        # Links to other entries.
+        self.peer_links: list[MessageLink] = []
         self.usage = UsageLedger(NO_TOLERANCE, True, time.monotonic())
         self.retry_budget = SharedRetryBudget(0.2, 50.0, 10.0)
         rng = random.Random(seed)
@@ -125,6 +129,9 @@
         self.loop_budget = LoopBudget()
         metrics = Metrics()
         self.crashes = CrashGuard("127.0.0.1:1", self.slot_client, metrics)
+        self.streams = ResumedStreams(
+            self.cache, self.slot_client, metrics, lambda: self.peer_links
+        )
         self.relay = RequestRelay(
             self.cache,
             self.usage,
@@ -137,6 +144,7 @@
             self.crashes,
             metrics,
             rng,
+            self.streams,
         )
         self.runners: list[PlatformRunner] = []
         self.servers: list[asyncio.Server] = []
--- a/tests/unit/platform_path/test_odd_figures.py
+++ b/tests/unit/platform_path/test_odd_figures.py
@@ -38,7 +38,11 @@
         answer = await rig.call("/chat/a", **fields)
         code = answer.headers.get("acaciarelay-code")
         assert answer.status in (200, 400, 503), (answer.status, code)
-        assert code in (None, "105", "300")
+        if "Last_Event_Id" in fields:
+            # The caller names no request that has begun the stream.
+            assert code == "309"
+        else:
+            assert code in (None, "105", "300")
         after = await rig.call("/chat/a", attempt="a-2")
         assert after.status == 200 and after.complete
 
--- a/tests/unit/platform_path/test_relay_request.py
+++ b/tests/unit/platform_path/test_relay_request.py
@@ -189,9 +189,10 @@
     """Guards against a resumed stream that starts again from its first event."""
     async with RelayRig() as rig:
         runner = await rig.add_runner("engine")
-        answer = await rig.call("/chat/a", Last_Event_Id="7")
+        await rig.call("/chat/a", attempt="a-0")
+        answer = await rig.call("/chat/a", Last_Event_Id="7", Resumes="a-0")
         assert answer.body.startswith(b"id: 8\n")
-        assert runner.headers_seen[0]["last-event-id"] == "7"
+        assert runner.headers_seen[1]["last-event-id"] == "7"
 
 
 async def test_run_is_cancelled_when_the_caller_leaves():
