--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import binascii
+import collections
 import math
 import time
 from collections.abc import Callable, Iterable
@@ -31,7 +32,7 @@
 from acaciarelay.state.cached_table import CachedTable, StoreRow
 from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S
 from acaciarelay.state.routing import RoutingTable
-from acaciarelay.state.store_era import StoreVersion
+from acaciarelay.state.store_era import NO_VERSION, StoreVersion
 
 __all__ = ["TABLES", "StateCache"]
 
@@ -52,6 +53,9 @@
 FEED_SOURCE = "feed"
 READ_SOURCE = "complete read"
 HOLD_SOURCE = "end of hold"
+# Changes of a table whose times are remembered, and how exactly.
+MAX_CHANGES = 64
+CHANGE_RESOLUTION_S = 0.05
 # Stands for the word of any peer among what has to be confirmed.
 PEERS = "peers"
 # Time in seconds that is longer ago than any limit.
@@ -65,7 +69,17 @@
     cached: CachedTable
     readable: bool = False
     confirmed_at: float = NEVER
-    changed_at: float = NEVER
+    # The last changes: when each became known, and the table's version with it.
+    changes: collections.deque[tuple[float, StoreVersion]] = attrs.Factory(
+        lambda: collections.deque(maxlen=MAX_CHANGES)
+    )
+
+    def record_change(self, now: float) -> None:
+        """Remember when the table's version became known."""
+        at = now
+        if self.changes and now - self.changes[-1][0] < CHANGE_RESOLUTION_S:
+            at, _ = self.changes.pop()
+        self.changes.append((at, self.cached.version))
 
 
 class StateCache:
@@ -115,9 +129,14 @@
         """Return the seconds since a table was last known to be current."""
         return time.monotonic() - self.tables[table].confirmed_at
 
-    def unchanged_s(self, table: str) -> float:
-        """Return the seconds since a row of a table last changed in this cache."""
-        return time.monotonic() - self.tables[table].changed_at
+    def version_known_for(self, table: str, seconds: float) -> StoreVersion:
+        """Return the newest version of a table that was known for some time."""
+        now = time.monotonic()
+        version = NO_VERSION
+        for at, changed_to in self.tables[table].changes:
+            if now - at >= seconds:
+                version = changed_to
+        return version
 
     def versions(self) -> dict[str, StoreVersion]:
         """Return the newest known version of each table."""
@@ -162,7 +181,7 @@
                 known_version=before.number,
                 always=True,
             )
-        changed = False
+        changed = has_changed = False
         for row in rows:
             if after_outage and row.value is None:
                 row = attrs.evolve(row, lapsed=True)
@@ -173,12 +192,14 @@
             if merged is None:
                 self._log_hold(table, row, source)
                 continue
-            state.changed_at = now
+            has_changed = True
             # A held removal is certain.
             is_held = merged.version.era < state.cached.version.era
             changed |= self._apply_row(
                 table, merged, after_outage and not is_held, source
             )
+        if has_changed:
+            state.record_change(now)
         if changed:
             self._notify_listeners(table)
 
--- a/src/acaciarelay/programs/table_exchange.py
+++ b/src/acaciarelay/programs/table_exchange.py
@@ -60,10 +60,12 @@
     """What was sent over a link, by table.
 
     ``stale_rounds`` counts how many statuses in a row came from a peer that lacked rows
-    which this entry could have sent; ``held`` is the digest of the last held rows.
+    which this entry could have sent, at the same ``versions``; ``held`` is the digest
+    of the last held rows.
     """
 
     stale_rounds: dict[str, int] = attrs.Factory(dict)
+    versions: dict[str, StoreVersion] = attrs.Factory(dict)
     held: dict[str, int] = attrs.Factory(dict)
 
 
@@ -193,8 +195,13 @@
             if not newer and not held:
                 sent.stale_rounds[table] = 0
                 continue
-            if not held and not self.is_due(table):
+            version = known.tables.get(table, NO_VERSION)
+            if not held and not self.is_due(table, version):
                 continue
+            if version != sent.versions.get(table):
+                # What the peer lacks now are further changes.
+                sent.stale_rounds[table] = 0
+                sent.versions[table] = version
             rounds = sent.stale_rounds.get(table, 0)
             sent.stale_rounds[table] = rounds + 1
             if not is_row_sender(self.own, receiver, reachable, rounds):
@@ -230,14 +237,14 @@
             return []
         return self.cache.held_rows(table)
 
-    def is_due(self, table: str) -> bool:
-        """Return whether a stale peer has had time to read a table itself.
+    def is_due(self, table: str, version: StoreVersion) -> bool:
+        """Return whether a peer at a version had time to read what it lacks itself.
 
         A peer that reaches the store has a new configuration before its next status.
         """
         if table != OPERATOR_TABLE:
             return True
-        return self.cache.unchanged_s(table) >= STORE_LEAD_S
+        return version < self.cache.version_known_for(table, STORE_LEAD_S)
 
 
 def encode_versions(
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -278,6 +278,14 @@
     return value | fields
 
 
+def age_changes(cache: StateCache, table: str, seconds: float) -> None:
+    """Let a table have changed some seconds earlier than it did."""
+    state = cache.tables[table]
+    changes = [(at - seconds, version) for at, version in state.changes]
+    state.changes.clear()
+    state.changes.extend(changes)
+
+
 async def read_raw_answer(reader: asyncio.StreamReader) -> RawAnswer:
     """Read one answer; it is not ``complete`` if the connection ends early."""
     try:
--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -5,7 +5,7 @@
 import attrs
 import orjson
 import pytest
-from relay_rig import WORKSHOP, configuration
+from relay_rig import WORKSHOP, age_changes, configuration
 
 from acaciarelay.coordination.row_senders import rounds_until_all_send
 from acaciarelay.coordination.shared_retry_budget import SharedRetryBudget
@@ -301,13 +301,54 @@
         for other in range(40):
             knowing.dial(other)
         knowing.cache.apply_changes("op", [row], StoreVersion(0, 7), False)
-        knowing.cache.tables["op"].changed_at -= STORE_LEAD_S
+        age_changes(knowing.cache, "op", STORE_LEAD_S)
         link = FakeLink(hello(receiver))
         for _ in range(rounds_until_all_send(40) + 1):
             knowing.peers.receive(link, stale_status({"op": 6}))
         assert any(isinstance(message, PeerRows) for message in link.sent)
 
 
+def test_a_storm_of_changes_keeps_no_rows_from_a_stale_peer(monkeypatch):
+    """Guards against changes that nobody passes on while further ones follow."""
+    clock = [1000.0]
+    monkeypatch.setattr(
+        "acaciarelay.programs.relay_state_cache.time.monotonic", lambda: clock[0]
+    )
+    process = Process(1)
+    link = FakeLink(hello(2))
+    for number in range(1, 21):
+        value = orjson.dumps(configuration(number))
+        row = StoreRow(key="config", value=value, version=StoreVersion(0, number))
+        process.cache.apply_changes("op", [row], StoreVersion(0, number), False)
+        process.peers.receive(link, stale_status({"op": 0}))
+        clock[0] += STORE_LEAD_S / 2
+    sent = [message for message in link.sent if isinstance(message, PeerRows)]
+    assert len(sent) > 10
+
+
+def test_a_peer_that_keeps_up_with_a_storm_gets_few_copies(monkeypatch):
+    """Guards against a peer to which all entries send each change of a storm."""
+    monkeypatch.setattr("acaciarelay.programs.relay_peers.Dialer", FakeDialer)
+    clock = [1000.0]
+    monkeypatch.setattr(
+        "acaciarelay.programs.relay_state_cache.time.monotonic", lambda: clock[0]
+    )
+    copies = 0
+    for index in range(25):
+        process = Process(index)
+        for other in range(25):
+            process.dial(other)
+        link = FakeLink(hello(200))
+        for number in range(1, 21):
+            value = orjson.dumps(configuration(number))
+            row = StoreRow(key="config", value=value, version=StoreVersion(0, number))
+            process.cache.apply_changes("op", [row], StoreVersion(0, number), False)
+            process.peers.receive(link, stale_status({"op": number - 4}))
+            clock[0] += STORE_LEAD_S / 2
+        copies += sum(isinstance(message, PeerRows) for message in link.sent)
+    assert 20 <= copies <= 3 * 20
+
+
 def test_messages_of_rollouts_go_to_entries_that_take_part(pair):
     """Guards against a message that an older process closes the link for."""
     first, _ = pair
--- a/tests/unit/platform_path/test_restored_tables.py
+++ b/tests/unit/platform_path/test_restored_tables.py
@@ -6,7 +6,7 @@
 
 import orjson
 import pytest
-from relay_rig import configuration, registration
+from relay_rig import age_changes, configuration, registration
 from unit.platform_path.test_relay_peers import FakeDialer, FakeLink, Process, hello
 from unit.platform_path.test_store_follower import SILENCE_LIMIT_S, FollowedStore
 
@@ -148,7 +148,7 @@
     status = woken.peers.status(woken.peers.sent)
     fresh.peers.receive(FakeLink(hello(1)), status)
     assert not fresh.cache.trusted.is_set()
-    fresh.cache.tables["op"].changed_at -= STORE_LEAD_S
+    age_changes(fresh.cache, "op", STORE_LEAD_S)
     exchange(woken, fresh)
     assert woken.cache.routing.version == 10
     assert fresh.cache.routing.version == 10
