--- a/src/acaciarelay/platform/store.py
+++ b/src/acaciarelay/platform/store.py
@@ -66,11 +66,13 @@
 class StoreError:
     """Failure of a call to the store.
 
-    ``is_refusal`` is true if the store itself answered that it is unavailable.
+    ``is_refusal`` is true if the store itself answered that it is unavailable, and
+    ``is_begun`` if a part of its answer had come when the time for it was over.
     """
 
     detail: str
     is_refusal: bool = False
+    is_begun: bool = False
 
 
 @attrs.frozen
@@ -148,6 +150,8 @@
         self._connection: EndpointConnection | None = None
         # Whether the call on its way was sent, wholly or in part.
         self._sent = False
+        # Whether a part of its answer has come.
+        self._begun = False
         self._lock = asyncio.Lock()
 
     @property
@@ -266,12 +270,15 @@
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> Result[_Answer, StoreError]:
         async with self._lock:
-            self._sent = False
+            self._sent = self._begun = False
             try:
                 async with asyncio.timeout(timeout_s):
                     return await self._exchange(method, path, body)
             except TimeoutError:
                 self.close()
+                if self._begun:
+                    detail = f"no whole answer within {timeout_s:g} s"
+                    return Err(StoreError(detail, is_begun=True))
                 return Err(StoreError(f"no answer within {timeout_s:g} s"))
             except asyncio.CancelledError:
                 self.close()
@@ -299,6 +306,7 @@
         while True:
             match await connection.next_event():
                 case h11.Response() as response:
+                    self._begun = True
                     status = response.status_code
                     era = _decode_era(response, self.era)
                     self.era = max(self.era, era)
--- a/src/acaciarelay/programs/ctl_explain.py
+++ b/src/acaciarelay/programs/ctl_explain.py
@@ -27,6 +27,7 @@
         "store_lost",
         "store_regained",
         "store_history_gone",
+        "store_answer_too_long",
         "store_restored",
         "row_held",
         "hold_ended",
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -68,7 +68,8 @@
     last one. ``read_at`` is the time of the last answer that was applied, and
     ``failure_count`` how many calls have failed since. Until ``restored_until`` the
     rows of a restored store may lapse. With ``probing`` the next call asks for no wait,
-    so that it tells soon whether the store answers.
+    so that it tells soon whether the store answers. ``answers_are_long`` is true while
+    the last answer was given up midway.
     """
 
     read_at: float
@@ -77,6 +78,7 @@
     failure_count: int = 0
     restored_until: float = 0.0
     probing: bool = False
+    answers_are_long: bool = False
     task: asyncio.Task | None = None
 
     @property
@@ -228,9 +230,21 @@
                 if error.is_refusal or (shows_outage and is_on_time):
                     self.contact.record_unreachable()
                 self.record_failure(table, feed, error.detail)
+                if error.is_begun:
+                    self.read_anew(table, feed, error.detail)
                 return _NextCall.AFTER_RETRY_INTERVAL
         return _NextCall.AFTER_INTERVAL
 
+    def read_anew(self, table: str, feed: _Feed, detail: str) -> None:
+        """Read the rows in place of their changes, which take too long to come.
+
+        Each call would get the same changes again: a row that was written often has as
+        many of them, on a link that may be slow.
+        """
+        log_event("store_answer_too_long", table=table, detail=detail)
+        feed.version = None
+        feed.answers_are_long = True
+
     def is_new_era(self, feed: _Feed, era: int) -> bool:
         return feed.version is not None and era > feed.version.era
 
@@ -271,6 +285,8 @@
         Whoever reads a table completely may know nothing else, so a read that was sent
         into a silence must not outlast it by much.
         """
+        if feed.answers_are_long:
+            return self.silence_limit_s - NEXT_CALL_S
         if feed.failure_count % READS_TO_A_LONG_ONE == READS_TO_A_LONG_ONE - 1:
             return self.silence_limit_s - NEXT_CALL_S
         return self.silence_limit_s * PROBE_FRACTION
@@ -292,7 +308,7 @@
         after_outage = may_have_lapsed or now < feed.restored_until
         feed.failure_count = 0
         feed.read_at = now
-        feed.probing = False
+        feed.probing = feed.answers_are_long = False
         if feed.version is None:
             # Endpoints that a restored store has lost register again soon.
             after_outage |= page.version.era > feed.era
--- a/tests/unit/platform_path/test_store_follower.py
+++ b/tests/unit/platform_path/test_store_follower.py
@@ -1,9 +1,11 @@
 """How soon entries notice a silent store, its return, and what it says then."""
 
 import asyncio
+import contextlib
 import random
 import time
 
+import orjson
 import pytest
 from relay_rig import configuration, registration
 
@@ -14,6 +16,7 @@
     RETRY_INTERVAL_S,
     StoreFollower,
 )
+from acaciarelay.state.cached_table import StoreRow
 from acaciarelay.state.store_era import StoreVersion
 from acaciarelay_standins.inbound_standin import listen
 from acaciarelay_standins.platform_store import PlatformStore
@@ -70,6 +73,70 @@
         return time.monotonic() - began
 
 
+class SlowLink:
+    """Pass a connection to the store on, its answers at so many bytes a second."""
+
+    def __init__(self, store_port, bytes_per_s):
+        self.store_port = store_port
+        self.bytes_per_s = bytes_per_s
+
+    async def handle(self, reader, writer):
+        store_reader, store_writer = await asyncio.open_connection(
+            "127.0.0.1", self.store_port
+        )
+        requests = asyncio.create_task(self.copy(reader, store_writer, 1e9))
+        try:
+            await self.copy(store_reader, writer, self.bytes_per_s)
+        finally:
+            requests.cancel()
+            store_writer.transport.abort()
+            writer.transport.abort()
+
+    async def copy(self, reader, writer, bytes_per_s):
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(4096):
+                await asyncio.sleep(len(data) / bytes_per_s)
+                writer.write(data)
+                await writer.drain()
+
+
+async def test_many_changes_of_a_long_row_are_caught_up_on_a_slow_link():
+    """Guards against a feed that gets the same changes again and never all of them."""
+    store, cache = PlatformStore(), StateCache()
+    routes = configuration(1)["routes"]
+    padding = [routes[0] | {"prefix": f"/{number}/"} for number in range(150)]
+    for version in range(1, 41):
+        value = configuration(version, routes=[*routes, *padding])
+        store.put("op", "config", value)
+    server, address = await listen(store.handle, "127.0.0.1:0")
+    link = SlowLink(int(address.rpartition(":")[2]), 200_000)
+    slow = await asyncio.start_server(link.handle, "127.0.0.1", 0)
+    port = slow.sockets[0].getsockname()[1]
+    follower = StoreFollower(
+        f"127.0.0.1:{port}", cache, random.Random(1), SILENCE_LIMIT_S, lambda: 5
+    )
+    # What the entry knew before it was turned away.
+    row = store.rows("op", "", 1)["config"]
+    known = StoreRow(
+        key="config", value=orjson.dumps(configuration(1)), version=StoreVersion(0, 1)
+    )
+    assert row.version == 1
+    cache.apply_changes("op", [known], StoreVersion(0, 1), False)
+    follower.feeds["op"].version = StoreVersion(0, 1)
+    follower.feeds["op"].probing = True
+    caught_up = asyncio.Event()
+    cache.on_configuration.append(caught_up.set)
+    try:
+        follower.start()
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            await caught_up.wait()
+        assert cache.routing.version == 40
+    finally:
+        follower.close()
+        slow.close()
+        server.close()
+
+
 @pytest.mark.parametrize("silent_s", [0.5, 2.0, 4.0, 6.5])
 async def test_a_change_after_a_silence_is_in_force_within_the_bound(silent_s):
     """Guards against calls that hang since the silence and hide a change.
