--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -227,7 +227,8 @@
                 feed.version = None
             case Err(StoreError() as error):
                 is_on_time = time.monotonic() - began <= limit_s + MAX_TIMER_DELAY_S
-                if error.is_refusal or (shows_outage and is_on_time):
+                shows_outage = shows_outage and is_on_time and not error.is_begun
+                if error.is_refusal or shows_outage:
                     self.contact.record_unreachable()
                 self.record_failure(table, feed, error.detail)
                 if error.is_begun:
--- a/tests/unit/platform_path/test_store_follower.py
+++ b/tests/unit/platform_path/test_store_follower.py
@@ -9,6 +9,7 @@
 import pytest
 from relay_rig import configuration, registration
 
+from acaciarelay.coordination.store_contact import StoreContact
 from acaciarelay.platform.store import RowPage
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.store_follower import (
@@ -100,8 +101,9 @@
                 await writer.drain()
 
 
-async def test_many_changes_of_a_long_row_are_caught_up_on_a_slow_link():
-    """Guards against a feed that gets the same changes again and never all of them."""
+@contextlib.asynccontextmanager
+async def follow_over_a_slow_link():
+    """Follow a store at which 40 versions of a long configuration are to be read."""
     store, cache = PlatformStore(), StateCache()
     routes = configuration(1)["routes"]
     padding = [routes[0] | {"prefix": f"/{number}/"} for number in range(150)]
@@ -130,13 +132,29 @@
         follower.start()
         async with asyncio.timeout(SILENCE_LIMIT_S):
             await caught_up.wait()
-        assert cache.routing.version == 40
+        yield follower
     finally:
         follower.close()
         slow.close()
         server.close()
 
 
+async def test_many_changes_of_a_long_row_are_caught_up_on_a_slow_link():
+    """Guards against a feed that gets the same changes again and never all of them."""
+    async with follow_over_a_slow_link() as follower:
+        assert follower.cache.routing.version == 40
+
+
+async def test_an_answer_that_takes_too_long_shows_no_outage(monkeypatch):
+    """Guards against removed endpoints that are kept after an outage that was none."""
+    signs = []
+    monkeypatch.setattr(
+        StoreContact, "record_unreachable", lambda contact: signs.append(contact)
+    )
+    async with follow_over_a_slow_link():
+        assert not signs
+
+
 @pytest.mark.parametrize("silent_s", [0.5, 2.0, 4.0, 6.5])
 async def test_a_change_after_a_silence_is_in_force_within_the_bound(silent_s):
     """Guards against calls that hang since the silence and hide a change.
