--- a/src/acaciarelay/programs/table_exchange.py
+++ b/src/acaciarelay/programs/table_exchange.py
@@ -1,11 +1,16 @@
 """Exchange of store rows between entries: versions, and rows for stale peers."""
 
 import math
+import time
 from collections.abc import Iterable
 
 import attrs
 
-from acaciarelay.coordination.row_senders import is_row_sender
+from acaciarelay.coordination.row_senders import (
+    SERIES_SENDERS,
+    is_row_sender,
+    senders_in_round,
+)
 from acaciarelay.platform.configuration import OPERATOR_TABLE
 from acaciarelay.programs.relay_state_cache import TABLES, StateCache
 from acaciarelay.protocol.link_messages import (
@@ -28,6 +33,8 @@
 MAX_STALENESS_S = 1.2
 # How long peers are given to read a new configuration from the store themselves.
 STORE_LEAD_S = 0.4
+# Least interval at which an entry sends a peer the configurations of a series.
+SERIES_INTERVAL_S = 1.0
 # Least interval at which entries of other zones get the versions of the tables, and
 # the staleness of the configuration from which on they get them with each status.
 FAR_INTERVAL_S = 5.0
@@ -57,17 +64,40 @@
 
 @attrs.define(eq=False)
 class _SentRows:
-    """What was sent over a link, by table.
+    """What is known of the peer's tables over a link, and what it was sent.
 
-    ``stale_rounds`` counts how many statuses in a row came from a peer that lacked rows
-    which this entry could have sent, at the same ``versions``; ``held`` is the digest
-    of the last held rows.
+    ``peer_versions`` holds the versions at which the peer last lacked rows that this
+    entry could have sent, and ``stale_rounds`` how many of its statuses in a row told
+    these. ``keeping_up`` holds the tables in which it has got further since it first
+    lacked rows. ``versions`` and ``sent_at`` are those of the last rows sent, and
+    ``held`` the digest of the last held rows.
     """
 
+    peer_versions: dict[str, StoreVersion] = attrs.Factory(dict)
     stale_rounds: dict[str, int] = attrs.Factory(dict)
+    keeping_up: set[str] = attrs.Factory(set)
     versions: dict[str, StoreVersion] = attrs.Factory(dict)
+    sent_at: dict[str, float] = attrs.Factory(dict)
     held: dict[str, int] = attrs.Factory(dict)
 
+    def record_current(self, table: str) -> None:
+        """Record that the peer lacks no rows of a table."""
+        self.peer_versions.pop(table, None)
+        self.stale_rounds.pop(table, None)
+        self.keeping_up.discard(table)
+
+    def record_stale(self, table: str, version: StoreVersion) -> int:
+        """Record that the peer lacks rows; return its earlier statuses that told so."""
+        last = self.peer_versions.get(table)
+        if last != version:
+            self.peer_versions[table] = version
+            self.stale_rounds[table] = 0
+            if last is not None:
+                self.keeping_up.add(table)
+        rounds = self.stale_rounds[table]
+        self.stale_rounds[table] = rounds + 1
+        return rounds
+
 
 class TableExchange:
     """Compare cached tables with those of peers; ``own`` is this entry's address."""
@@ -193,22 +223,23 @@
             newer = self.newer_rows(table, known, wanted)
             held = self.unsent_held_rows(table, link, known)
             if not newer and not held:
-                sent.stale_rounds[table] = 0
+                sent.record_current(table)
                 continue
             version = known.tables.get(table, NO_VERSION)
             if not held and not self.is_due(table, version):
                 continue
-            if version != sent.versions.get(table):
-                # What the peer lacks now are further changes.
-                sent.stale_rounds[table] = 0
-                sent.versions[table] = version
-            rounds = sent.stale_rounds.get(table, 0)
-            sent.stale_rounds[table] = rounds + 1
-            if not is_row_sender(self.own, receiver, reachable, rounds):
+            rounds = sent.record_stale(table, version)
+            in_series = table in sent.keeping_up and rounds == 0
+            senders = SERIES_SENDERS if in_series else senders_in_round(rounds)
+            if not is_row_sender(self.own, receiver, reachable, senders):
+                continue
+            if not held and self.was_sent(sent, table):
                 continue
             rows += newer + held
             if newer:
                 complete[table] = self.cache.versions()[table]
+                sent.versions[table] = complete[table]
+                sent.sent_at[table] = time.monotonic()
             sent.held[table] = self.cache.tables[table].cached.held_digest
         if not rows:
             return
@@ -218,6 +249,18 @@
             PeerRows(versions=numbers, rows=rows, era=era, eras=eras, held=digests)
         )
 
+    def was_sent(self, sent: _SentRows, table: str) -> bool:
+        """Return whether a peer was sent its rows, or a configuration just before.
+
+        A link loses nothing, and a long row takes its time over a slow one.
+        """
+        if sent.versions.get(table) == self.cache.versions()[table]:
+            return True
+        if table != OPERATOR_TABLE:
+            return False
+        since_s = time.monotonic() - sent.sent_at.get(table, -math.inf)
+        return since_s < SERIES_INTERVAL_S
+
     def newer_rows(
         self, table: str, known: KnownVersions, wanted: list[str]
     ) -> list[PeerRow]:
