--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import binascii
-import collections
 import math
 import time
 from collections.abc import Callable, Iterable
@@ -31,8 +30,9 @@
 from acaciarelay.protocol.link_messages import PeerRow
 from acaciarelay.state.cached_table import CachedTable, StoreRow
 from acaciarelay.state.endpoints import REREGISTRATION_TIMEOUT_S
+from acaciarelay.state.recent_versions import RecentVersions
 from acaciarelay.state.routing import RoutingTable
-from acaciarelay.state.store_era import NO_VERSION, StoreVersion
+from acaciarelay.state.store_era import StoreVersion
 
 __all__ = ["TABLES", "StateCache"]
 
@@ -53,9 +53,6 @@
 FEED_SOURCE = "feed"
 READ_SOURCE = "complete read"
 HOLD_SOURCE = "end of hold"
-# Changes of a table whose times are remembered, and how exactly.
-MAX_CHANGES = 64
-CHANGE_RESOLUTION_S = 0.05
 # Stands for the word of any peer among what has to be confirmed.
 PEERS = "peers"
 # Time in seconds that is longer ago than any limit.
@@ -69,17 +66,7 @@
     cached: CachedTable
     readable: bool = False
     confirmed_at: float = NEVER
-    # The last changes: when each became known, and the table's version with it.
-    changes: collections.deque[tuple[float, StoreVersion]] = attrs.Factory(
-        lambda: collections.deque(maxlen=MAX_CHANGES)
-    )
-
-    def record_change(self, now: float) -> None:
-        """Remember when the table's version became known."""
-        at = now
-        if self.changes and now - self.changes[-1][0] < CHANGE_RESOLUTION_S:
-            at, _ = self.changes.pop()
-        self.changes.append((at, self.cached.version))
+    recent: RecentVersions = attrs.Factory(RecentVersions)
 
 
 class StateCache:
@@ -131,12 +118,7 @@
 
     def version_known_for(self, table: str, seconds: float) -> StoreVersion:
         """Return the newest version of a table that was known for some time."""
-        now = time.monotonic()
-        version = NO_VERSION
-        for at, changed_to in self.tables[table].changes:
-            if now - at >= seconds:
-                version = changed_to
-        return version
+        return self.tables[table].recent.known_for(seconds, time.monotonic())
 
     def versions(self) -> dict[str, StoreVersion]:
         """Return the newest known version of each table."""
@@ -199,7 +181,7 @@
                 table, merged, after_outage and not is_held, source
             )
         if has_changed:
-            state.record_change(now)
+            state.recent.record(state.cached.version, now)
         if changed:
             self._notify_listeners(table)
 
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -280,10 +280,10 @@
 
 def age_changes(cache: StateCache, table: str, seconds: float) -> None:
     """Let a table have changed some seconds earlier than it did."""
-    state = cache.tables[table]
-    changes = [(at - seconds, version) for at, version in state.changes]
-    state.changes.clear()
-    state.changes.extend(changes)
+    recent = cache.tables[table].recent
+    changes = [(at - seconds, version) for at, version in recent.changes]
+    recent.changes.clear()
+    recent.changes.extend(changes)
 
 
 async def read_raw_answer(reader: asyncio.StreamReader) -> RawAnswer:
