--- a/src/acaciarelay/programs/relay_peers.py
+++ b/src/acaciarelay/programs/relay_peers.py
@@ -77,7 +77,7 @@
     ) -> None:
         self.hello = hello
         self.zones = ZoneUsageExchange(hello, usage)
-        self.tables = TableExchange(hello.address, cache)
+        self.tables = TableExchange(hello.address, cache, self.links)
         self.ticker = ticker
         self.cache = cache
         self.usage = usage
--- a/src/acaciarelay/programs/table_exchange.py
+++ b/src/acaciarelay/programs/table_exchange.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -100,10 +100,19 @@
 
 
 class TableExchange:
-    """Compare cached tables with those of peers; ``own`` is this entry's address."""
+    """Compare cached tables with those of peers.
 
-    def __init__(self, own: str, cache: StateCache) -> None:
+    ``own`` is this entry's address, and ``links`` returns the links to its peers.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        cache: StateCache,
+        links: Callable[[], Iterable[MessageLink]],
+    ) -> None:
         self.own = own
+        self.links = links
         self.cache = cache
         # Loop time of the end of this process's last pause.
         self.resumed_at = -math.inf
@@ -117,10 +126,16 @@
         self.sent_rows.pop(link, None)
 
     def wanted(self) -> list[str]:
-        """Return the tables of which newer rows are accepted from peers."""
-        wanted = [OPERATOR_TABLE]
+        """Return the tables of which newer rows are accepted from peers.
+
+        A configuration is wanted neither while the store tells it nor while a long
+        message of a peer, which may bring it, is on its way: copies from several peers
+        would fill a slow link.
+        """
+        is_receiving = any(link.is_receiving_long for link in self.links())
+        wanted = []
         for table in TABLES:
-            if table == OPERATOR_TABLE:
+            if table == OPERATOR_TABLE and is_receiving:
                 continue
             if self.cache.staleness_s(table) > MAX_STALENESS_S:
                 wanted.append(table)
--- a/src/acaciarelay/transport/message_link.py
+++ b/src/acaciarelay/transport/message_link.py
@@ -59,6 +59,8 @@
 # hello of the peer.
 MAX_PARTIAL_LINE_BYTES = 4_000_000
 MAX_PARTIAL_HELLO_BYTES = 65_536
+# A message with more bytes than this takes its time over a slow link.
+LONG_MESSAGE_BYTES = 8192
 # Messages that are handled without giving way to other tasks.
 MAX_MESSAGES_PER_TURN = 64
 
@@ -211,6 +213,11 @@
             self.close()
         self.gate.record_step(began, len(data))
 
+    @property
+    def is_receiving_long(self) -> bool:
+        """Return whether a long message has come in part."""
+        return len(self.buffer) > LONG_MESSAGE_BYTES
+
     @property
     def max_partial_line_bytes(self) -> int:
         if self.peer is None:
--- a/tests/unit/platform_path/store_fleet_model.py
+++ b/tests/unit/platform_path/store_fleet_model.py
@@ -112,6 +112,7 @@
     back: "_Link | None" = None
     open: bool = True
     delivered_at: float = 0.0
+    is_receiving_long: bool = False
 
     def send(self, message: object) -> None:
         self.send_line(encode_message(message))
--- a/tests/unit/platform_path/test_relay_peers.py
+++ b/tests/unit/platform_path/test_relay_peers.py
@@ -42,6 +42,8 @@
 class FakeLink:
     """Link to one peer that records what is sent."""
 
+    is_receiving_long = False
+
     def __init__(self, peer):
         self.peer = peer
         self.opened_at = 0.0
@@ -351,6 +353,23 @@
     assert 1 <= copies <= 3 + 20
 
 
+def test_no_configuration_is_wanted_while_a_long_message_comes(pair):
+    """Guards against a slow link that copies of one configuration fill."""
+    first, _ = pair
+    link = first.dial(2)
+    assert "op" in first.peers.tables.wanted()
+    link.is_receiving_long = True
+    assert "op" not in first.peers.tables.wanted()
+    assert "servers" in first.peers.tables.wanted()
+
+
+def test_no_configuration_is_wanted_while_the_store_tells_it(pair):
+    """Guards against copies of what an entry reads itself."""
+    first, _ = pair
+    first.cache.mark_read("op")
+    assert "op" not in first.peers.tables.wanted()
+
+
 def test_rows_are_sent_once_over_a_link(monkeypatch):
     """Guards against a long row that is sent again while it is on its way."""
     clock = [1000.0]
--- a/tests/unit/platform_path/test_zone_usage.py
+++ b/tests/unit/platform_path/test_zone_usage.py
@@ -37,6 +37,7 @@
     network: "Network"
     own: str
     opened_at: float = 0.0
+    is_receiving_long: bool = False
 
     def send(self, message):
         self.send_line(encode_message(message))
