--- a/src/acaciarelay/programs/ctl_explain.py
+++ b/src/acaciarelay/programs/ctl_explain.py
@@ -21,6 +21,7 @@
         "endpoint_removed",
         "endpoint_missing",
         "endpoint_leaves",
+        "endpoint_drain_reported",
         "endpoint_defers",
         "prompt_suspected",
         "suspicion_ended",
--- a/src/acaciarelay/programs/resumed_streams.py
+++ b/src/acaciarelay/programs/resumed_streams.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from acaciarelay.coordination.slot_client import EngineSlot, SlotClient
+from acaciarelay.coordination.slot_client import EngineSlot, SlotClient, SlotLink
 from acaciarelay.coordination.software_history import SoftwareHistory
 from acaciarelay.coordination.stream_origins import StreamOrigin
 from acaciarelay.platform.configuration import ENDPOINT_TABLE
@@ -220,6 +220,5 @@
         self.metrics.count("streams_resumed_total", outcome=outcome)
 
 
-def _finds_streams(link: object) -> bool:
-    peer = getattr(link, "peer", None)
-    return peer is not None and peer.finds_streams
+def _finds_streams(link: SlotLink) -> bool:
+    return link.peer is not None and link.peer.finds_streams
