--- a/review/rig3.py
+++ b/review/rig3.py
@@ -403,7 +403,7 @@
         """Return number and data of the whole events."""
         found = []
         for block in bytes(self.body).split(b"\n\n")[:-1]:
-            match = re.search(rb"id: (\d+)\ndata: (.*)", block)
+            match = re.search(rb"id: (\d+)\ndata: ?(.*)", block)
             if match is not None:
                 found.append((int(match.group(1)), match.group(2).decode()))
         return found
