--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,5 @@
 set -e
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps:src python3 -c "
-import acaciarelay_standins.platform_runner, acaciarelay_standins.platform_store"
+import acaciarelay_standins.inbound_standin, acaciarelay_standins.platform_runner
+import acaciarelay_standins.platform_store, acaciarelay_standins.ports"
