Record only the first event of a stream, not where its request was sent

Cause: an attempt was recorded when the request was sent, before its outcome was known, and the highest attempt among the records found counted. The record of an attempt that was declined outlived that of the next one, which brought the first event, once the entry and the agent that knew it were killed.

Now the first event is recorded, before it is passed on. From then on the stream is bound to its version, so that no later record can contradict it and one answer is enough. Messages keep their form: entries and agents of the former release read the new records, and theirs, which lack the field `begun`, count for nothing.

--- a/src/acaciarelay/coordination/stream_origins.py
+++ b/src/acaciarelay/coordination/stream_origins.py
@@ -1,10 +1,10 @@
-"""Which software version the streams of recent requests belong to."""
+"""Which software version the streams of recent requests began at."""
 
 import collections
 
 import attrs
 
-__all__ = ["MAX_ORIGINS", "StreamOrigin", "StreamOrigins"]
+__all__ = ["MAX_ORIGINS", "StreamOrigins"]
 
 # Requests that are remembered; the oldest are forgotten first.
 MAX_ORIGINS = 4096
@@ -13,45 +13,36 @@
 
 
 @attrs.frozen
-class StreamOrigin:
-    """The version to which a request was sent by its attempt of this number."""
+class _Origin:
+    """The versions whose first event came; more than one if an id was used twice."""
 
-    version: str
-    attempt: int
-
-
-@attrs.frozen
-class _Kept:
-    origin: StreamOrigin
+    versions: frozenset[str]
     until: float
 
 
 class StreamOrigins:
-    """Remember where requests were sent, for a bounded time and number of them.
+    """Remember where streams began, for a bounded time and number of them.
 
     All times are monotonic, in seconds.
     """
 
     def __init__(self) -> None:
-        self.kept: collections.OrderedDict[str, _Kept] = collections.OrderedDict()
-
-    def record(
-        self, request: str, origin: StreamOrigin, kept_s: float, now: float
-    ) -> None:
-        """Remember an attempt of a request, in place of an earlier one."""
-        known = self.find(request, now)
-        if known is not None and known.attempt > origin.attempt:
-            return
+        self.kept: collections.OrderedDict[str, _Origin] = collections.OrderedDict()
+
+    def record(self, request: str, version: str, kept_s: float, now: float) -> None:
+        """Remember that a request's first event came from an endpoint of a version."""
+        versions = self.find(request, now) | {version}
+        until = now + min(kept_s, MAX_KEPT_S)
         self.kept.pop(request, None)
-        self.kept[request] = _Kept(origin, now + min(kept_s, MAX_KEPT_S))
+        self.kept[request] = _Origin(versions, until)
         self._forget(now)
 
-    def find(self, request: str, now: float) -> StreamOrigin | None:
-        """Return the last known attempt of a request."""
-        kept = self.kept.get(request)
-        if kept is None or now >= kept.until:
-            return None
-        return kept.origin
+    def find(self, request: str, now: float) -> frozenset[str]:
+        """Return the versions of a request's first event, empty if it is not known."""
+        origin = self.kept.get(request)
+        if origin is None or now >= origin.until:
+            return frozenset()
+        return origin.versions
 
     def _forget(self, now: float) -> None:
         while self.kept:
--- a/src/acaciarelay/programs/answer_forwarder.py
+++ b/src/acaciarelay/programs/answer_forwarder.py
@@ -1,6 +1,7 @@
 """Forward an endpoint's answer to the caller, whole bodies and streams."""
 
 import asyncio
+from collections.abc import Callable
 
 import h11
 
@@ -36,12 +37,19 @@
 
     Bodies that are collected before they are passed on share ``memory``; without one,
     they use the room that their caller's connection reserves. ``crashes`` learns which
-    prompts endpoints answer.
+    prompts endpoints answer, and ``on_begin`` is called before the first event of a
+    stream is passed on.
     """
 
-    def __init__(self, memory: MemoryBudget | None, crashes: CrashGuard) -> None:
+    def __init__(
+        self,
+        memory: MemoryBudget | None,
+        crashes: CrashGuard,
+        on_begin: Callable[[RelayedRequest], None],
+    ) -> None:
         self.memory = memory
         self.crashes = crashes
+        self.on_begin = on_begin
         self.loop = asyncio.get_running_loop()
 
     async def forward_body(
@@ -130,6 +138,7 @@
             status,
             headers,
             self.crashes,
+            self.on_begin,
         )
         return await forwarder.run()
 
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -66,7 +66,8 @@
     collected before they are passed on share ``memory``, and reading all answers takes
     its time from ``loop_budget``. ``crashes`` learns which
     prompts endpoints answer and which runs they broke off, ``endpoints`` which of them
-    leave, and ``rollouts`` how the versions on trial answer. With ``slow_peers``,
+    leave, and ``rollouts`` how the versions on trial answer. ``on_begin`` is called
+    before the first event of a stream is passed on. With ``slow_peers``,
     bodies are sent as fast as endpoints read them, and answers share the memory of the
     callers' connections.
     """
@@ -80,6 +81,7 @@
         crashes: CrashGuard,
         endpoints: EndpointList,
         slow_peers: bool,
+        on_begin: Callable[[RelayedRequest], None],
         rollouts: Rollouts | None = None,
     ) -> None:
         self.slow_peers = slow_peers
@@ -89,7 +91,9 @@
         self.health = health
         self.loop_budget = loop_budget
         self.on_stall = on_stall
-        self.forwarder = AnswerForwarder(None if slow_peers else memory, crashes)
+        self.forwarder = AnswerForwarder(
+            None if slow_peers else memory, crashes, on_begin
+        )
         self.loop = asyncio.get_running_loop()
 
     async def attempt(
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -104,6 +104,7 @@
             crashes,
             cache.endpoints,
             slow_peers,
+            streams.record,
             rollouts,
         )
         self.loop = asyncio.get_running_loop()
@@ -212,7 +213,6 @@
                         relayed.service, relayed.rank, time.monotonic()
                     )
                 relayed.attempt_count += 1
-                self.streams.record(relayed, placement.endpoint, placement.slot)
                 outcome = await self.attempts.attempt(
                     connection, request, relayed, placement.endpoint
                 )
--- a/src/acaciarelay/programs/resumed_streams.py
+++ b/src/acaciarelay/programs/resumed_streams.py
@@ -7,9 +7,8 @@
 
 import attrs
 
-from acaciarelay.coordination.slot_client import EngineSlot, SlotClient, SlotLink
+from acaciarelay.coordination.slot_client import SlotClient, SlotLink
 from acaciarelay.coordination.software_history import SoftwareHistory
-from acaciarelay.coordination.stream_origins import StreamOrigin
 from acaciarelay.platform.configuration import ENDPOINT_TABLE
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
@@ -21,7 +20,6 @@
     StreamMessage,
     StreamStarted,
 )
-from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.relayed_request import RelayedRequest
 from acaciarelay.state.routing import Repeatability
 from acaciarelay.transport.message_link import MessageLink
@@ -39,20 +37,23 @@
 
 @attrs.define(eq=False)
 class _Lookup:
-    """A question under way; ``awaited`` are the links that owe an answer."""
+    """A question under way; ``awaited`` are the links that owe an answer.
+
+    ``found`` holds the versions that were named.
+    """
 
     asked: set[MessageLink] = attrs.Factory(set)
     awaited: set[MessageLink] = attrs.Factory(set)
-    found: list[StreamOrigin] = attrs.Factory(list)
+    found: set[str] = attrs.Factory(set)
     answered: asyncio.Event = attrs.Factory(asyncio.Event)
 
 
 class ResumedStreams:
     """Record where streams begin, and find out where a resumed one began.
 
-    The agents beside the engines remember it, as they outlive the entries, and this
-    entry. In place of an agent that is out of reach it is the entry that grants the
-    slots of its engine. ``peer_links`` returns the links to all entries.
+    The agents beside the engines remember it, since they outlive the entries, and so
+    does this entry. In place of an agent that is out of reach, the entry that grants
+    the slots of its engine does. ``peer_links`` returns the links to all entries.
     """
 
     def __init__(
@@ -94,11 +95,17 @@
 
     # Streams that begin.
 
-    def record(
-        self, relayed: RelayedRequest, endpoint: Endpoint, slot: EngineSlot | None
-    ) -> None:
-        """Remember that a request is sent to an endpoint, before it is sent."""
-        if relayed.route.repeatability is not Repeatability.RESUMABLE:
+    def record(self, relayed: RelayedRequest) -> None:
+        """Remember where a stream begins, before its first event is passed on.
+
+        A request that was sent and brought no event is not recorded: it may be sent
+        elsewhere, and a record of that may be lost.
+        """
+        endpoint = relayed.endpoint
+        if (
+            endpoint is None
+            or relayed.route.repeatability is not Repeatability.RESUMABLE
+        ):
             return
         limit_s = relayed.deadline - self.loop.time()
         limit_s = max(limit_s, relayed.traits.time_limit_s or 0.0)
@@ -107,11 +114,12 @@
             version=endpoint.version,
             attempt=relayed.attempt_count,
             kept_s=round(limit_s + KEPT_AFTER_LIMIT_S, 1),
+            begun=True,
         )
         self.records.record(message)
-        if slot is None:
+        agent = self.slot_client.agents.get(endpoint.host)
+        if agent is None:
             return
-        agent = slot.agent
         if not agent.beside_engine or _finds_streams(agent.link):
             agent.link.send(message)
 
@@ -119,38 +127,50 @@
 
     async def find_software(self, relayed: RelayedRequest) -> str | None:
         """Return the version that began a resumed stream, ``None`` if nobody knows."""
-        origin = None
+        software = None
         first_request = relayed.traits.first_request
         if first_request:
-            origin = await self.find_origin(first_request, relayed.service)
-        software = origin.version if origin is not None else self.only_version(relayed)
+            software = await self.find_origin(first_request, relayed.service)
+        known_by = "record" if software is not None else "history"
+        if software is None:
+            software = self.only_version(relayed)
         log_event(
             "stream_resumed",
             request_id=relayed.traits.request_id,
             first_request=first_request,
             after_event=relayed.last_event,
             software=software,
-            known_by="record" if origin is not None else "history",
+            known_by=known_by,
         )
         return software
 
-    async def find_origin(self, request: str, service: str) -> StreamOrigin | None:
-        """Ask who may have seen a request of a service where it was sent last."""
-        known = self.records.origins.find(request, time.monotonic())
-        if known is not None:
-            return known
+    async def find_origin(self, request: str, service: str) -> str | None:
+        """Find the version that began a request's stream; ask others if need be.
+
+        ``None`` if nobody knows it, or if several requests had its id.
+        """
+        versions = self.records.origins.find(request, time.monotonic())
+        if not versions:
+            versions = await self.ask_others(request, service)
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    async def ask_others(self, request: str, service: str) -> frozenset[str]:
+        """Return the versions that other processes know to have begun a stream."""
         number = next(self.numbers)
         lookup = self.lookups[number] = _Lookup()
         try:
             await self.ask(number, request, service, lookup)
         finally:
             del self.lookups[number]
-        return max(lookup.found, key=lambda o: o.attempt, default=None)
+        return frozenset(lookup.found)
 
     async def ask(
         self, number: int, request: str, service: str, lookup: _Lookup
     ) -> None:
-        """Ask all agents in reach, and wait for the answers and for missing links."""
+        """Ask all agents in reach, and wait for a version, or for missing links.
+
+        One answer suffices, as only the first event of a stream is recorded.
+        """
         began_at = self.loop.time()
         asked_at = began_at
         while True:
@@ -161,13 +181,12 @@
                 lookup.awaited.add(link)
                 asked_at = self.loop.time()
                 link.send(StreamLookup(number=number, request=request))
+            if lookup.found:
+                return
             now = self.loop.time()
             is_answered = not lookup.awaited or now >= asked_at + ANSWER_TIMEOUT_S
-            if is_answered and (
-                lookup.found
-                or self.is_linked(service)
-                or now >= began_at + LINK_TIMEOUT_S
-            ):
+            is_linked = self.is_linked(service) or now >= began_at + LINK_TIMEOUT_S
+            if is_answered and is_linked:
                 return
             lookup.answered.clear()
             try:
@@ -210,9 +229,9 @@
                 if lookup is None or link not in lookup.awaited:
                     return
                 lookup.awaited.discard(link)
-                if message.attempt > 0:
-                    lookup.found.append(StreamOrigin(message.version, message.attempt))
-                if not lookup.awaited:
+                if message.begun:
+                    lookup.found.add(message.version)
+                if lookup.found or not lookup.awaited:
                     lookup.answered.set()
 
     def count(self, outcome: str) -> None:
--- a/src/acaciarelay/programs/stream_forwarder.py
+++ b/src/acaciarelay/programs/stream_forwarder.py
@@ -1,6 +1,7 @@
 """Forward an endpoint's event stream to the caller."""
 
 import asyncio
+from collections.abc import Callable
 
 import h11
 
@@ -36,7 +37,7 @@
 
     The HTTP head, ``status`` and ``headers``, is sent once, so a resumed stream keeps
     the head that an earlier attempt sent. ``crashes`` learns which prompts endpoints
-    answer.
+    answer. ``on_begin`` is called before the first event is passed on.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         status: int,
         headers: list[Header],
         crashes: CrashGuard,
+        on_begin: Callable[[RelayedRequest], None],
     ) -> None:
         self.caller_connection = caller_connection
         self.relayed = relayed
@@ -54,6 +56,7 @@
         self.status = status
         self.headers = headers
         self.crashes = crashes
+        self.on_begin = on_begin
         self.splitter = EventSplitter()
         self.loop = asyncio.get_running_loop()
 
@@ -114,9 +117,7 @@
         self.endpoint_connection.record_progress()
         self.relayed.last_event_at = self.loop.time()
         if self.relayed.first_event_at is None:
-            self.relayed.first_event_at = self.relayed.last_event_at
-        if self.relayed.software is None and self.relayed.endpoint is not None:
-            self.relayed.software = self.relayed.endpoint.version
+            self.begin()
         self.start_answer()
         queued = self.endpoint_connection.events
         is_end = bool(queued) and isinstance(queued[0], h11.EndOfMessage)
@@ -125,6 +126,13 @@
         self.caller_connection.write(data, flush=flush)
         return flush
 
+    def begin(self) -> None:
+        """Record the first event, and bind the stream to its endpoint's version."""
+        self.relayed.first_event_at = self.relayed.last_event_at
+        if self.relayed.software is None and self.relayed.endpoint is not None:
+            self.relayed.software = self.relayed.endpoint.version
+        self.on_begin(self.relayed)
+
     def start_answer(self) -> None:
         """Write the head of the answer, unless an earlier attempt did."""
         if self.relayed.head_sent:
--- a/src/acaciarelay/programs/stream_records.py
+++ b/src/acaciarelay/programs/stream_records.py
@@ -3,7 +3,7 @@
 import time
 from typing import Protocol
 
-from acaciarelay.coordination.stream_origins import StreamOrigin, StreamOrigins
+from acaciarelay.coordination.stream_origins import StreamOrigins
 from acaciarelay.protocol.link_messages import (
     LinkMessage,
     StreamFound,
@@ -27,21 +27,28 @@
         self.origins = StreamOrigins()
 
     def record(self, message: StreamStarted) -> None:
-        """Remember where a request is sent."""
-        origin = StreamOrigin(message.version, message.attempt)
-        self.origins.record(message.request, origin, message.kept_s, time.monotonic())
+        """Remember where a stream began, and nothing of requests that were only sent.
+
+        Another attempt, whose record is lost, may have brought the first event of such
+        a request.
+        """
+        if not message.begun:
+            return
+        self.origins.record(
+            message.request, message.version, message.kept_s, time.monotonic()
+        )
 
     def receive(self, link: AnswerLink, message: StreamStarted | StreamLookup) -> None:
         match message:
             case StreamStarted():
                 self.record(message)
             case StreamLookup(number=number, request=request):
-                origin = self.origins.find(request, time.monotonic())
-                if origin is None:
-                    link.send(StreamFound(number=number))
-                    return
-                link.send(
-                    StreamFound(
-                        number=number, version=origin.version, attempt=origin.attempt
-                    )
-                )
+                link.send(self.answer(number, request))
+
+    def answer(self, number: int, request: str) -> StreamFound:
+        """Answer a question, with no version if several have begun a request's id."""
+        versions = self.origins.find(request, time.monotonic())
+        if len(versions) != 1:
+            return StreamFound(number=number)
+        (version,) = versions
+        return StreamFound(number=number, version=version, attempt=1, begun=True)
--- a/src/acaciarelay/protocol/stream_messages.py
+++ b/src/acaciarelay/protocol/stream_messages.py
@@ -7,22 +7,24 @@
 
 @attrs.frozen(kw_only=True)
 class StreamStarted:
-    """Tells who remembers it that a resumable request is sent to an endpoint.
+    """Tells who remembers it that the first event of a resumable request has come.
 
     ``request`` is the request's id and ``version`` that of the endpoint's software.
-    ``attempt`` numbers the attempts of the request, as a later one has brought its
-    first event if any has. ``kept_s`` is how long it may be asked for, in seconds.
+    ``attempt`` numbers the attempts of the request. ``kept_s`` is how long it may be
+    asked for, in seconds. ``begun`` is false from an entry of a former release, which
+    sends the message before it knows whether the attempt brings an event.
     """
 
     request: str
     version: str
     attempt: int
     kept_s: float
+    begun: bool = False
 
 
 @attrs.frozen(kw_only=True)
 class StreamLookup:
-    """Asks where a request was sent; answered by a ``StreamFound`` of this number."""
+    """Asks where a stream began; answered by a ``StreamFound`` of this number."""
 
     number: int
     request: str
@@ -30,11 +32,17 @@
 
 @attrs.frozen(kw_only=True)
 class StreamFound:
-    """Answers a ``StreamLookup``; ``attempt`` is 0 if the request is not known."""
+    """Answers a ``StreamLookup``.
+
+    ``begun`` is true if the first event came from an endpoint of ``version``. A process
+    of a former release leaves it out, as it knows only that the request was sent there.
+    For it, ``attempt`` is above 0 if the request is known.
+    """
 
     number: int
     version: str = ""
     attempt: int = 0
+    begun: bool = False
 
 
 StreamMessage = StreamStarted | StreamLookup | StreamFound
--- a/tests/integration/test_streams_of_killed_entries.py
+++ b/tests/integration/test_streams_of_killed_entries.py
@@ -1,6 +1,7 @@
 """Streams that break with their entries are resumed at the version that began them."""
 
 import asyncio
+import signal
 import time
 
 import pytest
@@ -56,14 +57,14 @@
     return data.count(b"data: ")
 
 
-async def resume(fleet, number, last_event):
+async def resume(fleet, number, last_event, seconds=RESUME_S):
     """Resume a stream at another entry than before; come back after refusals."""
     entry = ENTRIES[(number + 1) % len(ENTRIES)]
     address = fleet.programs[f"entry-{entry}"].settings["caller_address"]
     fields = (f"Last-Event-Id: {last_event}", f"Resumes: first-{number}")
-    until = time.monotonic() + RESUME_S
+    until = time.monotonic() + seconds
     answer = None
-    while time.monotonic() < until:
+    while answer is None or time.monotonic() < until:
         request = head(f"second-{number}-{time.monotonic_ns()}", *fields)
         try:
             answer = await exchange(address, request)
@@ -133,3 +134,35 @@
             assert all(answer.status in (200, 503) for answer in answers)
         else:
             assert all(answer.status == 200 for answer in answers)
+
+
+async def test_a_stream_does_not_go_on_where_its_request_was_declined(tmp_path):
+    """Guards against a record of an attempt without an event that outlives the last."""
+    async with PlatformFleet(tmp_path) as fleet:
+        fleet.configure(roomy_configuration())
+        await add_engine(fleet, 1, "v1")
+        await add_engine(fleet, 2, "v2")
+        for number in ENTRIES:
+            await fleet.add_entry(number, first_start=False)
+        for number in ENTRIES:
+            await wait_until(fleet, lambda number=number: linked(fleet, number))
+        declining, begun_at = fleet.runners["i-1"], fleet.runners["i-2"]
+        declining.faults.shed = True
+        # All of them begin at the first entry, and only the declining engine has an
+        # agent that grants slots at first.
+        fleet.programs["agent-2"].process.send_signal(signal.SIGSTOP)
+        numbers = range(0, 2 * STREAMS, 2)
+        streams = [asyncio.create_task(begin(fleet, n)) for n in numbers]
+        await wait_until(fleet, lambda: declining.refusals >= STREAMS // 2)
+        fleet.programs["agent-2"].process.send_signal(signal.SIGCONT)
+        await wait_until(fleet, lambda: len(begun_at.runs) >= STREAMS // 2)
+        await asyncio.sleep(BEGUN_EVENTS * STEP_S)
+        for name in ("entry-1", "agent-2"):
+            await fleet.programs[name].stop()
+        begun = dict(zip(numbers, await asyncio.gather(*streams), strict=True))
+        declining.faults.shed = False
+        answers = await asyncio.gather(
+            *(resume(fleet, n, last, 0.0) for n, last in begun.items() if last)
+        )
+        assert len(answers) >= STREAMS // 2
+        assert not resumed(fleet, 1)
--- a/tests/unit/platform_path/test_silent_spells.py
+++ b/tests/unit/platform_path/test_silent_spells.py
@@ -46,6 +46,7 @@
 class FrozenAgentLink:
     """Link to the agent of a VM that has sent nothing since ``silent_at``."""
 
+    peer = None
     round_trip_s = 0.0
 
     def __init__(self, silent_at):
--- a/tests/unit/platform_path/test_stream_origins.py
+++ b/tests/unit/platform_path/test_stream_origins.py
@@ -1,14 +1,19 @@
 """Memory of where streams began, and of the versions in service."""
 
+import time
+
 import attrs
 import pytest
 from granter_rig import engine
 
 from acaciarelay.coordination.software_history import MAX_FORMER, SoftwareHistory
-from acaciarelay.coordination.stream_origins import (
-    MAX_ORIGINS,
-    StreamOrigin,
-    StreamOrigins,
+from acaciarelay.coordination.stream_origins import MAX_ORIGINS, StreamOrigins
+from acaciarelay.programs.stream_records import StreamRecords
+from acaciarelay.protocol.link_messages import (
+    StreamFound,
+    StreamLookup,
+    StreamStarted,
+    decode_message,
 )
 
 
@@ -16,21 +21,69 @@
     return attrs.evolve(engine(host), version=version)
 
 
-def test_the_last_attempt_of_a_request_counts():
-    """Guards against the version of an attempt that broke before its first event."""
-    origins = StreamOrigins()
-    origins.record("a", StreamOrigin("v2", 2), 8.0, 1.0)
-    origins.record("a", StreamOrigin("v1", 1), 8.0, 1.1)
-    assert origins.find("a", 2.0) == StreamOrigin("v2", 2)
+class Answers:
+    """A link that keeps what is sent over it."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def ask(records, request):
+    link = Answers()
+    records.receive(link, StreamLookup(number=7, request=request))
+    (answer,) = link.sent
+    assert answer.number == 7
+    return answer
+
+
+def started(version, **fields):
+    return StreamStarted(request="a", version=version, attempt=1, kept_s=8.0, **fields)
+
+
+def test_only_the_first_event_of_a_request_is_recorded():
+    """Guards against a stream that goes on where its request was merely sent."""
+    records = StreamRecords()
+    records.receive(Answers(), started("v1"))
+    assert ask(records, "a") == StreamFound(number=7)
+    records.receive(Answers(), started("v2", begun=True))
+    found = StreamFound(number=7, version="v2", attempt=1, begun=True)
+    assert ask(records, "a") == found
+
+
+def test_an_id_that_two_streams_had_names_no_version():
+    """Guards against the version of another stream with the same request id."""
+    records = StreamRecords()
+    records.receive(Answers(), started("v1", begun=True))
+    records.receive(Answers(), started("v2", begun=True))
+    assert ask(records, "a") == StreamFound(number=7)
+    assert records.origins.find("a", time.monotonic()) == {"v1", "v2"}
+
+
+def test_an_entry_of_the_former_release_reads_what_is_found():
+    """Guards against records that are lost while a new release is rolled out."""
+    records = StreamRecords()
+    records.receive(Answers(), started("v1", begun=True))
+    assert ask(records, "a").attempt > 0
+
+
+def test_messages_of_the_former_release_begin_nothing():
+    """Guards against a message without a field that is taken for the first event."""
+    started_before = decode_message(b'["stream","a","v1",1,8.0]\n')
+    found_before = decode_message(b'["found",7,"v1",1]\n')
+    assert not started_before.begun
+    assert not found_before.begun
 
 
 def test_requests_are_forgotten_in_time():
     """Guards against memory that grows with every request."""
     origins = StreamOrigins()
-    origins.record("a", StreamOrigin("v1", 1), 8.0, 1.0)
-    assert origins.find("a", 8.9) is not None
-    assert origins.find("a", 9.1) is None
-    origins.record("b", StreamOrigin("v1", 1), 8.0, 9.2)
+    origins.record("a", "v1", 8.0, 1.0)
+    assert origins.find("a", 8.9)
+    assert not origins.find("a", 9.1)
+    origins.record("b", "v1", 8.0, 9.2)
     assert list(origins.kept) == ["b"]
 
 
@@ -38,10 +91,10 @@
     """Guards against a flood of streams that fills the memory of an agent."""
     origins = StreamOrigins()
     for number in range(MAX_ORIGINS + 10):
-        origins.record(str(number), StreamOrigin("v1", 1), 1e9, 1.0)
+        origins.record(str(number), "v1", 1e9, 1.0)
     assert len(origins.kept) == MAX_ORIGINS
-    assert origins.find("9", 1.0) is None
-    assert origins.find("10", 1.0) is not None
+    assert not origins.find("9", 1.0)
+    assert origins.find("10", 1.0)
 
 
 @pytest.mark.parametrize("followed_s, version", [(19.0, None), (20.0, "v1")])
