Keep two copies of the record of a stream's beginning

Cause: the record of a stream lay in the memory of its entry and of the agent beside its engine alone; and entries were asked only while an agent was missing, not when an agent that was started anew knew nothing.

Now two further agents keep it, or entries where there are fewer agents, and a lookup asks the entries too once the agents have no answer.

Evidence: test_streams_go_on_although_all_agents_of_their_version_ended (entry and both agents of a version killed) failed before and passes, as do the other tests of resumed streams.

--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -141,7 +141,7 @@
                 lambda era: self.peers.on_era(era),
             )
         self.streams = ResumedStreams(
-            self.cache, self.slot_client, self.metrics, self.peers.links
+            self.cache, self.slot_client, self.metrics, self.peers.links, self.rng
         )
         self.peers.on_stream_message = self.streams.receive
         self.relay = RequestRelay(
--- a/src/acaciarelay/programs/resumed_streams.py
+++ b/src/acaciarelay/programs/resumed_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import time
 from collections.abc import Callable, Iterable
 
@@ -20,6 +21,7 @@
     StreamMessage,
     StreamStarted,
 )
+from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.relayed_request import RelayedRequest
 from acaciarelay.state.routing import Repeatability
 from acaciarelay.transport.message_link import MessageLink
@@ -31,6 +33,8 @@
 ANSWER_TIMEOUT_S = 0.25
 LINK_TIMEOUT_S = 0.8
 LINK_CHECK_S = 0.05
+# Processes that remember a stream beside its entry and the granter of its slot.
+COPIES = 2
 # How long a stream may be resumed after the time limit of its request.
 KEPT_AFTER_LIMIT_S = 2.0
 
@@ -47,13 +51,19 @@
     found: set[str] = attrs.Factory(set)
     answered: asyncio.Event = attrs.Factory(asyncio.Event)
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether all that were asked have answered."""
+        return bool(self.asked) and not self.awaited
+
 
 class ResumedStreams:
     """Record where streams begin, and find out where a resumed one began.
 
     The agents beside the engines remember it, since they outlive the entries, and so
     does this entry. In place of an agent that is out of reach, the entry that grants
-    the slots of its engine does. ``peer_links`` returns the links to all entries.
+    the slots of its engine does. Further agents or entries keep copies, as several
+    processes may end at once. ``peer_links`` returns the links to all entries.
     """
 
     def __init__(
@@ -62,7 +72,9 @@
         slot_client: SlotClient,
         metrics: Metrics,
         peer_links: Callable[[], Iterable[MessageLink]],
+        rng: random.Random,
     ) -> None:
+        self.rng = rng
         self.cache = cache
         self.slot_client = slot_client
         self.metrics = metrics
@@ -117,11 +129,30 @@
             begun=True,
         )
         self.records.record(message)
-        agent = self.slot_client.agents.get(endpoint.host)
-        if agent is None:
-            return
-        if not agent.beside_engine or _finds_streams(agent.link):
-            agent.link.send(message)
+        for link in self.keepers(endpoint):
+            link.send(message)
+
+    def keepers(self, endpoint: Endpoint) -> list[SlotLink]:
+        """Return the links to those that remember a stream beside this entry.
+
+        They are the granter of the engine's slots, and others in case it ends: agents
+        of other engines, or peers in their place.
+        """
+        links: list[SlotLink] = []
+        copies = []
+        for host, agent in self.slot_client.agents.items():
+            if not agent.beside_engine:
+                if host == endpoint.host:
+                    links.append(agent.link)
+            elif not _finds_streams(agent.link):
+                continue
+            elif host == endpoint.host:
+                links.append(agent.link)
+            else:
+                copies.append(agent.link)
+        if len(copies) < COPIES:
+            copies += [link for link in self.peer_links() if _finds_streams(link)]
+        return links + self.rng.sample(copies, min(COPIES, len(copies)))
 
     # Streams that are resumed.
 
@@ -167,14 +198,18 @@
     async def ask(
         self, number: int, request: str, service: str, lookup: _Lookup
     ) -> None:
-        """Ask all agents in reach, and wait for a version, or for missing links.
+        """Ask all agents in reach, then the peers, until one names a version.
 
         One answer suffices, as only the first event of a stream is recorded.
         """
         began_at = self.loop.time()
         asked_at = began_at
         while True:
-            for link in self.links_to_ask():
+            links = self.agent_links()
+            is_late = self.loop.time() >= asked_at + ANSWER_TIMEOUT_S
+            if self.misses_agents or lookup.is_answered or is_late:
+                links += [link for link in self.peer_links() if _finds_streams(link)]
+            for link in links:
                 if link in lookup.asked:
                     continue
                 lookup.asked.add(link)
@@ -195,19 +230,22 @@
             except TimeoutError:
                 continue
 
-    def links_to_ask(self) -> list[MessageLink]:
-        """Return the links to all agents, and to the peers if agents are missing."""
+    def agent_links(self) -> list[MessageLink]:
+        """Return the links to all agents that can be asked."""
         links = []
-        misses_agents = not self.slot_client.agents
         for agent in self.slot_client.agents.values():
-            if not agent.beside_engine:
-                misses_agents = True
-            elif isinstance(agent.link, MessageLink) and _finds_streams(agent.link):
+            if not agent.beside_engine or not isinstance(agent.link, MessageLink):
+                continue
+            if _finds_streams(agent.link):
                 links.append(agent.link)
-        if misses_agents:
-            links += [link for link in self.peer_links() if _finds_streams(link)]
         return links
 
+    @property
+    def misses_agents(self) -> bool:
+        """Return whether an engine has no agent in reach, or there are no engines."""
+        agents = self.slot_client.agents.values()
+        return not all(agent.beside_engine for agent in agents) or not agents
+
     def is_linked(self, service: str) -> bool:
         """Return whether each engine of a service has a granter that can be asked."""
         routing = self.cache.routing
--- a/tests/integration/test_streams_of_killed_entries.py
+++ b/tests/integration/test_streams_of_killed_entries.py
@@ -166,3 +166,48 @@
         )
         assert len(answers) >= STREAMS // 2
         assert not resumed(fleet, 1)
+
+
+async def test_streams_go_on_although_all_agents_of_their_version_ended(tmp_path):
+    """Guards against streams whose only record ends with an agent."""
+    async with PlatformFleet(tmp_path) as fleet:
+        fleet.configure(roomy_configuration())
+        versions = {1: "v1", 2: "v1", 3: "v2", 4: "v2"}
+        for number, version in versions.items():
+            await add_engine(fleet, number, version)
+        for number in ENTRIES:
+            await fleet.add_entry(number, first_start=False)
+        for number in ENTRIES:
+            await wait_until(fleet, lambda number=number: linked(fleet, number))
+        # All of them begin at the first entry.
+        numbers = range(0, 2 * STREAMS, 2)
+        streams = [asyncio.create_task(begin(fleet, n)) for n in numbers]
+        await wait_until(fleet, lambda: begun_count(fleet) == STREAMS)
+        await asyncio.sleep(BEGUN_EVENTS * STEP_S)
+        for name in ("entry-1", "agent-3", "agent-4"):
+            await fleet.programs[name].stop()
+        begun = dict(zip(numbers, await asyncio.gather(*streams), strict=True))
+        assert all(begun.values())
+        answers = await asyncio.gather(
+            *(resume(fleet, n, last) for n, last in begun.items())
+        )
+        assert [answer.status for answer in answers] == [200] * STREAMS
+        for number in versions:
+            went_on = {name.split("-")[1] for name in resumed(fleet, number)}
+            assert went_on <= begun_at_version(fleet, versions, versions[number])
+
+
+def begun_count(fleet):
+    return sum(len(runner.runs) for runner in fleet.runners.values())
+
+
+def begun_at_version(fleet, versions, version):
+    """Return the numbers of the streams that runners of a version began."""
+    numbers = set()
+    for number, name in versions.items():
+        if name != version:
+            continue
+        for run in fleet.runners[f"i-{number}"].runs:
+            if run.attempt.startswith("first-"):
+                numbers.add(run.attempt.split("-")[1])
+    return numbers
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -130,7 +130,7 @@
         metrics = Metrics()
         self.crashes = CrashGuard("127.0.0.1:1", self.slot_client, metrics)
         self.streams = ResumedStreams(
-            self.cache, self.slot_client, metrics, lambda: self.peer_links
+            self.cache, self.slot_client, metrics, lambda: self.peer_links, rng
         )
         self.relay = RequestRelay(
             self.cache,
