Take the end of a resumed run for that of the stream only with proof

Cause: nothing in an answer without an event tells whether the stream has an end there or the events before it were no part of it. `StreamForwarder.run` took it for the former.

Now a run that goes on within an answer is asked to repeat the last event, which is dropped. It shows that the stream has that event, so that its end is the true one, and a stream cut behind its very last event still ends whole. A caller's own Last-Event-Id is forwarded as it is; a run of it that ends without an event is followed by one that repeats the last, or the answer fails.

Tests: test_stream_position (pure code); of test_foreign_streams three cases, of which test_an_end_without_an_event_is_not_passed_on_as_the_rest and the two that ask for the repeated event failed before.

--- a/src/acaciarelay/platform/headers.py
+++ b/src/acaciarelay/platform/headers.py
@@ -265,11 +265,12 @@
 ) -> list[Header]:
     """Build the head of a request to one endpoint.
 
-    ``after_event`` is the number of the event after which a stream is resumed.
+    ``after_event`` is the number of the event after which a stream is resumed, ``None``
+    for the whole stream.
     """
     headers: list[Header] = [("Host", host)]
     for name, value in traits.forwarded:
-        if name == _LAST_EVENT and after_event is not None:
+        if name == _LAST_EVENT and traits.last_event is not None:
             continue
         headers.append((name, value))
     if after_event is not None:
--- a/src/acaciarelay/programs/relay_admission.py
+++ b/src/acaciarelay/programs/relay_admission.py
@@ -11,6 +11,7 @@
 from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.relayed_request import RelayedRequest
 from acaciarelay.state.routing import Organisation, Route, RoutingTable
+from acaciarelay.state.stream_position import StreamPosition
 
 __all__ = ["Admission"]
 
@@ -96,7 +97,7 @@
             + route.objective_s
             - self.elapsed_before_s(route, traits),
             service=self.pick_service(route),
-            last_event=traits.last_event,
+            position=StreamPosition(traits.last_event),
         )
 
     def elapsed_before_s(self, route: Route, traits: RequestTraits) -> float:
--- a/src/acaciarelay/programs/relay_attempt.py
+++ b/src/acaciarelay/programs/relay_attempt.py
@@ -134,6 +134,8 @@
         try:
             if self.loop.time() >= relayed.deadline:
                 raise TimeoutError
+            # A caller's own wish is forwarded as it is.
+            repeat_last = relayed.run_count > 0
             headers = endpoint_headers(
                 relayed.traits,
                 host=request.header("host") or "",
@@ -143,7 +145,7 @@
                 if relayed.organisation
                 else None,
                 time_left_s=relayed.deadline - self.loop.time(),
-                after_event=relayed.last_event,
+                after_event=relayed.position.start_run(repeat_last),
             )
             evidence_before = relayed.evidence
             relayed.run_count += 1
--- a/src/acaciarelay/programs/resumed_streams.py
+++ b/src/acaciarelay/programs/resumed_streams.py
@@ -169,7 +169,7 @@
             "stream_resumed",
             request_id=relayed.traits.request_id,
             first_request=first_request,
-            after_event=relayed.last_event,
+            after_event=relayed.position.last_event,
             software=software,
             known_by=known_by,
         )
--- a/src/acaciarelay/programs/stream_forwarder.py
+++ b/src/acaciarelay/programs/stream_forwarder.py
@@ -15,6 +15,11 @@
     Delivered,
     RelayedRequest,
 )
+from acaciarelay.state.stream_position import (
+    ContradictionError,
+    OutOfOrderError,
+    UnprovenEndError,
+)
 from acaciarelay.transport.endpoint_call import ConnectionFault, EndpointConnection
 from acaciarelay.transport.event_stream import (
     EventSplitter,
@@ -70,8 +75,9 @@
                     if broken is not None:
                         return broken
                 case h11.EndOfMessage():
-                    if self.splitter.has_partial_event:
-                        return Broken("stream ended inside an event")
+                    broken = self.check_end()
+                    if broken is not None:
+                        return broken
                     self.relayed.answer_received = True
                     self.start_answer()
                     self.caller_connection.finish()
@@ -95,8 +101,9 @@
                 self.relayed.reading_paused = True
                 await self.caller_connection.wait_for_room(size + FRAMING_BYTES)
                 began = self.loop.time()
-            unsent = self.unsent_events(events)
-            if unsent is None:
+            try:
+                unsent = self.relayed.position.advance(events)
+            except OutOfOrderError:
                 return Broken("events out of order")
             flush = self.write(unsent)
             self.endpoint_connection.loop_time.spend(began, self.loop.time(), size)
@@ -106,6 +113,18 @@
                 await self.endpoint_connection.give_way()
         return None
 
+    def check_end(self) -> Broken | None:
+        """Return why the end of the run is not that of the stream, if it is not."""
+        if self.splitter.has_partial_event:
+            return Broken("stream ended inside an event")
+        try:
+            self.relayed.position.check_end()
+        except UnprovenEndError:
+            return Broken("stream ended without an event")
+        except ContradictionError:
+            return Broken("stream ended before the last event")
+        return None
+
     def write(self, events: list[StreamEvent]) -> bool:
         """Write events; return whether they were flushed.
 
@@ -157,21 +176,3 @@
         return (
             self.relayed.events_received > MAX_EVENTS_PER_TOKEN * tokens + MORE_EVENTS
         )
-
-    def unsent_events(self, events: list[StreamEvent]) -> list[StreamEvent] | None:
-        """Return the events to forward, and advance the request's last event past them.
-
-        Events up to the last one are dropped, as an earlier attempt brought them.
-        Returns ``None`` when an event number is missing.
-        """
-        unsent = []
-        for event in events:
-            last = self.relayed.last_event
-            if last is not None:
-                if event.number <= last:
-                    continue
-                if event.number != last + 1:
-                    return None
-            self.relayed.last_event = event.number
-            unsent.append(event)
-        return unsent
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -8,6 +8,7 @@
 from acaciarelay.protocol.http_message import Header
 from acaciarelay.state.endpoints import Endpoint
 from acaciarelay.state.routing import Organisation, Repeatability, Route, RoutingTable
+from acaciarelay.state.stream_position import StreamPosition
 
 __all__ = [
     "AttemptOutcome",
@@ -79,7 +80,7 @@
     tokens or requests. ``run_count`` counts the attempts that may have run the request,
     ``decline_count`` those that reached an endpoint which reported that it did not run
     it, and ``connect_failures`` those that reached none; ``tried`` holds the ids of all
-    endpoints tried. ``last_event`` is the number of the last event that the caller has.
+    endpoints tried. ``position`` is how far the caller has the stream.
     ``error_response`` is the last error response, passed on when no further attempt is
     allowed. ``events_received`` counts the events of the current attempt's answer, and
     ``answer_received`` is true once the end of an answer has come.
@@ -109,7 +110,7 @@
     connect_failures: int = 0
     evidence: Evidence = Evidence.NOT_SENT
     tried: set[str] = attrs.Factory(set)
-    last_event: int | None = None
+    position: StreamPosition = attrs.Factory(StreamPosition)
     head_sent: bool = False
     events_received: int = 0
     retries_ended: bool = False
--- a/src/acaciarelay/transport/event_stream.py
+++ b/src/acaciarelay/transport/event_stream.py
@@ -6,7 +6,7 @@
 
 import re
 
-import attrs
+from acaciarelay.state.stream_position import StreamEvent
 
 __all__ = ["EventSplitter", "ForeignDataError", "StreamEvent"]
 
@@ -31,14 +31,6 @@
     """The endpoint sent bytes that are no part of the stream; the message says why."""
 
 
-@attrs.frozen
-class StreamEvent:
-    """The bytes of one event with its separator, and its number."""
-
-    data: bytes
-    number: int
-
-
 class EventSplitter:
     """Buffer the bytes of one endpoint's answer and return complete events.
 
