Let a resumed stream wait for a slot as long as a retry

Callers saw streams refused that they took up again, while new ones began: right after the agents of one version had been killed, its engines had no granter for up to 0.2 s and more, and a resumed stream, which can use that version only, was shed after 0.24 s (LOST).

Cause: a retry within an answer waits for up to 1 s, as its caller may have a part of the answer; a resumed stream, whose caller certainly has, waited like a new one.

--- a/src/acaciarelay/programs/relay_placement.py
+++ b/src/acaciarelay/programs/relay_placement.py
@@ -34,8 +34,8 @@
 # A request is refused at once when its expected wait is above this fraction of the
 # wait that it has left.
 MAX_EXPECTED_WAIT_FRACTION = 1.0
-# Lower bound of the time that a request may wait for a slot after a failed attempt,
-# when the caller may already have a part of the answer.
+# Lower bound of the time that a request may wait for a slot after a failed attempt or
+# for a resumed stream, when the caller may already have a part of the answer.
 MIN_RETRY_WAIT_LIMIT_S = 1.0
 # Lower bound of the time after its arrival that a request may wait for a slot, when
 # some engines are too slow to finish the answer before the deadline, so that it can
@@ -91,6 +91,7 @@
         """Choose an endpoint; ``None`` when none has a free slot in time."""
         loop = asyncio.get_running_loop()
         retry_until = loop.time() + MIN_RETRY_WAIT_LIMIT_S
+        is_resumed = relayed.traits.resumes_stream and relayed.route.streaming
         while True:
             if self.lacks_software(relayed):
                 return None
@@ -102,7 +103,7 @@
                 e.host: e for e in candidates if e.host in self.slot_client.agents
             }
             wait_until = slot_wait_end(relayed)
-            if relayed.decline_count or relayed.run_count:
+            if relayed.decline_count or relayed.run_count or is_resumed:
                 wait_until = max(wait_until, retry_until)
             if self._any_engine_too_slow(relayed, by_host):
                 wait_until = max(
--- a/tests/unit/platform_path/test_resumed_streams.py
+++ b/tests/unit/platform_path/test_resumed_streams.py
@@ -1,5 +1,6 @@
 """Streams go on only at the version of the software that began them."""
 
+import asyncio
 import time
 
 import pytest
@@ -148,3 +149,16 @@
         other = await rig.add_runner("engine", version="v2")
         answer = await resume(rig)
         assert answer.complete and len(first.runs) == 1 and not other.runs
+
+
+async def test_a_resumed_stream_waits_for_the_granters_of_its_version():
+    """Guards against refusals beside new streams, which can use other versions."""
+    async with RelayRig() as rig:
+        first = await begin(rig)
+        rig.slot_client.undecided = {"127.0.0.1"}
+        resumed = asyncio.create_task(resume(rig))
+        # Longer than a new stream waits.
+        await asyncio.sleep(0.5)
+        rig.slot_client.undecided = set()
+        answer = await resumed
+        assert answer.status == 200 and answer.complete and first.runs
