End an answer broken once events of it turn out to be foreign

Cause: an answer that turned out to be foreign was followed by a run elsewhere, like one that broke off, and that run went on behind events that no sound runner wrote.

Now such an answer ends broken at once if the caller has events of it: when there are more than the request allows, or when a sound runner's stream ends before the last one. All agents and entries in reach learn that nobody may resume the stream; a caller that tries gets 503 with code 311, which is true, and may start anew. In the messages it is a further field, which processes of the former release ignore.

--- a/src/acaciarelay/coordination/stream_origins.py
+++ b/src/acaciarelay/coordination/stream_origins.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["MAX_ORIGINS", "StreamOrigins"]
+__all__ = ["MAX_ORIGINS", "StreamOrigin", "StreamOrigins"]
 
 # Requests that are remembered; the oldest are forgotten first.
 MAX_ORIGINS = 4096
@@ -13,10 +13,34 @@
 
 
 @attrs.frozen
-class _Origin:
-    """The versions whose first event came; more than one if an id was used twice."""
+class StreamOrigin:
+    """Where a stream began.
+
+    ``versions`` are those whose first event came, several if a request's id was used
+    twice. ``foreign`` is true once events of the stream turned out to be no part
+    of it, so that it can't be resumed.
+    """
 
     versions: frozenset[str]
+    foreign: bool = False
+
+    @property
+    def version(self) -> str | None:
+        """Return the version at which the stream may go on, if one is sure."""
+        if self.foreign or len(self.versions) != 1:
+            return None
+        return next(iter(self.versions))
+
+    def joined(self, other: "StreamOrigin") -> "StreamOrigin":
+        """Return what both say of one request."""
+        return StreamOrigin(
+            self.versions | other.versions, self.foreign or other.foreign
+        )
+
+
+@attrs.frozen
+class _Kept:
+    origin: StreamOrigin
     until: float
 
 
@@ -27,22 +51,25 @@
     """
 
     def __init__(self) -> None:
-        self.kept: collections.OrderedDict[str, _Origin] = collections.OrderedDict()
+        self.kept: collections.OrderedDict[str, _Kept] = collections.OrderedDict()
 
-    def record(self, request: str, version: str, kept_s: float, now: float) -> None:
-        """Remember that a request's first event came from an endpoint of a version."""
-        versions = self.find(request, now) | {version}
-        until = now + min(kept_s, MAX_KEPT_S)
+    def record(
+        self, request: str, origin: StreamOrigin, kept_s: float, now: float
+    ) -> None:
+        """Remember where a request's first event came from, beside what is known."""
+        known = self.find(request, now)
+        if known is not None:
+            origin = known.joined(origin)
         self.kept.pop(request, None)
-        self.kept[request] = _Origin(versions, until)
+        self.kept[request] = _Kept(origin, now + min(kept_s, MAX_KEPT_S))
         self._forget(now)
 
-    def find(self, request: str, now: float) -> frozenset[str]:
-        """Return the versions of a request's first event, empty if it is not known."""
-        origin = self.kept.get(request)
-        if origin is None or now >= origin.until:
-            return frozenset()
-        return origin.versions
+    def find(self, request: str, now: float) -> StreamOrigin | None:
+        """Return where a request's stream began, ``None`` if it is not known."""
+        kept = self.kept.get(request)
+        if kept is None or now >= kept.until:
+            return None
+        return kept.origin
 
     def _forget(self, now: float) -> None:
         while self.kept:
--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+from result import Err, Ok
+
 from acaciarelay.coordination.endpoint_health import EndpointHealth
 from acaciarelay.coordination.loop_budget import LoopBudget
 from acaciarelay.coordination.memory_budget import MemoryBudget
@@ -242,6 +244,9 @@
                         return self.give_up(relayed, "no_endpoint")
                     if not self.has_untried(relayed):
                         await asyncio.sleep(CONNECT_RETRY_DELAY_S)
+                case Broken(foreign=True):
+                    self.streams.disown(relayed)
+                    return self.give_up(relayed, "outcome_unknown")
                 case Broken(reason=reason):
                     if not relayed.may_retry:
                         return self.give_up(relayed, "outcome_unknown")
@@ -256,10 +261,12 @@
         """Bind a resumed stream to the version that began it, or refuse it."""
         if not relayed.route.streaming or not relayed.traits.resumes_stream:
             return None
-        relayed.software = await self.streams.find_software(relayed)
-        if relayed.software is None:
-            return refuse("stream_origin_unknown")
-        return None
+        match await self.streams.find_software(relayed):
+            case Ok(software):
+                relayed.software = software
+                return None
+            case Err(code):
+                return refuse(code)
 
     def suspicion_refusal(self, relayed: RelayedRequest) -> Refusal | None:
         """Return the refusal of a prompt that is suspected to crash engines."""
@@ -396,6 +403,8 @@
             return "origin_unknown"
         case Refusal(code=ResultCode(name="stream_version_gone")):
             return "version_gone"
+        case Refusal(code=ResultCode(name="stream_foreign")):
+            return "foreign"
         case _:
             return "not_placed"
 
--- a/src/acaciarelay/programs/resumed_streams.py
+++ b/src/acaciarelay/programs/resumed_streams.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable, Iterable
 
 import attrs
+from result import Err, Ok, Result
 
 from acaciarelay.coordination.slot_client import SlotClient, SlotLink
 from acaciarelay.coordination.software_history import SoftwareHistory
+from acaciarelay.coordination.stream_origins import StreamOrigin
 from acaciarelay.platform.configuration import ENDPOINT_TABLE
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
@@ -43,14 +45,20 @@
 class _Lookup:
     """A question under way; ``awaited`` are the links that owe an answer.
 
-    ``found`` holds the versions that were named.
+    ``found`` is what those that know the stream say of it.
     """
 
     asked: set[MessageLink] = attrs.Factory(set)
     awaited: set[MessageLink] = attrs.Factory(set)
-    found: set[str] = attrs.Factory(set)
+    found: StreamOrigin | None = None
     answered: asyncio.Event = attrs.Factory(asyncio.Event)
 
+    def add(self, message: StreamFound) -> None:
+        """Take over what one process knows."""
+        versions = frozenset({message.version}) if message.begun else frozenset()
+        origin = StreamOrigin(versions, message.foreign)
+        self.found = origin if self.found is None else self.found.joined(origin)
+
     @property
     def is_answered(self) -> bool:
         """Return whether all that were asked have answered."""
@@ -119,18 +127,42 @@
             or relayed.route.repeatability is not Repeatability.RESUMABLE
         ):
             return
+        message = self.started(relayed, endpoint)
+        self.records.record(message)
+        for link in self.keepers(endpoint):
+            link.send(message)
+
+    def started(self, relayed: RelayedRequest, endpoint: Endpoint) -> StreamStarted:
+        """Return what is told of a stream that began at an endpoint."""
         limit_s = relayed.deadline - self.loop.time()
         limit_s = max(limit_s, relayed.traits.time_limit_s or 0.0)
-        message = StreamStarted(
+        return StreamStarted(
             request=relayed.traits.request_id,
             version=endpoint.version,
             attempt=relayed.attempt_count,
             kept_s=round(limit_s + KEPT_AFTER_LIMIT_S, 1),
             begun=True,
         )
-        self.records.record(message)
-        for link in self.keepers(endpoint):
-            link.send(message)
+
+    def disown(self, relayed: RelayedRequest) -> None:
+        """Let nobody resume a stream whose events are no part of it."""
+        endpoint = relayed.endpoint
+        if endpoint is None or relayed.first_event_at is None:
+            # The caller has no event of this answer.
+            return
+        log_event(
+            "stream_disowned",
+            request_id=relayed.traits.request_id,
+            first_request=relayed.traits.first_request,
+            endpoint=endpoint.endpoint_id,
+            last_event=relayed.position.last_event,
+        )
+        message = attrs.evolve(self.started(relayed, endpoint), foreign=True)
+        for request in {message.request, relayed.traits.first_request} - {""}:
+            named = attrs.evolve(message, request=request)
+            self.records.record(named)
+            for link in self.agent_links() + self.streaming_peers():
+                link.send(named)
 
     def keepers(self, endpoint: Endpoint) -> list[SlotLink]:
         """Return the links to those that remember a stream beside this entry.
@@ -151,49 +183,42 @@
             else:
                 copies.append(agent.link)
         if len(copies) < COPIES:
-            copies += [link for link in self.peer_links() if _finds_streams(link)]
+            copies += self.streaming_peers()
         return links + self.rng.sample(copies, min(COPIES, len(copies)))
 
     # Streams that are resumed.
 
-    async def find_software(self, relayed: RelayedRequest) -> str | None:
-        """Return the version that began a resumed stream, ``None`` if nobody knows."""
-        software = None
+    async def find_software(self, relayed: RelayedRequest) -> Result[str, str]:
+        """Return the version that began a resumed stream, or the code of a refusal."""
+        origin = None
         first_request = relayed.traits.first_request
         if first_request:
-            software = await self.find_origin(first_request, relayed.service)
-        known_by = "record" if software is not None else "history"
-        if software is None:
-            software = self.only_version(relayed)
+            origin = await self.find_origin(first_request, relayed.service)
+        if origin is not None and origin.foreign:
+            return Err("stream_foreign")
+        software = origin.version if origin is not None else self.only_version(relayed)
         log_event(
             "stream_resumed",
             request_id=relayed.traits.request_id,
             first_request=first_request,
             after_event=relayed.position.last_event,
             software=software,
-            known_by=known_by,
+            known_by="record" if origin is not None else "history",
         )
-        return software
+        return Ok(software) if software is not None else Err("stream_origin_unknown")
 
-    async def find_origin(self, request: str, service: str) -> str | None:
-        """Find the version that began a request's stream; ask others if need be.
-
-        ``None`` if nobody knows it, or if several requests had its id.
-        """
-        versions = self.records.origins.find(request, time.monotonic())
-        if not versions:
-            versions = await self.ask_others(request, service)
-        return next(iter(versions)) if len(versions) == 1 else None
-
-    async def ask_others(self, request: str, service: str) -> frozenset[str]:
-        """Return the versions that other processes know to have begun a stream."""
+    async def find_origin(self, request: str, service: str) -> StreamOrigin | None:
+        """Return where a request's stream began; ask others if need be."""
+        known = self.records.origins.find(request, time.monotonic())
+        if known is not None:
+            return known
         number = next(self.numbers)
         lookup = self.lookups[number] = _Lookup()
         try:
             await self.ask(number, request, service, lookup)
         finally:
             del self.lookups[number]
-        return frozenset(lookup.found)
+        return lookup.found
 
     async def ask(
         self, number: int, request: str, service: str, lookup: _Lookup
@@ -208,7 +233,7 @@
             links = self.agent_links()
             is_late = self.loop.time() >= asked_at + ANSWER_TIMEOUT_S
             if self.misses_agents or lookup.is_answered or is_late:
-                links += [link for link in self.peer_links() if _finds_streams(link)]
+                links += self.streaming_peers()
             for link in links:
                 if link in lookup.asked:
                     continue
@@ -216,7 +241,7 @@
                 lookup.awaited.add(link)
                 asked_at = self.loop.time()
                 link.send(StreamLookup(number=number, request=request))
-            if lookup.found:
+            if lookup.found is not None:
                 return
             now = self.loop.time()
             is_answered = not lookup.awaited or now >= asked_at + ANSWER_TIMEOUT_S
@@ -240,6 +265,10 @@
                 links.append(agent.link)
         return links
 
+    def streaming_peers(self) -> list[MessageLink]:
+        """Return the links to the entries that understand messages about streams."""
+        return [link for link in self.peer_links() if _finds_streams(link)]
+
     @property
     def misses_agents(self) -> bool:
         """Return whether an engine has no agent in reach, or there are no engines."""
@@ -267,9 +296,9 @@
                 if lookup is None or link not in lookup.awaited:
                     return
                 lookup.awaited.discard(link)
-                if message.begun:
-                    lookup.found.add(message.version)
-                if lookup.found or not lookup.awaited:
+                if message.begun or message.foreign:
+                    lookup.add(message)
+                if lookup.found is not None or not lookup.awaited:
                     lookup.answered.set()
 
     def count(self, outcome: str) -> None:
--- a/src/acaciarelay/programs/stream_forwarder.py
+++ b/src/acaciarelay/programs/stream_forwarder.py
@@ -63,6 +63,8 @@
         self.crashes = crashes
         self.on_begin = on_begin
         self.splitter = EventSplitter()
+        # Whether an event of this attempt was passed on.
+        self.has_passed_on = False
         self.loop = asyncio.get_running_loop()
 
     async def run(self) -> AttemptOutcome:
@@ -95,7 +97,8 @@
                 return Broken(f"foreign data: {error}")
             self.count_events(len(events))
             if self.has_too_many_events:
-                return Broken("foreign data: more events than tokens")
+                reason = "foreign data: more events than tokens"
+                return Broken(reason, foreign=self.has_passed_on)
             size = sum(len(event.data) for event in events)
             if events and not self.caller_connection.try_reserve(size + FRAMING_BYTES):
                 self.relayed.reading_paused = True
@@ -122,7 +125,7 @@
         except UnprovenEndError:
             return Broken("stream ended without an event")
         except ContradictionError:
-            return Broken("stream ended before the last event")
+            return Broken("stream ended before the last event", foreign=True)
         return None
 
     def write(self, events: list[StreamEvent]) -> bool:
@@ -134,6 +137,7 @@
         if not events:
             return False
         self.endpoint_connection.record_progress()
+        self.has_passed_on = True
         self.relayed.last_event_at = self.loop.time()
         if self.relayed.first_event_at is None:
             self.begin()
--- a/src/acaciarelay/programs/stream_records.py
+++ b/src/acaciarelay/programs/stream_records.py
@@ -3,7 +3,7 @@
 import time
 from typing import Protocol
 
-from acaciarelay.coordination.stream_origins import StreamOrigins
+from acaciarelay.coordination.stream_origins import StreamOrigin, StreamOrigins
 from acaciarelay.protocol.link_messages import (
     LinkMessage,
     StreamFound,
@@ -34,9 +34,8 @@
         """
         if not message.begun:
             return
-        self.origins.record(
-            message.request, message.version, message.kept_s, time.monotonic()
-        )
+        origin = StreamOrigin(frozenset({message.version}), message.foreign)
+        self.origins.record(message.request, origin, message.kept_s, time.monotonic())
 
     def receive(self, link: AnswerLink, message: StreamStarted | StreamLookup) -> None:
         match message:
@@ -47,8 +46,9 @@
 
     def answer(self, number: int, request: str) -> StreamFound:
         """Answer a question, with no version if several have begun a request's id."""
-        versions = self.origins.find(request, time.monotonic())
-        if len(versions) != 1:
+        origin = self.origins.find(request, time.monotonic())
+        if origin is not None and origin.foreign:
+            return StreamFound(number=number, foreign=True)
+        if origin is None or origin.version is None:
             return StreamFound(number=number)
-        (version,) = versions
-        return StreamFound(number=number, version=version, attempt=1, begun=True)
+        return StreamFound(number=number, version=origin.version, attempt=1, begun=True)
--- a/src/acaciarelay/protocol/codes.py
+++ b/src/acaciarelay/protocol/codes.py
@@ -117,6 +117,14 @@
         "No endpoint of the version that began this stream serves. Start it anew.",
         True,
     ),
+    (
+        311,
+        "stream_foreign",
+        503,
+        _N,
+        "Events of this stream were sent by a faulty endpoint. Start it anew.",
+        True,
+    ),
     # 4xx: idempotency.
     (400, "key_required", 400, _N, "Send an Idempotency-Key with this call.", False),
     (401, "key_conflict", 409, _N, "Use a new key for a different body.", False),
--- a/src/acaciarelay/protocol/stream_messages.py
+++ b/src/acaciarelay/protocol/stream_messages.py
@@ -12,7 +12,8 @@
     ``request`` is the request's id and ``version`` that of the endpoint's software.
     ``attempt`` numbers the attempts of the request. ``kept_s`` is how long it may be
     asked for, in seconds. ``begun`` is false from an entry of a former release, which
-    sends the message before it knows whether the attempt brings an event.
+    sends the message before it knows whether the attempt brings an event. ``foreign``
+    is true once events of the stream turned out to be no part of it.
     """
 
     request: str
@@ -20,6 +21,7 @@
     attempt: int
     kept_s: float
     begun: bool = False
+    foreign: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -36,13 +38,15 @@
 
     ``begun`` is true if the first event came from an endpoint of ``version``. A process
     of a former release leaves it out, as it knows only that the request was sent there.
-    For it, ``attempt`` is above 0 if the request is known.
+    For it, ``attempt`` is above 0 if the request is known. ``foreign`` is that of
+    ``StreamStarted``; the stream goes on at no version then.
     """
 
     number: int
     version: str = ""
     attempt: int = 0
     begun: bool = False
+    foreign: bool = False
 
 
 StreamMessage = StreamStarted | StreamLookup | StreamFound
--- a/src/acaciarelay/state/relayed_request.py
+++ b/src/acaciarelay/state/relayed_request.py
@@ -50,12 +50,14 @@
     """The endpoint may have run the request, and its answer is incomplete.
 
     ``disconnected`` is true when the endpoint closed or reset the connection,
-    ``silent`` when it made no progress.
+    ``silent`` when it made no progress. ``foreign`` is true when events that the caller
+    has turned out to be no part of its stream, so that no run can go on behind them.
     """
 
     reason: str
     disconnected: bool = False
     silent: bool = False
+    foreign: bool = False
 
 
 @attrs.frozen
--- a/tests/unit/platform_path/test_foreign_streams.py
+++ b/tests/unit/platform_path/test_foreign_streams.py
@@ -1,12 +1,17 @@
 """Streams of a faulty engine, whose events are no part of any answer."""
 
+import asyncio
 import time
 
+import pytest
 from relay_rig import RelayRig
 from unit.platform_path.test_ends_of_answers import ScriptedRunner
 
 from acaciarelay.coordination.software_history import STREAM_LIFE_S
+from acaciarelay.protocol.codes import CODES
+from acaciarelay_standins.runner_faults import RunnerFaults
 
+FOREIGN = str(CODES["stream_foreign"].number)
 # Events of a sound stream, of which the caller asks for 30 tokens at most.
 EVENTS = 10
 HEAD = (
@@ -52,6 +57,42 @@
     return await rig.call("/chat/a", **(fields | headers))
 
 
+async def test_no_run_follows_events_without_end():
+    """Guards against a whole answer that consists of events of a faulty engine."""
+    async with RelayRig() as rig:
+        faulty = await rig.add_runner("engine")
+        faulty.faults = RunnerFaults(endless="numbered_events")
+        sound = await add_sound(rig)
+        attempt, answer = await call_faulty_first(
+            rig, lambda: faulty.endless_bytes, Token_Usage="100,30"
+        )
+        assert answer.status == 200 and not answer.complete
+        assert attempt not in [run.attempt for run in sound.runs]
+        last = answer.body.count(b"id: ")
+        sound.runs.clear()
+        began = time.monotonic()
+        refused = await resume(rig, attempt, last)
+        assert refused.status == 503
+        assert refused.headers["acaciarelay-code"] == FOREIGN
+        assert refused.headers["acaciarelay-outcome"] == "not_run"
+        assert time.monotonic() - began < 0.5
+        assert not sound.runs
+
+
+@pytest.mark.parametrize("script", [pieces(1, 20, ""), pieces(1, 20), pieces(1, 11)])
+async def test_a_run_does_not_complete_foreign_events(script):
+    """Guards against foreign events that are cut short and get a sound end."""
+    async with RelayRig() as rig:
+        faulty = await add_scripted(rig, HEAD + script)
+        sound = await add_sound(rig)
+        attempt, answer = await call_faulty_first(rig, lambda: faulty.count)
+        assert answer.status == 200 and not answer.complete
+        sound.runs.clear()
+        refused = await resume(rig, attempt, answer.body.count(b"id: "))
+        assert refused.headers["acaciarelay-code"] == FOREIGN
+        assert not sound.runs
+
+
 async def test_a_stream_cut_after_its_last_event_ends_whole():
     """Guards against a sound answer that is broken off for want of a proof."""
     async with RelayRig() as rig:
@@ -99,3 +140,15 @@
             answer = await rig.call("/chat/a", attempt=tokens, Token_Usage=tokens)
             assert answer.complete
         assert len(runner.runs) == 3
+
+
+async def test_a_foreign_second_run_ends_the_answer():
+    """Guards against foreign events behind sound ones of another engine."""
+    async with RelayRig() as rig:
+        first = await add_scripted(rig, HEAD + pieces(1, 4))
+        second = await rig.add_runner("engine")
+        second.faults = RunnerFaults(endless="numbered_events")
+        await call_faulty_first(rig, lambda: first.count and second.endless_bytes)
+        await asyncio.sleep(0)
+        answer = await rig.call("/chat/a", attempt="last", Token_Usage="100,30")
+        assert not answer.complete
--- a/tests/unit/platform_path/test_stream_origins.py
+++ b/tests/unit/platform_path/test_stream_origins.py
@@ -7,7 +7,11 @@
 from granter_rig import engine
 
 from acaciarelay.coordination.software_history import MAX_FORMER, SoftwareHistory
-from acaciarelay.coordination.stream_origins import MAX_ORIGINS, StreamOrigins
+from acaciarelay.coordination.stream_origins import (
+    MAX_ORIGINS,
+    StreamOrigin,
+    StreamOrigins,
+)
 from acaciarelay.programs.stream_records import StreamRecords
 from acaciarelay.protocol.link_messages import (
     StreamFound,
@@ -16,6 +20,8 @@
     decode_message,
 )
 
+V1 = StreamOrigin(frozenset({"v1"}))
+
 
 def endpoint(version, host="10.0.0.1"):
     return attrs.evolve(engine(host), version=version)
@@ -59,7 +65,9 @@
     records.receive(Answers(), started("v1", begun=True))
     records.receive(Answers(), started("v2", begun=True))
     assert ask(records, "a") == StreamFound(number=7)
-    assert records.origins.find("a", time.monotonic()) == {"v1", "v2"}
+    origin = records.origins.find("a", time.monotonic())
+    assert origin == StreamOrigin(frozenset({"v1", "v2"}))
+    assert origin.version is None
 
 
 def test_an_entry_of_the_former_release_reads_what_is_found():
@@ -80,10 +88,10 @@
 def test_requests_are_forgotten_in_time():
     """Guards against memory that grows with every request."""
     origins = StreamOrigins()
-    origins.record("a", "v1", 8.0, 1.0)
+    origins.record("a", V1, 8.0, 1.0)
     assert origins.find("a", 8.9)
     assert not origins.find("a", 9.1)
-    origins.record("b", "v1", 8.0, 9.2)
+    origins.record("b", V1, 8.0, 9.2)
     assert list(origins.kept) == ["b"]
 
 
@@ -91,7 +99,7 @@
     """Guards against a flood of streams that fills the memory of an agent."""
     origins = StreamOrigins()
     for number in range(MAX_ORIGINS + 10):
-        origins.record(str(number), "v1", 1e9, 1.0)
+        origins.record(str(number), V1, 1e9, 1.0)
     assert len(origins.kept) == MAX_ORIGINS
     assert not origins.find("9", 1.0)
     assert origins.find("10", 1.0)
