Take a list of endpoints for the history only if the store confirms it

Cause: where nobody knows a stream, it goes on if one version alone has been listed for long enough. The list counted as readable until the call to a silent store failed, up to 2.85 s later; an entry that reaches no other process in that time knows nothing of a version that joined.

Now the store is asked by a call that begins after the stream was taken up. Without its answer within 0.5 s the stream is refused as of unknown origin. The removal of a row that was never seen begins the history anew, as its version is not known.

Questions that come at once share a call (150 in 6 calls at most).

--- a/src/acaciarelay/programs/relay_entry.py
+++ b/src/acaciarelay/programs/relay_entry.py
@@ -38,6 +38,7 @@
 from acaciarelay.programs.relay_state_cache import TABLES, StateCache
 from acaciarelay.programs.resumed_streams import ResumedStreams
 from acaciarelay.programs.rollouts import Rollouts
+from acaciarelay.programs.served_versions import ServedVersions
 from acaciarelay.programs.slow_callers import SlowCallers
 from acaciarelay.programs.store_follower import StoreFollower
 from acaciarelay.protocol.codes import Refusal, refuse
@@ -140,8 +141,21 @@
                 self.metrics,
                 lambda era: self.peers.on_era(era),
             )
+        self.follower = StoreFollower(
+            settings.store_address,
+            self.cache,
+            self.rng,
+            settings.store_silence_ms / 1000,
+            lambda: self.usage.process_count,
+            self.loop_budget,
+        )
         self.streams = ResumedStreams(
-            self.cache, self.slot_client, self.metrics, self.peers.links, self.rng
+            self.cache,
+            ServedVersions(self.cache, self.follower.confirm),
+            self.slot_client,
+            self.metrics,
+            self.peers.links,
+            self.rng,
         )
         self.peers.on_stream_message = self.streams.receive
         self.relay = RequestRelay(
@@ -160,14 +174,6 @@
             self.rollouts,
             settings.slow_peers,
         )
-        self.follower = StoreFollower(
-            settings.store_address,
-            self.cache,
-            self.rng,
-            settings.store_silence_ms / 1000,
-            lambda: self.usage.process_count,
-            self.loop_budget,
-        )
         self.peers.on_era = self.follower.probe_era
         self.callers = CallerServer(self.build_inbound, self.connections)
         self.granters = EntryGranters(
--- a/src/acaciarelay/programs/relay_state_cache.py
+++ b/src/acaciarelay/programs/relay_state_cache.py
@@ -107,8 +107,8 @@
         self._unconfirmed: set[str] = set()
         self.on_configuration: list[Callable[[], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
-        # Called with the name of a table that was read completely.
-        self.on_complete_read: list[Callable[[str], None]] = []
+        # Called with the name of a table of which rows may have come and gone unseen.
+        self.on_gap: list[Callable[[str], None]] = []
         # Called with each row of the operator's table that is no configuration.
         self.on_operator_row: Callable[[StoreRow], None] = lambda row: None
 
@@ -165,6 +165,9 @@
             )
         changed = has_changed = False
         for row in rows:
+            if row.value is None and row.key not in state.cached.rows:
+                # What the row was before its removal is not known.
+                self._notify_gap(table)
             if after_outage and row.value is None:
                 row = attrs.evolve(row, lapsed=True)
             merged = state.cached.merge(row, now)
@@ -191,8 +194,7 @@
         if page.version < cached.version:
             log_stale_read(table, page.version, cached.version)
             return False
-        for listener in self.on_complete_read:
-            listener(table)
+        self._notify_gap(table)
         rows = cached.replace_all(page.rows, page.version)
         self.apply_changes(table, rows, page.version, after_outage, READ_SOURCE)
         return True
@@ -392,6 +394,10 @@
         if expired:
             self._notify_listeners(ENDPOINT_TABLE)
 
+    def _notify_gap(self, table: str) -> None:
+        for listener in self.on_gap:
+            listener(table)
+
     def _notify_listeners(self, table: str) -> None:
         """Notify the listeners of a table; first drop its tombstones if it is large.
 
--- a/src/acaciarelay/programs/resumed_streams.py
+++ b/src/acaciarelay/programs/resumed_streams.py
@@ -10,12 +10,11 @@
 from result import Err, Ok, Result
 
 from acaciarelay.coordination.slot_client import SlotClient, SlotLink
-from acaciarelay.coordination.software_history import SoftwareHistory
 from acaciarelay.coordination.stream_origins import StreamOrigin
-from acaciarelay.platform.configuration import ENDPOINT_TABLE
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_state_cache import StateCache
+from acaciarelay.programs.served_versions import ServedVersions
 from acaciarelay.programs.stream_records import StreamRecords
 from acaciarelay.protocol.link_messages import (
     StreamFound,
@@ -77,6 +76,7 @@
     def __init__(
         self,
         cache: StateCache,
+        versions: ServedVersions,
         slot_client: SlotClient,
         metrics: Metrics,
         peer_links: Callable[[], Iterable[MessageLink]],
@@ -84,34 +84,14 @@
     ) -> None:
         self.rng = rng
         self.cache = cache
+        self.versions = versions
         self.slot_client = slot_client
         self.metrics = metrics
         self.peer_links = peer_links
         self.records = StreamRecords()
-        self.history = SoftwareHistory()
         self.lookups: dict[int, _Lookup] = {}
         self.numbers = itertools.count(1)
         self.loop = asyncio.get_running_loop()
-        cache.on_endpoints.append(self.update_history)
-        cache.on_complete_read.append(self.begin_history)
-
-    # Versions in service.
-
-    def begin_history(self, table: str) -> None:
-        if table == ENDPOINT_TABLE:
-            self.history.begin(time.monotonic())
-
-    def update_history(self) -> None:
-        self.history.update(self.cache.endpoints.all(), time.monotonic())
-
-    def only_version(self, relayed: RelayedRequest) -> str | None:
-        """Return the only version that can have begun a stream of this service."""
-        if not self.cache.tables[ENDPOINT_TABLE].readable:
-            return None
-        self.update_history()
-        return self.history.only_version(
-            relayed.service, relayed.route.timeout_s, time.monotonic()
-        )
 
     # Streams that begin.
 
@@ -196,7 +176,10 @@
             origin = await self.find_origin(first_request, relayed.service)
         if origin is not None and origin.foreign:
             return Err("stream_foreign")
-        software = origin.version if origin is not None else self.only_version(relayed)
+        if origin is not None:
+            software = origin.version
+        else:
+            software = await self.versions.only_version(relayed)
         log_event(
             "stream_resumed",
             request_id=relayed.traits.request_id,
--- a/src/acaciarelay/programs/store_follower.py
+++ b/src/acaciarelay/programs/store_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 import random
 import time
 from collections.abc import Callable
@@ -47,6 +48,8 @@
 READS_TO_A_LONG_ONE = 3
 # Mean time between the starts of two failing calls, if they fail sooner.
 RETRY_INTERVAL_S = 0.25
+# Minimum time between the starts of two calls that only show that a table is current.
+CONFIRM_INTERVAL_S = 0.05
 # A call that ends later than this after its time limit was held up by a pause of this
 # process, which may have hidden the answer.
 MAX_TIMER_DELAY_S = 0.3
@@ -80,6 +83,13 @@
     probing: bool = False
     answers_are_long: bool = False
     task: asyncio.Task | None = None
+    # Those that wait for the next call, and for the one on its way, to show that the
+    # table is current.
+    confirmations: list[asyncio.Future[bool]] = attrs.Factory(list)
+    confirming: list[asyncio.Future[bool]] = attrs.Factory(list)
+    # Whether the last call has shown it, and when a call was last made to show it.
+    is_current: bool = False
+    confirmed_at: float = -math.inf
 
     @property
     def is_failing(self) -> bool:
@@ -88,7 +98,22 @@
     @property
     def waits(self) -> bool:
         """Return whether the next call waits for changes."""
-        return self.version is not None and not self.probing and not self.is_failing
+        if self.confirming or self.probing or self.is_failing:
+            return False
+        return self.version is not None
+
+    def begin_call(self) -> None:
+        """Let the call that begins answer those that wait."""
+        self.is_current = False
+        self.confirming += self.confirmations
+        self.confirmations = []
+
+    def end_call(self) -> None:
+        """Tell those that wait whether the table is current."""
+        for confirmation in self.confirming:
+            if not confirmation.done():
+                confirmation.set_result(self.is_current)
+        self.confirming = []
 
 
 class StoreFollower:
@@ -150,6 +175,30 @@
             feed.task.cancel()
             self.start_feed(table)
 
+    async def confirm(self, table: str, timeout_s: float) -> bool:
+        """Return whether a table is current, by a call that begins from now on.
+
+        Many that ask at once share a call.
+        """
+        feed = self.feeds[table]
+        confirmation: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        feed.confirmations.append(confirmation)
+        if len(feed.confirmations) == 1:
+            due_s = feed.confirmed_at + CONFIRM_INTERVAL_S - time.monotonic()
+            loop = asyncio.get_running_loop()
+            loop.call_later(max(0.0, due_s), self.call_to_confirm, table, feed)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await confirmation
+        except TimeoutError:
+            return False
+
+    def call_to_confirm(self, table: str, feed: _Feed) -> None:
+        """Call at once, unless such a call is on its way, which another one follows."""
+        if feed.confirmations and not feed.confirming:
+            feed.confirmed_at = time.monotonic()
+            self.call_again(table, feed)
+
     def probe_era(self, era: int) -> None:
         """Call again at once for the tables of a former era, as a peer knows this one.
 
@@ -187,6 +236,8 @@
                 if next_call is _NextCall.AT_ONCE:
                     continue
                 interval_s = self.interval_s(table)
+                if feed.confirmations:
+                    interval_s = CONFIRM_INTERVAL_S
                 is_retry = next_call is _NextCall.AFTER_RETRY_INTERVAL
                 if is_retry or feed.version is None:
                     retry_interval_s = RETRY_INTERVAL_S * (0.5 + self.rng.random())
@@ -201,12 +252,15 @@
         self, client: StoreClient, table: str, feed: _Feed
     ) -> _NextCall:
         """Make one call; an unexpected error is logged and must not end the feed."""
+        feed.begin_call()
         try:
-            return await self.update(client, table, feed)
+            next_call = await self.update(client, table, feed)
         except Exception:
             eliot.write_traceback()
             client.close()
-            return _NextCall.AFTER_RETRY_INTERVAL
+            next_call = _NextCall.AFTER_RETRY_INTERVAL
+        feed.end_call()
+        return next_call
 
     async def update(self, client: StoreClient, table: str, feed: _Feed) -> _NextCall:
         """Make one call for a table; return when the next one follows."""
@@ -322,6 +376,7 @@
         else:
             self.cache.apply_changes(table, page.rows, page.version, after_outage)
         feed.version = page.version
+        feed.is_current = True
         self.cache.mark_read(table)
 
     def record_failure(self, table: str, feed: _Feed, detail: str) -> None:
--- a/tests/relay_rig.py
+++ b/tests/relay_rig.py
@@ -21,6 +21,7 @@
 from acaciarelay.programs.relay_request import RequestRelay
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.resumed_streams import ResumedStreams
+from acaciarelay.programs.served_versions import ServedVersions
 from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.cached_table import StoreRow
 from acaciarelay.state.routing import CallerLimits, Organisation
@@ -129,8 +130,16 @@
         self.loop_budget = LoopBudget()
         metrics = Metrics()
         self.crashes = CrashGuard("127.0.0.1:1", self.slot_client, metrics)
+        # Whether the store confirms that the list of endpoints is current.
+        self.store_confirms = True
+        self.versions = ServedVersions(self.cache, self.confirm)
         self.streams = ResumedStreams(
-            self.cache, self.slot_client, metrics, lambda: self.peer_links, rng
+            self.cache,
+            self.versions,
+            self.slot_client,
+            metrics,
+            lambda: self.peer_links,
+            rng,
         )
         self.relay = RequestRelay(
             self.cache,
@@ -171,6 +180,10 @@
             close()
         await asyncio.sleep(0)
 
+    async def confirm(self, table: str, timeout_s: float) -> bool:
+        """Answer for the store."""
+        return self.store_confirms
+
     def build(self) -> InboundConnection:
         return InboundConnection(
             self.serve,
--- a/tests/unit/platform_path/test_foreign_streams.py
+++ b/tests/unit/platform_path/test_foreign_streams.py
@@ -108,7 +108,7 @@
 async def resume_unknown(rig, last):
     """Resume a stream of a lost entry, where one version alone has served."""
     rig.cache.mark_read("servers")
-    rig.streams.history.begin(time.monotonic() - STREAM_LIFE_S - 1)
+    rig.versions.history.begin(time.monotonic() - STREAM_LIFE_S - 1)
     return await resume(rig, "at-a-lost-entry", last)
 
 
--- a/tests/unit/platform_path/test_resumed_streams.py
+++ b/tests/unit/platform_path/test_resumed_streams.py
@@ -20,7 +20,7 @@
 def follow(rig, seconds):
     """Let the entry have followed the list of endpoints for some time."""
     rig.cache.mark_read("servers")
-    rig.streams.history.begin(time.monotonic() - seconds)
+    rig.versions.history.begin(time.monotonic() - seconds)
 
 
 async def begin(rig, version="v1"):
@@ -162,3 +162,24 @@
         rig.slot_client.undecided = set()
         answer = await resumed
         assert answer.status == 200 and answer.complete and first.runs
+
+
+async def test_a_list_that_the_store_does_not_confirm_is_no_history():
+    """Guards against an entry that is cut off and knows of no newer version."""
+    async with RelayRig() as rig:
+        await rig.add_runner("engine", version="v1")
+        follow(rig, STREAM_LIFE_S + 1)
+        rig.store_confirms = False
+        answer = await resume(rig, Resumes="at-a-lost-entry")
+        assert answer.headers["acaciarelay-code"] == UNKNOWN
+        assert rig.arrivals == 0
+
+
+async def test_a_runner_that_came_and_went_unseen_leaves_no_history():
+    """Guards against a version that has served while the entry stood still."""
+    async with RelayRig() as rig:
+        await rig.add_runner("engine", version="v1")
+        follow(rig, STREAM_LIFE_S + 1)
+        rig.row("servers", "i-unseen", None)
+        answer = await resume(rig, Resumes="at-a-lost-entry")
+        assert answer.headers["acaciarelay-code"] == UNKNOWN
--- a/tests/unit/platform_path/test_store_follower.py
+++ b/tests/unit/platform_path/test_store_follower.py
@@ -284,3 +284,48 @@
             followed.configure(2)
             await asyncio.sleep(0.5)
         await followed.until_version(2, RETURN_BOUND_S)
+
+
+async def test_a_table_is_confirmed_by_a_call_of_now():
+    """Guards against the answer of a call that began before the question."""
+    async with FollowedStore() as followed:
+        await asyncio.sleep(0.3)
+        followed.configure(2)
+        began = time.monotonic()
+        assert await followed.follower.confirm("op", 0.5)
+        assert time.monotonic() - began < 0.5
+        assert followed.cache.routing.version == 2
+        assert await followed.follower.confirm("servers", 0.5)
+        # The calls that wait for changes go on.
+        followed.configure(3)
+        await followed.until_version(3, 1.0)
+
+
+async def test_a_silent_store_confirms_nothing():
+    async with FollowedStore() as followed:
+        followed.store.faults.silent = True
+        began = time.monotonic()
+        assert not await followed.follower.confirm("servers", 0.3)
+        assert time.monotonic() - began < 0.5
+
+
+async def test_questions_at_once_share_a_call():
+    """Guards against a flood of resumed streams that uses up the store's rate."""
+    async with FollowedStore() as followed:
+        before = followed.store.calls.total()
+        for _ in range(3):
+            questions = [followed.follower.confirm("servers", 1.0) for _ in range(50)]
+            assert all(await asyncio.gather(*questions))
+        assert followed.store.calls.total() - before <= 6
+
+
+async def test_a_slow_store_confirms_questions_that_keep_coming():
+    """Guards against calls that are given up for each new question."""
+    async with FollowedStore() as followed:
+        followed.store.faults.slow_s = 0.2
+        questions = []
+        for _ in range(20):
+            question = followed.follower.confirm("servers", 0.6)
+            questions.append(asyncio.create_task(question))
+            await asyncio.sleep(0.05)
+        assert all(await asyncio.gather(*questions))
