Split the outcome of an attempt from the loop over attempts

A resumed stream that ends whole without a further event counts as continued, no longer as not placed.

Tests of the request path, of resumed and of foreign streams pass unchanged.

--- a/src/acaciarelay/programs/relay_request.py
+++ b/src/acaciarelay/programs/relay_request.py
@@ -20,14 +20,19 @@
 from acaciarelay.programs.relay_admission import Admission
 from acaciarelay.programs.relay_attempt import Attempts, is_declined
 from acaciarelay.programs.relay_drain import RequestDrain
-from acaciarelay.programs.relay_placement import Placement, Placer, slot_wait_end
+from acaciarelay.programs.relay_placement import Placer, slot_wait_end
 from acaciarelay.programs.relay_refusal import respond_refusal
 from acaciarelay.programs.relay_state_cache import StateCache
 from acaciarelay.programs.relay_takeover import Takeovers
-from acaciarelay.programs.request_recorder import RequestRecorder, interrupted_outcome
+from acaciarelay.programs.request_recorder import (
+    RequestRecorder,
+    describe_attempt,
+    interrupted_outcome,
+    resumption_outcome,
+)
 from acaciarelay.programs.resumed_streams import ResumedStreams
 from acaciarelay.programs.rollouts import Rollouts
-from acaciarelay.protocol.codes import Refusal, ResultCode, refuse
+from acaciarelay.protocol.codes import Refusal, refuse
 from acaciarelay.protocol.http_message import InboundRequest
 from acaciarelay.state.relayed_request import (
     AttemptOutcome,
@@ -228,34 +233,45 @@
                     placement.release_declined()
             finally:
                 placement.release()
-            relayed.steps.append(_describe(outcome, placement))
-            if not isinstance(outcome, NotRun) or outcome.received:
-                is_prepaid = False
-            match outcome:
-                case Delivered():
-                    return None
-                case NotRun(received=True):
-                    relayed.decline_count += 1
-                    if relayed.decline_count > MAX_DECLINED:
-                        return self.give_up(relayed, "shed")
-                case NotRun():
-                    relayed.connect_failures += 1
-                    if self.is_unreachable(relayed):
-                        return self.give_up(relayed, "no_endpoint")
-                    if not self.has_untried(relayed):
-                        await asyncio.sleep(CONNECT_RETRY_DELAY_S)
-                case Broken(foreign=True):
-                    self.streams.disown(relayed)
+            relayed.steps.append(describe_attempt(outcome, placement))
+            if isinstance(outcome, Delivered):
+                return None
+            if refusal := self.refusal_after(relayed, outcome):
+                return refusal
+            is_unreached = isinstance(outcome, NotRun) and not outcome.received
+            is_prepaid = is_prepaid and is_unreached
+            if is_unreached and not self.has_untried(relayed):
+                await asyncio.sleep(CONNECT_RETRY_DELAY_S)
+
+    def refusal_after(
+        self, relayed: RelayedRequest, outcome: AttemptOutcome
+    ) -> Refusal | None:
+        """Return the refusal with which a failed attempt ends a request.
+
+        ``None`` if it is tried again.
+        """
+        match outcome:
+            case NotRun(received=True):
+                relayed.decline_count += 1
+                if relayed.decline_count > MAX_DECLINED:
+                    return self.give_up(relayed, "shed")
+            case NotRun():
+                relayed.connect_failures += 1
+                if self.is_unreachable(relayed):
+                    return self.give_up(relayed, "no_endpoint")
+            case Broken(foreign=True):
+                self.streams.disown(relayed)
+                return self.give_up(relayed, "outcome_unknown")
+            case Broken(reason=reason):
+                if not relayed.may_retry:
                     return self.give_up(relayed, "outcome_unknown")
-                case Broken(reason=reason):
-                    if not relayed.may_retry:
-                        return self.give_up(relayed, "outcome_unknown")
-                    self.metrics.count("retries_total", reason=reason.split(":")[0])
-                case ErrorResponse():
-                    relayed.error_response = outcome
-                    if outcome.status < 500 or not relayed.may_retry:
-                        return self.give_up(relayed, "endpoint_failed")
-                    self.metrics.count("retries_total", reason="endpoint_failed")
+                self.metrics.count("retries_total", reason=reason.split(":")[0])
+            case ErrorResponse():
+                relayed.error_response = outcome
+                if outcome.status < 500 or not relayed.may_retry:
+                    return self.give_up(relayed, "endpoint_failed")
+                self.metrics.count("retries_total", reason="endpoint_failed")
+        return None
 
     async def resume(self, relayed: RelayedRequest) -> Refusal | None:
         """Bind a resumed stream to the version that began it, or refuse it."""
@@ -359,7 +375,7 @@
         complete.
         """
         if relayed.traits.resumes_stream and relayed.route.streaming:
-            self.streams.count(_resumption_outcome(relayed, refusal))
+            self.streams.count(resumption_outcome(relayed, refusal))
         if refusal is None:
             self.recorder.record_end(connection, relayed, "delivered", None)
             return
@@ -393,28 +409,3 @@
             configuration=routing.version if routing else None,
         )
         respond_refusal(connection, refusal, request_id)
-
-
-def _resumption_outcome(relayed: RelayedRequest, refusal: Refusal | None) -> str:
-    if relayed.first_event_at is not None:
-        return "continued"
-    match refusal:
-        case Refusal(code=ResultCode(name="stream_origin_unknown")):
-            return "origin_unknown"
-        case Refusal(code=ResultCode(name="stream_version_gone")):
-            return "version_gone"
-        case Refusal(code=ResultCode(name="stream_foreign")):
-            return "foreign"
-        case _:
-            return "not_placed"
-
-
-def _describe(outcome: AttemptOutcome, placement: Placement) -> str:
-    name = placement.endpoint.endpoint_id
-    match outcome:
-        case Delivered():
-            return f"{name}: delivered"
-        case NotRun(reason=reason) | Broken(reason=reason):
-            return f"{name}: {type(outcome).__name__}: {reason}"
-        case ErrorResponse(status=status):
-            return f"{name}: answered {status}"
--- a/src/acaciarelay/programs/request_recorder.py
+++ b/src/acaciarelay/programs/request_recorder.py
@@ -5,12 +5,25 @@
 from acaciarelay.programs.logs import log_event
 from acaciarelay.programs.metrics import Metrics
 from acaciarelay.programs.relay_drain import RequestDrain
-from acaciarelay.protocol.codes import Refusal
-from acaciarelay.state.relayed_request import RelayedRequest
+from acaciarelay.programs.relay_placement import Placement
+from acaciarelay.protocol.codes import Refusal, ResultCode
+from acaciarelay.state.relayed_request import (
+    AttemptOutcome,
+    Broken,
+    Delivered,
+    ErrorResponse,
+    NotRun,
+    RelayedRequest,
+)
 from acaciarelay.transport.connection_phase import ClosedBy
 from acaciarelay.transport.inbound_server import InboundConnection
 
-__all__ = ["RequestRecorder", "interrupted_outcome"]
+__all__ = [
+    "RequestRecorder",
+    "describe_attempt",
+    "interrupted_outcome",
+    "resumption_outcome",
+]
 
 # Outcomes of requests whose callers may have no whole answer.
 UNANSWERED_OUTCOMES = ("cut", "caller_gone", "failed")
@@ -129,3 +142,30 @@
 
 def _elapsed_s(start: float, end: float | None) -> float | None:
     return round(end - start, 4) if end is not None else None
+
+
+def resumption_outcome(relayed: RelayedRequest, refusal: Refusal | None) -> str:
+    """Return what became of a resumed stream, as the metrics name it."""
+    if relayed.first_event_at is not None or refusal is None:
+        return "continued"
+    match refusal:
+        case Refusal(code=ResultCode(name="stream_origin_unknown")):
+            return "origin_unknown"
+        case Refusal(code=ResultCode(name="stream_version_gone")):
+            return "version_gone"
+        case Refusal(code=ResultCode(name="stream_foreign")):
+            return "foreign"
+        case _:
+            return "not_placed"
+
+
+def describe_attempt(outcome: AttemptOutcome, placement: Placement) -> str:
+    """Describe an attempt for the log."""
+    name = placement.endpoint.endpoint_id
+    match outcome:
+        case Delivered():
+            return f"{name}: delivered"
+        case NotRun(reason=reason) | Broken(reason=reason):
+            return f"{name}: {type(outcome).__name__}: {reason}"
+        case ErrorResponse(status=status):
+            return f"{name}: answered {status}"
