Accept a run that goes on right behind the last event without repeating it

The whole test run found it: 24 cases of test_a_stream_goes_on_elsewhere_after_foreign_ bytes failed, whose second runner begins with the next event although the last one was asked for again. An event with the next number shows as well that the stream has the last one, so there is no reason to break such an answer off.

--- a/src/acaciarelay/state/stream_position.py
+++ b/src/acaciarelay/state/stream_position.py
@@ -74,8 +74,6 @@
                 continue
             if last is not None and event.number != last + 1:
                 raise OutOfOrderError
-            if self.repeats and not self._has_needed_event:
-                raise OutOfOrderError
             last = self.seen_event = event.number
             unsent.append(event)
         self.last_event = last
