--- a/src/acaciarelay/programs/metrics.py
+++ b/src/acaciarelay/programs/metrics.py
@@ -165,8 +165,8 @@
         "acaciarelay_streams_resumed_total",
         "counter",
         ("outcome",),
-        "Streams that callers resumed, by outcome: continued (a new event or the end of "
-        "the stream was sent), origin_unknown, version_gone, foreign, not_placed.",
+        "Streams that callers resumed, by outcome: continued (a new event or the end "
+        "of the stream was sent), origin_unknown, version_gone, foreign, not_placed.",
     ),
     Metric(
         "acaciarelay_places_declined_total",
