Let the test of errors during an answer fail the method that took over

StreamForwarder.unsent_events has become StreamPosition.advance, so the whole test run failed to patch it. The same error is raised at the same moment, and the checks are unchanged; the test passes.

--- a/tests/unit/platform_path/test_unexpected_errors.py
+++ b/tests/unit/platform_path/test_unexpected_errors.py
@@ -9,7 +9,7 @@
 
 from acaciarelay.programs.relay_entry import RelayEntry
 from acaciarelay.programs.relay_settings import RelaySettings
-from acaciarelay.programs.stream_forwarder import StreamForwarder
+from acaciarelay.state.stream_position import StreamPosition
 
 SETTINGS = RelaySettings(
     name="entry-1",
@@ -92,7 +92,7 @@
 async def test_an_unexpected_error_during_the_answer_cuts_it(monkeypatch):
     """Guards against an answer that looks complete after its handler's error."""
     async with start_rig() as rig:
-        monkeypatch.setattr(StreamForwarder, "unsent_events", fail)
+        monkeypatch.setattr(StreamPosition, "advance", fail)
         assert (await rig.call("/chat/a")).status == 500
         monkeypatch.undo()
         monkeypatch.setattr(rig.relay.attempts, "record_outcome", fail)
