--- a/tests/integration/test_fatal_prompts.py
+++ b/tests/integration/test_fatal_prompts.py
@@ -187,6 +187,25 @@
         await asyncio.sleep(FATAL_INTERVAL_S)
 
 
+async def test_fatal_prompts_that_come_at_once_stop_reaching_engines(tmp_path):
+    """Guards against engines that crash together and are taken for a loss of power."""
+    async with PlatformFleet(tmp_path) as fleet:
+        await start(fleet)
+        callers = Callers(fleet)
+        await callers.send_for(1.0)
+        for _ in ENGINES:
+            callers.send(["first", FATAL])
+        await callers.send_for(CONTACT_S + 2.0)
+        assert len(fleet.crashes) >= CRASHES_THAT_TELL
+        known_at = fleet.crashes[CRASHES_THAT_TELL - 1] + CONTACT_S
+        for _ in ENGINES:
+            callers.send(["first", FATAL])
+        await callers.send_for(3.0)
+        await asyncio.gather(*callers.tasks)
+        assert fatal_arrivals(fleet, known_at) <= MAX_LATE_ARRIVALS
+        assert callers.served_after(known_at + CONTACT_S) >= 0.5
+
+
 async def test_a_restarted_entry_keeps_fatal_prompts_from_engines(tmp_path):
     """Guards against what a restart forgets of prompts that crash engines."""
     async with PlatformFleet(tmp_path) as fleet:
