--- a/tests/unit/platform_path/test_end_of_streams_at_the_stop.py
+++ b/tests/unit/platform_path/test_end_of_streams_at_the_stop.py
@@ -18,6 +18,8 @@
     """Yield the list that gets all messages of the log."""
     messages: list[dict] = []
     eliot.add_destinations(messages.append)
+    # The first destination also gets what was logged before there was any.
+    messages.clear()
     yield messages
     eliot.remove_destination(messages.append)
 
