Keep one form of the test of streams at a stop

The form without a held loop says what test_a_stream_cut_by_a_stop_is_logged_beside_a_flood_of_lines says, which is listed: by chance it meets the same fault. The other form, which meets it each time, stays.

--- a/tests/unit/platform_path/test_end_of_streams_at_the_stop.py
+++ b/tests/unit/platform_path/test_end_of_streams_at_the_stop.py
@@ -24,8 +24,7 @@
     eliot.remove_destination(messages.append)
 
 
-@pytest.mark.parametrize("held_s", [0.0, CLOSE_CHECK_INTERVAL_S])
-async def test_a_stream_cut_by_the_stop_is_logged_as_such(held_s, log):
+async def test_a_stream_cut_by_the_stop_is_logged_as_such(log):
     """Guards against a cut that the closing of connections hides in a busy loop."""
     loop = asyncio.get_running_loop()
 
@@ -33,7 +32,12 @@
         """Hold the loop over the end of the streams, ahead of the stop's next step."""
         left_s = window.streams_end_at - loop.time()
         if CLOSE_CHECK_INTERVAL_S < left_s <= 2 * CLOSE_CHECK_INTERVAL_S:
-            loop.call_later(CLOSE_CHECK_INTERVAL_S, loop.call_soon, hold_loop, held_s)
+            loop.call_later(
+                CLOSE_CHECK_INTERVAL_S,
+                loop.call_soon,
+                hold_loop,
+                CLOSE_CHECK_INTERVAL_S,
+            )
 
     async with RelayRig() as rig:
         await rig.add_runner("engine", events=200, step_s=0.02)
